--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,784 @@
+// Every decision of the balancer. Its interface (settings, events, actions) is brain.h.
+// Top to bottom: constants, membership, health and capacity, probe pool and pick, legality gate,
+// attempts, admission, dispatch of events.
+#include "brain.h"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <stdexcept>
+#include <unordered_map>
+
+namespace paddlestile {
+namespace {
+
+// ---- Constants: unit and reason for each ----------------------------------------------------
+constexpr Duration kSweep{10'000};         // us; a fraction of any useful aim, cheap to run
+constexpr size_t kPoolMost = 16;           // entries; the paper's pool
+constexpr double kPoolShare = 2.0 / 3;     // of the endpoints; m < n keeps the reuse formula defined
+constexpr Duration kPoolAge{1'000'000};    // us; the design page's starting point
+constexpr double kColdRank = 0.5;          // of the pool's in-flight figures; median rank
+constexpr double kProbeSpend = 0.012;      // of the result; what probing may cost where it is priced
+constexpr double kProbeLeast = 0.25;       // probes a request; keeps a pool over a small fleet filled
+constexpr double kProbeMost = 2;           // probes a request; more tells nothing new
+constexpr double kRemovePerProbe = 1.0 / 12;  // removals a probe; well inside the formula's domain
+constexpr double kReuseSlack = 1;          // the paper's delta: net growth of the pool per reuse
+constexpr double kBlend = 0.1;             // weight of one new sample in a slow average
+constexpr double kErrBlend = 0.2;          // weight of one outcome in the error share
+constexpr double kErrEject = 0.3;          // error share: two failures in a row, or in three
+constexpr double kMaxEjected = 0.5;        // of the endpoints; past that they are no worse than peers
+constexpr Duration kEjectFirst{1'000'000};  // us; doubles with each failed trial
+constexpr int kEjectDoublings = 3;         // up to 8 s, the order of a short outage
+constexpr double kSilence = 3;             // typical times without any answer: suspect
+constexpr double kStretch = 3.5;           // requests held per one in service: busy, queue still short
+constexpr double kAimShare = 0.7;          // of the aim that the predicted time may take
+constexpr double kHoldShare = 0.25;        // of the aim that a request may wait here
+constexpr double kRetryEarn = 0.2;         // further attempts earned by each request
+constexpr double kRetryMost = 10;          // further attempts saved up
+constexpr double kColdSafety = 0.5;        // of the cold budget; sizes differ and work is random
+constexpr double kColdOverhead = 0.25;     // requests; a handshake on top of each send
+constexpr double kRateSpan = 5e6;          // us; span over which an endpoint's pace is remembered
+constexpr int kFewSamples = 20;            // answers before an average is trusted
+
+double Us(Duration d) { return static_cast<double>(d.count()); }
+Duration ToUs(double us) { return Duration(std::llround(us)); }
+void Blend(double& mean, double sample, double weight) { mean += weight * (sample - mean); }
+
+struct Endpoint {
+  EndpointInfo info;
+  bool listed = false;
+  int out = 0;             // own attempts out
+  int probes_out = 0;
+  double inflight = 0;     // last report, raised by own sends and lowered by own ends
+  Time reported{-1};       // when that report came; -1: never
+  double service = 0;      // us; reported service time, 0 unknown
+  double link = 0;         // us; probe round trip, 0 unknown
+  double err = 0;          // share of failed outcomes, recent
+  Time ejected_until{0};
+  int trips = 0;           // ejections in a row
+  Time silent_since{0};    // last answer, or the send that found none out
+  double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
+  int answers = 0;
+  double parallel = 0;     // requests in service at once, learned; 0 unknown
+  double pace = 0;         // own finished work per us, decayed over kRateSpan
+  Time paced{0};
+  double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
+  Time cold_filled{-1};
+};
+
+struct Attempt {
+  int ep = 0;
+  Time sent{0};
+  bool out = true;
+  bool may_have_run = true;  // until an outcome proves otherwise
+  bool called_off = false;
+  double f_at_send = 0;
+};
+
+struct Request {
+  uint64_t seq = 0;
+  Submit in;
+  Time arrived{0};
+  std::vector<Attempt> attempts;
+  int out = 0;
+  bool over = false;
+  bool waiting = false;
+  bool streaming = false;
+};
+
+struct PoolEntry {
+  int ep = 0;
+  double rif = 0;
+  double latency = 0;
+  Time at{0};
+  int uses = 1;
+};
+
+}  // namespace
+
+struct Brain::Impl {
+  Impl(const Settings& settings, uint64_t seed) : s(settings), rng(seed) { Validate(); }
+
+  Settings s;
+  std::mt19937_64 rng;
+  Stats stats;
+  Time now{0};
+  std::vector<Action>* act = nullptr;
+
+  std::vector<Endpoint> eps;
+  std::unordered_map<std::string, int> ep_index;    // look-up only, never iterated
+  std::map<uint64_t, Request> open;                 // in order of arrival
+  std::unordered_map<std::string, uint64_t> by_id;  // look-up only
+  std::vector<uint64_t> waiting;                    // held requests, unsorted
+  std::vector<PoolEntry> pool;
+  uint64_t next_seq = 0;
+  bool sweeping = false, started = false, remove_oldest = true;
+  double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
+  int follow_failures = 0;
+  struct ClassTime {
+    double mean = 0, dev = 0;
+    int answers = 0;
+  };
+  std::vector<ClassTime> times;
+  std::vector<double> tenant_rate;  // decayed counts
+  Time tenant_at{0};
+
+  void Validate() {
+    const auto need = [](bool ok, const char* name) {
+      if (!ok) throw std::invalid_argument(std::string("setting out of range: ") + name);
+    };
+    need(s.instances >= 1, "NInstances");
+    need(!s.classes.empty(), "Classes");
+    for (const RequestClass& c : s.classes) {
+      need(c.aim > Duration(0), "Classes[].Slo");
+      need(c.deadline > Duration(0), "Classes[].Deadline");
+      need(c.worth >= 0, "Classes[].Worth");
+    }
+    need(s.allowed.send_cap >= 1, "Allowed.SendCap");
+    need(s.obligations.cold_from >= 0 && s.obligations.cold_from <= 1, "Obligations.ColdFrom");
+    need(s.obligations.fall_multiple > 0, "Obligations.FallMultiple");
+    for (const RequestClass& c : s.classes) times.push_back({Us(c.aim) / 4, Us(c.aim) / 8, 0});
+    tenant_rate.assign(s.tenants.size(), 0);
+  }
+
+  double Uniform() { return std::uniform_real_distribution<double>(0, 1)(rng); }
+  size_t Below(size_t n) { return static_cast<size_t>(Uniform() * static_cast<double>(n)) % n; }
+  template <typename T>
+  void Do(T action) {
+    act->push_back(std::move(action));
+  }
+
+  // ---- 1. Membership ------------------------------------------------------------------------
+  int Intern(const std::string& id) {
+    const auto [at, fresh] = ep_index.try_emplace(id, static_cast<int>(eps.size()));
+    if (fresh) eps.emplace_back().info.id = id;
+    return at->second;
+  }
+
+  void OnMembers(const Members& m) {
+    if (m.kind == ListKind::kFailed) {
+      // Ask again, later each time and not in step with the other gateways: the registry is small.
+      const double base = std::max(Us(s.obligations.must_ask_in) / 20, 2.5e5);
+      const double wait = base * std::pow(2, std::min(follow_failures++, 3)) * (0.5 + Uniform());
+      return Do(SetTimer{ToUs(wait), "follow"});
+    }
+    if (m.kind != ListKind::kCached) follow_failures = 0;
+    if (m.kind != ListKind::kDelta) {
+      for (Endpoint& e : eps) e.info.state = EndpointState::kRemoved;  // absent means gone
+    }
+    for (const EndpointInfo& info : m.entries) {
+      Endpoint& e = eps[static_cast<size_t>(Intern(info.id))];
+      if (info.launched > e.info.launched && e.listed) {
+        // A restarted process: nothing learned of the old one holds.
+        const int out = e.out, probes_out = e.probes_out;
+        e = Endpoint{};
+        e.out = out, e.probes_out = probes_out;
+      }
+      e.info = info;
+      e.listed = true;
+    }
+    if (!started && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
+    started = true;
+  }
+
+  [[nodiscard]] size_t UpCount() const {
+    return static_cast<size_t>(std::count_if(eps.begin(), eps.end(), [](const Endpoint& e) {
+      return e.info.state == EndpointState::kUp;
+    }));
+  }
+
+  // ---- 2. Health and capacity ---------------------------------------------------------------
+  // The fleet's mean time per request over the classes seen, in us.
+  [[nodiscard]] double MeanTime() const {
+    double sum = 0, n = 0;
+    for (const ClassTime& t : times) {
+      sum += t.mean * (t.answers + 1);
+      n += t.answers + 1;
+    }
+    return sum / n;
+  }
+
+  [[nodiscard]] double Cost(int cls) const { return times[Cls(cls)].mean / MeanTime(); }
+  [[nodiscard]] size_t Cls(int cls) const {
+    return std::min(static_cast<size_t>(cls), s.classes.size() - 1);
+  }
+
+  // A hung endpoint keeps answering probes: what shows is that nothing of ours comes back.
+  [[nodiscard]] bool Silent(const Endpoint& e) const {
+    if (e.out == 0) return false;
+    const double patience = kSilence * (e.out == 1 ? 1.5 : 1) * (e.trips > 0 ? 0.5 : 1);
+    return Us(now - e.silent_since) > patience * MeanTime();
+  }
+
+  [[nodiscard]] bool Ejected(const Endpoint& e) const {
+    if (e.trips == 0) return false;
+    return now < e.ejected_until || e.out > 0;  // after the wait: one trial at a time
+  }
+
+  [[nodiscard]] bool Healthy(const Endpoint& e) const { return !Ejected(e) && !Silent(e); }
+
+  void Failed(Endpoint& e, double weight) {
+    Blend(e.err, 1, weight);
+    const bool trial = e.trips > 0 && now >= e.ejected_until;
+    if (e.err <= kErrEject || (e.trips > 0 && !trial)) return;
+    const auto ejected = std::count_if(eps.begin(), eps.end(), [&](const Endpoint& o) {
+      return o.info.state == EndpointState::kUp && o.trips > 0;
+    });
+    // Where most fail alike, no endpoint is worse than its peers: keep a bounded share out.
+    if (!trial && static_cast<double>(ejected) >= kMaxEjected * static_cast<double>(UpCount())) return;
+    e.ejected_until = now + kEjectFirst * (1 << std::min(e.trips, kEjectDoublings));
+    ++e.trips;
+    ++stats.ejections;
+  }
+
+  void Answered(Endpoint& e, const Attempt& a, int cls, double took) {
+    Blend(e.err, 0, kErrBlend);
+    if (e.trips > 0 && a.sent >= e.ejected_until) {
+      e.trips = 0;  // the trial succeeded
+      e.err = std::min(e.err, kErrEject * 0.7);
+    }
+    ClassTime& t = times[Cls(cls)];
+    const double w = std::max(kBlend / 4, 1.0 / ++t.answers);
+    Blend(t.dev, std::abs(took - t.mean), w);
+    Blend(t.mean, took, w);
+    ++e.answers;
+    const double we = std::max(kBlend, 1.0 / e.answers);
+    Blend(e.f_mean, a.f_at_send, we);
+    Blend(e.t_mean, took, we);
+    // Little's law: of those held, the share of their time spent in service runs at once.
+    if (e.service > 0 && e.answers >= kFewSamples) {
+      const double now_parallel = e.f_mean * std::min(1.0, e.service / e.t_mean);
+      e.parallel = std::max({1.0, now_parallel, e.parallel * (1 - kBlend / 10)});
+    }
+    DecayPace(e);
+    e.pace += Cost(cls) / kRateSpan;
+  }
+
+  void DecayPace(Endpoint& e) const {
+    e.pace *= std::exp(-Us(now - e.paced) / kRateSpan);
+    e.paced = now;
+  }
+
+  [[nodiscard]] double Load(const Endpoint& e) const {
+    if (e.reported >= Time(0) && now - e.reported <= kPoolAge) return e.inflight;
+    return static_cast<double>(e.out * s.instances);
+  }
+
+  // Concurrency limit on all that an endpoint holds: past it, queueing adds time and no work.
+  [[nodiscard]] double Limit(const Endpoint& e) const {
+    if (e.parallel <= 0 || e.service <= 0) return 1e9;
+    Duration aim = s.classes[0].aim;
+    for (const RequestClass& c : s.classes) aim = std::min(aim, c.aim);
+    return std::max(2.0, e.parallel * std::min(kStretch, kAimShare * Us(aim) / e.service));
+  }
+
+  [[nodiscard]] double Predict(const Endpoint& e, int cls) const {
+    if (e.service <= 0) return 0;
+    const double queue = e.parallel > 0 ? std::max(0.0, (Load(e) + 1) / e.parallel - 1) : 0;
+    return e.link + e.service * (std::min(Cost(cls), 2.0) + queue);
+  }
+
+  // ---- 3. Probe pool and pick ---------------------------------------------------------------
+  [[nodiscard]] size_t PoolBound() const {
+    const auto share = static_cast<size_t>(kPoolShare * static_cast<double>(UpCount()));
+    return std::clamp<size_t>(share, 2, kPoolMost);
+  }
+
+  [[nodiscard]] double ProbeRate() const {
+    if (!s.allowed.probes) return 0;
+    if (s.charges.probe <= 0) return kProbeMost;
+    return std::clamp(kProbeSpend / s.charges.probe, kProbeLeast, kProbeMost);
+  }
+
+  // Uses that one answer is good for, from the rates (the paper's formula). Outside its domain no
+  // budget keeps the pool filled, so an answer serves once and the fallback shows in the regime.
+  double ReuseBudget(double n) const {
+    const double m = static_cast<double>(PoolBound());
+    const double net = (1 - m / n) * ProbeRate() - ProbeRate() * kRemovePerProbe;
+    if (n <= m || net <= 0) return 1;
+    return std::max(1.0, (1 + kReuseSlack) / net);
+  }
+
+  void Purge() {
+    std::erase_if(pool, [&](const PoolEntry& p) {
+      return p.uses <= 0 || now - p.at > kPoolAge ||
+             eps[static_cast<size_t>(p.ep)].info.state != EndpointState::kUp;
+    });
+  }
+
+  void AddToPool(int ep, double rif, double latency) {
+    std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
+    const double budget = ReuseBudget(static_cast<double>(UpCount()));
+    const int uses = static_cast<int>(budget) + (Uniform() < budget - std::floor(budget) ? 1 : 0);
+    if (pool.size() >= PoolBound()) pool.erase(pool.begin());  // the oldest
+    pool.push_back({ep, rif, latency, now, uses});
+  }
+
+  // Exact rank over the pool's in-flight figures.
+  [[nodiscard]] double ColdCut() const {
+    std::vector<double> rifs;
+    for (const PoolEntry& p : pool) rifs.push_back(p.rif);
+    const auto rank = static_cast<size_t>(kColdRank * static_cast<double>(rifs.size() - 1));
+    std::nth_element(rifs.begin(), rifs.begin() + static_cast<long>(rank), rifs.end());
+    return rifs[rank];
+  }
+
+  // Place in the pool of the best entry by the hot-cold order, ties at random; -1 if none.
+  template <typename Filter>
+  int HotCold(double cut, const Filter& allowed, Regime& regime) {
+    int best = -1;
+    double best_rank = 0;
+    bool best_cold = false;
+    size_t ties = 0;
+    for (size_t i = 0; i < pool.size(); ++i) {
+      if (!allowed(pool[i].ep)) continue;
+      const bool cold = pool[i].rif <= cut;
+      const double rank = cold ? pool[i].latency : pool[i].rif;
+      const bool better = best < 0 || (cold != best_cold ? cold : rank < best_rank);
+      const bool tie = !better && cold == best_cold && rank == best_rank;
+      if (better) ties = 1;
+      if (better || (tie && Below(++ties) == 0)) {
+        best = static_cast<int>(i);
+        best_rank = rank;
+        best_cold = cold;
+      }
+    }
+    regime = best < 0 ? Regime::kNone : best_cold ? Regime::kCold : Regime::kHot;
+    return best;
+  }
+
+  // Removal on the request's beat: alternately the oldest and the worst of the pool.
+  void Degrade() {
+    for (remove_due += ProbeRate() * kRemovePerProbe; remove_due >= 1; remove_due -= 1) {
+      if (pool.empty()) continue;
+      size_t gone = 0;
+      if (!remove_oldest) {
+        const double cut = ColdCut();
+        const auto worse = [&](const PoolEntry& a, const PoolEntry& b) {
+          const bool a_hot = a.rif > cut, b_hot = b.rif > cut;
+          if (a_hot != b_hot) return b_hot;
+          return a_hot ? a.rif < b.rif : a.latency < b.latency;
+        };
+        gone = static_cast<size_t>(std::max_element(pool.begin(), pool.end(), worse) - pool.begin());
+      }
+      pool.erase(pool.begin() + static_cast<long>(gone));
+      remove_oldest = !remove_oldest;
+    }
+  }
+
+  // Probes ride on requests and go to random endpoints.
+  void ProbeSome() {
+    for (probe_due += ProbeRate(); probe_due >= 1; probe_due -= 1) {
+      std::vector<int> to;
+      for (size_t i = 0; i < eps.size(); ++i) {
+        if (eps[i].info.state == EndpointState::kUp && eps[i].probes_out == 0) {
+          to.push_back(static_cast<int>(i));
+        }
+      }
+      if (to.empty()) continue;
+      Endpoint& e = eps[static_cast<size_t>(to[Below(to.size())])];
+      ++e.probes_out;
+      ++stats.probes;
+      Do(Probe{e.info.id});
+    }
+  }
+
+  // How strictly a pick filters its candidates; each level lets go of one wish.
+  enum class Strict { kAim, kCapacity, kHealth };
+
+  bool Eligible(const Request& r, int ep, Strict level) {
+    Endpoint& e = eps[static_cast<size_t>(ep)];
+    if (!MaySend(r, e)) return false;
+    for (const Attempt& a : r.attempts) {
+      if (a.ep == ep && (a.out || level != Strict::kHealth)) return false;
+    }
+    const RequestClass& c = s.classes[Cls(r.in.cls)];
+    if (level != Strict::kHealth && !Healthy(e)) return false;
+    if (e.trips > 0 && c.effect == Effect::kUnsafe && level != Strict::kHealth) return false;
+    if (Load(e) + 1 > Limit(e)) return false;
+    if (level != Strict::kAim) return true;
+    return Predict(e, r.in.cls) <= kAimShare * Us(r.arrived + c.aim - now);
+  }
+
+  // The endpoint for a request, or -1 where none may take it now.
+  int Pick(const Request& r) {
+    Purge();
+    for (const Strict level : {Strict::kAim, Strict::kCapacity, Strict::kHealth}) {
+      if (level == Strict::kHealth && AnyHealthy()) break;
+      const auto allowed = [&](int ep) { return Eligible(r, ep, level); };
+      const auto usable =
+          std::count_if(pool.begin(), pool.end(), [&](const PoolEntry& p) { return allowed(p.ep); });
+      if (usable >= 2) {
+        const int at = HotCold(ColdCut(), allowed, stats.last);
+        PoolEntry& p = pool[static_cast<size_t>(at)];
+        --p.uses;
+        ++(stats.last == Regime::kCold ? stats.cold : stats.hot);
+        return p.ep;
+      }
+      // Fallback without probes: two random choices by own attempts out.
+      std::vector<int> to;
+      for (size_t i = 0; i < eps.size(); ++i) {
+        if (allowed(static_cast<int>(i))) to.push_back(static_cast<int>(i));
+      }
+      if (to.empty()) continue;
+      const int a = to[Below(to.size())], b = to[Below(to.size())];
+      stats.last = Regime::kFallback;
+      ++stats.fallback;
+      return eps[static_cast<size_t>(b)].out < eps[static_cast<size_t>(a)].out ? b : a;
+    }
+    return -1;
+  }
+
+  [[nodiscard]] bool AnyHealthy() const {
+    return std::any_of(eps.begin(), eps.end(), [&](const Endpoint& e) {
+      return e.info.state == EndpointState::kUp && Healthy(e);
+    });
+  }
+
+  // ---- 4. Legality gate: every send, refusal and failure passes here -------------------------
+  bool MaySend(const Request& r, Endpoint& e) {
+    if (r.over || now >= r.in.deadline) return false;
+    if (static_cast<int>(r.attempts.size()) >= s.allowed.send_cap) return false;
+    if (e.info.state != EndpointState::kUp) return false;  // a drain holds from the moment it is told
+    if (!s.allowed.parallel_tries && r.out > 0) return false;
+    const RequestClass& c = s.classes[Cls(r.in.cls)];
+    for (const Attempt& a : r.attempts) {
+      if (!a.may_have_run) continue;
+      if (c.effect == Effect::kUnsafe) return false;
+      if (c.effect == Effect::kSafe) continue;
+      const EndpointInfo& was = eps[static_cast<size_t>(a.ep)].info;
+      if (c.group == DedupGroup::kZone && was.zone != e.info.zone) return false;
+      if (c.group == DedupGroup::kCell && was.cell != e.info.cell) return false;
+      // A margin for the way there, so that the repeat arrives while it is still remembered.
+      if (now - a.sent + s.allowed.connect_timeout >= c.window) return false;
+    }
+    return WithinColdBudget(e, Cost(r.in.cls));
+  }
+
+  [[nodiscard]] bool MayRefuse(const Request& r) const {
+    const RequestClass& c = s.classes[Cls(r.in.cls)];
+    if (c.effect == Effect::kSafe) return true;
+    if (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll) return true;
+    return std::none_of(r.attempts.begin(), r.attempts.end(),
+                        [](const Attempt& a) { return a.may_have_run; });
+  }
+
+  [[nodiscard]] bool Cold(const Endpoint& e) const {
+    return e.info.launched > Time(0) && now - e.info.launched < s.obligations.warm_within * 1.1;
+  }
+
+  // A cold endpoint falls over if all gateways together send too much. If each gateway keeps to
+  // this multiple of its own pace on a like warm endpoint, the sum keeps to it as well.
+  bool WithinColdBudget(Endpoint& e, double cost) {
+    if (!Cold(e)) return true;
+    const double age = std::max(0.0, Us(now - e.info.launched) / Us(s.obligations.warm_within));
+    const double share = s.obligations.cold_from + (1 - s.obligations.cold_from) * std::min(1.0, age);
+    double like = 0, like_n = 0, least = 1e18;
+    for (Endpoint& o : eps) {
+      if (o.info.state != EndpointState::kUp || Cold(o) || o.trips > 0) continue;
+      DecayPace(o);
+      least = std::min(least, o.pace);
+      if (o.info.kind == e.info.kind) like += o.pace, ++like_n;
+    }
+    const double pace = like_n > 0 ? like / like_n : least < 1e18 ? least : 0;
+    const double rate = pace * share * s.obligations.fall_multiple * kColdSafety;
+    if (e.cold_filled >= Time(0)) e.cold_tokens += rate * Us(now - e.cold_filled);
+    e.cold_filled = now;
+    e.cold_tokens = std::min(e.cold_tokens, std::max(1.5, rate * Us(s.obligations.fall) / 4));
+    return e.cold_tokens >= cost + kColdOverhead;
+  }
+
+  void SendTo(Request& r, int ep) {
+    Endpoint& e = eps[static_cast<size_t>(ep)];
+    if (!MaySend(r, e)) throw std::logic_error("a send that the rules forbid");
+    if (Cold(e)) e.cold_tokens -= Cost(r.in.cls) + kColdOverhead;
+    if (e.out++ == 0) e.silent_since = now;
+    e.inflight += 1;
+    for (PoolEntry& p : pool) {
+      if (p.ep == ep) p.rif += 1;
+    }
+    Attempt a;
+    a.ep = ep;
+    a.sent = now;
+    a.f_at_send = Load(e);
+    r.attempts.push_back(a);
+    ++r.out;
+    Do(Send{r.in.id, e.info.id, Duration(0)});
+    Degrade();
+  }
+
+  // The final answer of a request that is given up: a refusal while that is lawful.
+  void GiveUp(Request& r) {
+    if (r.over) return;
+    r.over = true;
+    if (MayRefuse(r)) {
+      ++stats.refused;
+      Do(Refuse{r.in.id, s.allowed.retry_after ? s.allowed.max_retry_after : Duration(0)});
+    } else {
+      ++stats.failed;
+      Do(Fail{r.in.id});
+    }
+  }
+
+  // ---- 5. Attempts --------------------------------------------------------------------------
+  [[nodiscard]] Time AimAt(const Request& r) const { return r.arrived + s.classes[Cls(r.in.cls)].aim; }
+
+  void OnSettled(const Settled& in) {
+    const auto id = by_id.find(in.id);
+    if (id == by_id.end()) return;
+    Request& r = open.at(id->second);
+    if (in.attempt < 0 || static_cast<size_t>(in.attempt) >= r.attempts.size()) return;
+    Attempt& a = r.attempts[static_cast<size_t>(in.attempt)];
+    if (!a.out) return;
+    a.out = false;
+    --r.out;
+    a.may_have_run = in.outcome != Outcome::kFull && in.outcome != Outcome::kConnectFailed &&
+                     in.outcome != Outcome::kMoot;
+    Endpoint& e = eps[static_cast<size_t>(a.ep)];
+    const bool was_silent = Silent(e);
+    --e.out;
+    e.inflight = std::max(0.0, e.inflight - 1);
+    for (PoolEntry& p : pool) {
+      if (p.ep == a.ep) p.rif = std::max(0.0, p.rif - 1);
+    }
+    if (in.report) Learn(a.ep, *in.report, now);
+    switch (in.outcome) {
+      case Outcome::kOk:
+        e.silent_since = now;
+        Answered(e, a, r.in.cls, Us(in.took));
+        break;
+      case Outcome::kError:
+      case Outcome::kReset:
+        e.silent_since = now;
+        Failed(e, kErrBlend);
+        break;
+      case Outcome::kConnectFailed:
+        Failed(e, 2 * kErrBlend);
+        break;
+      case Outcome::kFull:
+        e.silent_since = now;
+        break;
+      case Outcome::kTimeout:
+      case Outcome::kCancelled:
+        if (was_silent) Failed(e, 2 * kErrBlend);
+        break;
+      case Outcome::kMoot:
+        break;
+    }
+    if (in.final || r.over) {
+      r.over = true;
+    } else if (r.out == 0) {
+      TryAgain(r);
+    }
+    Forget(r);
+    Dispatch();
+  }
+
+  void TryAgain(Request& r) {
+    if (now >= r.in.deadline) return GiveUp(r);
+    if (retry_tokens < 1 || Us(AimAt(r) - now) < times[Cls(r.in.cls)].mean / 2) return GiveUp(r);
+    const int ep = Pick(r);
+    if (ep < 0) return GiveUp(r);
+    retry_tokens -= 1;
+    ++stats.retries;
+    SendTo(r, ep);
+  }
+
+  // Looks over what is out: moves requests off endpoints gone silent, adds second copies.
+  void Sweep() {
+    sweeping = false;
+    for (auto& [seq, r] : open) {
+      if (r.over || r.streaming || r.out != 1) continue;
+      const RequestClass& c = s.classes[Cls(r.in.cls)];
+      const Attempt& a = r.attempts.back();
+      if (!a.out || a.called_off || c.effect == Effect::kUnsafe || retry_tokens < 1) continue;
+      const Endpoint& e = eps[static_cast<size_t>(a.ep)];
+      const ClassTime& t = times[Cls(r.in.cls)];
+      const double elapsed = Us(now - a.sent), left = Us(AimAt(r) - now);
+      const bool bad = Silent(e) || e.info.state == EndpointState::kRemoved;
+      if (left < t.mean / 2 || elapsed < t.mean) continue;
+      if (s.allowed.parallel_tries) {
+        const double late = std::min(t.mean + 3 * t.dev, Us(c.aim) - 2 * t.mean);
+        if (!bad && elapsed < late) continue;
+        const int ep = Pick(r);
+        if (ep < 0) continue;
+        retry_tokens -= 1;
+        ++stats.hedges;
+        SendTo(r, ep);
+      } else if (bad && s.allowed.cancel) {
+        r.attempts.back().called_off = true;
+        Do(Cancel{r.in.id, static_cast<int>(r.attempts.size()) - 1});
+      }
+    }
+    Dispatch();
+    KeepSweeping();
+  }
+
+  void KeepSweeping() {
+    if (sweeping || open.empty()) return;
+    sweeping = true;
+    Do(SetTimer{kSweep, "sweep"});
+  }
+
+  // ---- 6. Admission and fairness ------------------------------------------------------------
+  // Whether a tenant sends more than its part: judged by its part of what arrives here.
+  [[nodiscard]] bool OverQuota(int tenant) const {
+    if (tenant < 0 || static_cast<size_t>(tenant) >= s.tenants.size()) return false;
+    double rate = 0, quota = 0;
+    for (size_t i = 0; i < s.tenants.size(); ++i) {
+      rate += tenant_rate[i];
+      quota += s.tenants[i].quota_per_s;
+    }
+    const auto at = static_cast<size_t>(tenant);
+    const double part = s.tenants[at].quota_per_s / std::max(quota, 1e-9);
+    const double here = quota * kRateSpan / 1e6 / s.instances;  // what quotas allow here
+    return tenant_rate[at] > 1.2 * part * std::max(rate, here);
+  }
+
+  [[nodiscard]] double Priority(const Request& r) const {
+    const RequestClass& c = s.classes[Cls(r.in.cls)];
+    const double worth = c.worth * (OverQuota(r.in.tenant) ? s.over_share_worth : 1);
+    return s.worth_by_work ? worth : worth / times[Cls(r.in.cls)].mean;
+  }
+
+  void OnSubmit(const Submit& in) {
+    if (by_id.contains(in.id)) return;
+    const uint64_t seq = next_seq++;
+    Request& r = open[seq];
+    by_id[in.id] = seq;
+    r.seq = seq;
+    r.in = in;
+    r.arrived = now;
+    retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
+    const double decay = std::exp(-Us(now - tenant_at) / kRateSpan);
+    for (double& rate : tenant_rate) rate *= decay;
+    tenant_at = now;
+    if (in.tenant >= 0 && static_cast<size_t>(in.tenant) < tenant_rate.size()) {
+      tenant_rate[static_cast<size_t>(in.tenant)] += 1;
+    }
+    ProbeSome();
+    r.waiting = true;
+    waiting.push_back(seq);
+    Dispatch();
+    KeepSweeping();
+  }
+
+  // Sends what waits, the most worth for its work first; gives up at once on what cannot make it.
+  void Dispatch() {
+    if (waiting.empty()) return;
+    std::vector<std::pair<double, uint64_t>> order;
+    for (const uint64_t seq : waiting) order.emplace_back(-Priority(open.at(seq)), seq);
+    std::sort(order.begin(), order.end());
+    waiting.clear();
+    bool full = false;
+    for (const auto& [priority, seq] : order) {
+      Request& r = open.at(seq);
+      r.waiting = false;
+      if (r.over) {
+        Forget(r);
+        continue;
+      }
+      const int ep = full ? -1 : Pick(r);
+      const RequestClass& c = s.classes[Cls(r.in.cls)];
+      if (ep >= 0) {
+        SendTo(r, ep);
+      } else if (now >= r.in.deadline || Us(now - r.arrived) > kHoldShare * Us(c.aim)) {
+        GiveUp(r);
+        Forget(r);
+      } else {
+        full = true;
+        r.waiting = true;
+        waiting.push_back(seq);
+      }
+    }
+  }
+
+  void Forget(Request& r) {
+    if (!r.over || r.out > 0 || r.waiting) return;
+    by_id.erase(r.in.id);
+    open.erase(r.seq);
+  }
+
+  // ---- 7. Events ----------------------------------------------------------------------------
+  void Learn(int ep, const Report& report, Time at) {
+    Endpoint& e = eps[static_cast<size_t>(ep)];
+    const auto value = [&](int place) {
+      return place >= 0 && static_cast<size_t>(place) < report.size()
+                 ? std::max(0.0, report[static_cast<size_t>(place)])
+                 : -1.0;
+    };
+    const double inflight = value(s.report.inflight), latency = value(s.report.latency_ms);
+    if (latency > 0) {
+      if (e.service <= 0) e.service = latency * 1000;
+      Blend(e.service, latency * 1000, 3 * kBlend);
+    }
+    if (inflight < 0) return;
+    e.inflight = std::max(inflight, static_cast<double>(e.out));
+    e.reported = at;
+    const bool crossing = e.info.zone != s.zone;
+    const double price = crossing ? s.charges.cross_zone * Us(s.classes[0].aim) : 0;
+    // Reported latency omits the link: the measured way there and the price of crossing come on top.
+    AddToPool(ep, e.inflight, std::max(latency, 0.0) * 1000 + e.link + price);
+  }
+
+  void OnProbe(const ProbeResult& in) {
+    const auto at = ep_index.find(in.endpoint);
+    if (at == ep_index.end()) return;
+    Endpoint& e = eps[static_cast<size_t>(at->second)];
+    e.probes_out = std::max(0, e.probes_out - 1);
+    if (in.outcome == Outcome::kOk) {
+      if (e.link <= 0) e.link = Us(in.took);
+      Blend(e.link, Us(in.took), kBlend);
+      if (in.report && e.info.state == EndpointState::kUp) Learn(at->second, *in.report, now);
+    } else if (in.outcome == Outcome::kConnectFailed || in.outcome == Outcome::kTimeout) {
+      Failed(e, kErrBlend);
+    }
+    Dispatch();
+  }
+
+  void OnTimer(const std::string& token) {
+    if (token == "sweep") return Sweep();
+    if (token == "follow" && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
+  }
+
+  void Handle(const Event& event) {
+    if (const auto* members = std::get_if<Members>(&event)) {
+      OnMembers(*members);
+      Dispatch();
+    } else if (const auto* submit = std::get_if<Submit>(&event)) {
+      OnSubmit(*submit);
+    } else if (const auto* settled = std::get_if<Settled>(&event)) {
+      OnSettled(*settled);
+    } else if (const auto* probed = std::get_if<ProbeResult>(&event)) {
+      OnProbe(*probed);
+    } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
+      OnTimer(timer->token);
+    } else if (const auto* begun = std::get_if<Established>(&event)) {
+      if (const auto id = by_id.find(begun->id); id != by_id.end()) open.at(id->second).streaming = true;
+    } else if (const auto* left = std::get_if<ClientLeft>(&event)) {
+      if (const auto id = by_id.find(left->id); id != by_id.end()) {
+        Request& r = open.at(id->second);
+        r.over = true;
+        Forget(r);
+      }
+    }
+  }
+};
+
+Brain::Brain(const Settings& settings, uint64_t seed)
+    : impl_(std::make_unique<Impl>(settings, seed)) {}
+Brain::~Brain() = default;
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+
+void Brain::Handle(Time now, const Event& event, std::vector<Action>& actions) {
+  impl_->now = now;
+  impl_->act = &actions;
+  impl_->Handle(event);
+}
+
+const Stats& Brain::stats() const { return impl_->stats; }
+
+}  // namespace paddlestile
--- /dev/null
+++ b/src/wire/wire.h
@@ -0,0 +1,72 @@
+// The bench's text wire: batches of event lines in, lists of action lines out. This library knows
+// the words; it decides nothing.
+#ifndef PADDLESTILE_WIRE_WIRE_H_
+#define PADDLESTILE_WIRE_WIRE_H_
+
+#include <cstdint>
+#include <istream>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "brain.h"
+
+namespace paddlestile::wire {
+
+// Malformed input: what() says the line number and the reason.
+class WireError : public std::runtime_error {
+ public:
+  WireError(uint64_t line, const std::string& reason)
+      : std::runtime_error("line " + std::to_string(line) + ": " + reason) {}
+};
+
+struct Start {
+  Settings settings;
+  uint64_t seed = 0;
+};
+struct Retire {};
+
+// One event as it stood on the wire, for one instance.
+struct Input {
+  int64_t instance = 0;
+  std::variant<Start, Retire, Event> what;
+};
+
+struct Batch {
+  Time now{0};
+  std::string seq;
+  std::vector<Input> inputs;
+};
+
+// Reads batches from a stream. Numbered lists outlive a batch, so the reader keeps them.
+class Reader {
+ public:
+  explicit Reader(std::istream& in) : in_(in) {}
+  // False at a clean end of input between two batches; throws WireError on anything malformed.
+  bool Next(Batch& batch);
+
+ private:
+  bool GetLine();
+  void ParseEvent(Batch& batch);
+  void ReadRoster(const std::vector<std::string_view>& parts);
+
+  std::istream& in_;
+  std::string line_;
+  uint64_t line_no_ = 0;
+  std::map<int, std::vector<EndpointInfo>> rosters_;
+};
+
+// Settings from path=value pairs; unknown ones are ignored. Throws std::invalid_argument.
+Settings ParseSettings(std::string_view facts);
+
+// Appends the line of an action for an instance, newline included.
+void Print(int64_t instance, const Action& action, std::string& out);
+void PrintPanic(int64_t instance, std::string_view reason, std::string& out);
+void PrintEnd(std::string_view seq, std::string& out);
+
+}  // namespace paddlestile::wire
+
+#endif  // PADDLESTILE_WIRE_WIRE_H_
--- /dev/null
+++ b/src/wirehost/host.h
@@ -0,0 +1,16 @@
+// Runs many instances of the module over one pair of streams.
+#ifndef PADDLESTILE_WIREHOST_HOST_H_
+#define PADDLESTILE_WIREHOST_HOST_H_
+
+#include <istream>
+#include <ostream>
+
+namespace paddlestile {
+
+// Answers batches until the input ends. Returns the exit code: 0 after a clean end, 1 after one
+// line on `err` about malformed input.
+int RunHost(std::istream& in, std::ostream& out, std::ostream& err);
+
+}  // namespace paddlestile
+
+#endif  // PADDLESTILE_WIREHOST_HOST_H_
--- /dev/null
+++ b/src/wirehost/main.cpp
@@ -0,0 +1,8 @@
+#include <iostream>
+
+#include "wirehost/host.h"
+
+int main() {
+  std::ios::sync_with_stdio(false);
+  return paddlestile::RunHost(std::cin, std::cout, std::cerr);
+}
