--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -40,6 +40,8 @@
 constexpr double kColdSafety = 0.5;        // of the cold budget; sizes differ and work is random
 constexpr double kColdOverhead = 0.25;     // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;          // us; span over which an endpoint's pace is remembered
+constexpr double kParallelAtFirst = 2;     // requests; small enough not to crowd before it is known
+constexpr double kBaseDrift = 0.002;       // a report; lets an endpoint that got slower count as such
 constexpr int kFewSamples = 20;            // answers before an average is trusted
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
@@ -54,6 +56,7 @@
   double inflight = 0;     // last report, raised by own sends and lowered by own ends
   Time reported{-1};       // when that report came; -1: never
   double service = 0;      // us; reported service time, 0 unknown
+  double base = 0;         // us; the least service time of late: what an uncrowded request takes
   double link = 0;         // us; probe round trip, 0 unknown
   double err = 0;          // share of failed outcomes, recent
   Time ejected_until{0};
@@ -61,7 +64,8 @@
   Time silent_since{0};    // last answer, or the send that found none out
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
   int answers = 0;
-  double parallel = 0;     // requests in service at once, learned; 0 unknown
+  double parallel = kParallelAtFirst;  // requests that it truly works on at once, learned
+  Time full_until{0};      // turned work away a moment ago
   double pace = 0;         // own finished work per us, decayed over kRateSpan
   Time paced{0};
   double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
@@ -247,9 +251,10 @@
     const double we = std::max(kBlend, 1.0 / e.answers);
     Blend(e.f_mean, a.f_at_send, we);
     Blend(e.t_mean, took, we);
-    // Little's law: of those held, the share of their time spent in service runs at once.
-    if (e.service > 0 && e.answers >= kFewSamples) {
-      const double now_parallel = e.f_mean * std::min(1.0, e.service / e.t_mean);
+    // Little's law: throughput times the uncrowded time is what truly runs at once. Crowding makes
+    // reported service times grow too, so they can't stand for the uncrowded time.
+    if (e.base > 0 && e.answers >= kFewSamples) {
+      const double now_parallel = e.f_mean * std::min(1.0, e.base / e.t_mean);
       e.parallel = std::max({1.0, now_parallel, e.parallel * (1 - kBlend / 10)});
     }
     DecayPace(e);
@@ -263,21 +268,23 @@
 
   [[nodiscard]] double Load(const Endpoint& e) const {
     if (e.reported >= Time(0) && now - e.reported <= kPoolAge) return e.inflight;
-    return static_cast<double>(e.out * s.instances);
+    double mean_out = 0;  // the other gateways are taken to have as much out as this one
+    for (const Endpoint& o : eps) mean_out += o.out;
+    return e.out + mean_out / static_cast<double>(eps.size()) * (s.instances - 1);
   }
 
   // Concurrency limit on all that an endpoint holds: past it, queueing adds time and no work.
   [[nodiscard]] double Limit(const Endpoint& e) const {
-    if (e.parallel <= 0 || e.service <= 0) return 1e9;
+    if (e.base <= 0) return kStretch * kParallelAtFirst;
     Duration aim = s.classes[0].aim;
     for (const RequestClass& c : s.classes) aim = std::min(aim, c.aim);
-    return std::max(2.0, e.parallel * std::min(kStretch, kAimShare * Us(aim) / e.service));
+    return std::max(2.0, e.parallel * std::min(kStretch, kAimShare * Us(aim) / e.base));
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, int cls) const {
     if (e.service <= 0) return 0;
-    const double queue = e.parallel > 0 ? std::max(0.0, (Load(e) + 1) / e.parallel - 1) : 0;
-    return e.link + e.service * (std::min(Cost(cls), 2.0) + queue);
+    const double queue = std::max(0.0, (Load(e) + 1) / e.parallel - 1);
+    return e.link + e.base * (std::min(Cost(cls), 2.0) + queue);
   }
 
   // ---- 3. Probe pool and pick ---------------------------------------------------------------
@@ -397,7 +404,7 @@
     const RequestClass& c = s.classes[Cls(r.in.cls)];
     if (level != Strict::kHealth && !Healthy(e)) return false;
     if (e.trips > 0 && c.effect == Effect::kUnsafe && level != Strict::kHealth) return false;
-    if (Load(e) + 1 > Limit(e)) return false;
+    if (now < e.full_until || Load(e) + 1 > Limit(e)) return false;
     if (level != Strict::kAim) return true;
     return Predict(e, r.in.cls) <= kAimShare * Us(r.arrived + c.aim - now);
   }
@@ -559,6 +566,7 @@
         break;
       case Outcome::kFull:
         e.silent_since = now;
+        e.full_until = now + ToUs(MeanTime() / 2);
         break;
       case Outcome::kTimeout:
       case Outcome::kCancelled:
@@ -713,6 +721,7 @@
     if (latency > 0) {
       if (e.service <= 0) e.service = latency * 1000;
       Blend(e.service, latency * 1000, 3 * kBlend);
+      e.base = e.base <= 0 ? e.service : std::min(e.base * (1 + kBaseDrift), e.service);
     }
     if (inflight < 0) return;
     e.inflight = std::max(inflight, static_cast<double>(e.out));
