--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,7 +32,6 @@
 constexpr Duration kEjectFirst{1'000'000};  // us; doubles with each failed trial
 constexpr int kEjectDoublings = 3;         // up to 8 s, the order of a short outage
 constexpr double kSilence = 3;             // typical times without any answer: suspect
-constexpr double kStretch = 3.5;           // requests held per one in service: busy, queue still short
 constexpr double kAimShare = 0.7;          // of the aim that the predicted time may take
 constexpr double kHoldShare = 0.25;        // of the aim that a request may wait here
 constexpr double kRetryEarn = 0.2;         // further attempts earned by each request
@@ -40,9 +39,9 @@
 constexpr double kColdSafety = 0.5;        // of the cold budget; sizes differ and work is random
 constexpr double kColdOverhead = 0.25;     // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;          // us; span over which an endpoint's pace is remembered
-constexpr double kParallelAtFirst = 2;     // requests; small enough not to crowd before it is known
-constexpr double kBaseDrift = 0.002;       // a report; lets an endpoint that got slower count as such
-constexpr int kFewSamples = 20;            // answers before an average is trusted
+constexpr double kReportLag = 1e5;         // us; about how old a report's figures are when they arrive
+constexpr double kLimitAtFirst = 4;        // requests; small enough not to crowd before it is known
+constexpr int kFewSamples = 5;             // answers before an average is trusted
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
 Duration ToUs(double us) { return Duration(std::llround(us)); }
@@ -53,10 +52,11 @@
   bool listed = false;
   int out = 0;             // own attempts out
   int probes_out = 0;
-  double inflight = 0;     // last report, raised by own sends and lowered by own ends
+  double others = 0;       // in flight there from elsewhere, by the last reports
+  double out_mean = 0;     // own attempts out, averaged over kReportLag
+  Time out_at{0};
   Time reported{-1};       // when that report came; -1: never
   double service = 0;      // us; reported service time, 0 unknown
-  double base = 0;         // us; the least service time of late: what an uncrowded request takes
   double link = 0;         // us; probe round trip, 0 unknown
   double err = 0;          // share of failed outcomes, recent
   Time ejected_until{0};
@@ -64,7 +64,7 @@
   Time silent_since{0};    // last answer, or the send that found none out
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
   int answers = 0;
-  double parallel = kParallelAtFirst;  // requests that it truly works on at once, learned
+  double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
   Time full_until{0};      // turned work away a moment ago
   double pace = 0;         // own finished work per us, decayed over kRateSpan
   Time paced{0};
@@ -94,7 +94,7 @@
 
 struct PoolEntry {
   int ep = 0;
-  double rif = 0;
+  double others = 0;  // reported in flight less this gateway's own part
   double latency = 0;
   Time at{0};
   int uses = 1;
@@ -251,11 +251,11 @@
     const double we = std::max(kBlend, 1.0 / e.answers);
     Blend(e.f_mean, a.f_at_send, we);
     Blend(e.t_mean, took, we);
-    // Little's law: throughput times the uncrowded time is what truly runs at once. Crowding makes
-    // reported service times grow too, so they can't stand for the uncrowded time.
-    if (e.base > 0 && e.answers >= kFewSamples) {
-      const double now_parallel = e.f_mean * std::min(1.0, e.base / e.t_mean);
-      e.parallel = std::max({1.0, now_parallel, e.parallel * (1 - kBlend / 10)});
+    // Little's law gives its throughput. Crowded, that is what it can do; with room to spare it is
+    // only a lower bound, so a lower figure counts the less the quicker its answers are.
+    if (e.answers >= kFewSamples) {
+      const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / Target());
+      Blend(e.tput, sample, sample > e.tput ? 1 : kBlend * crowded * crowded);
     }
     DecayPace(e);
     e.pace += Cost(cls) / kRateSpan;
@@ -266,25 +266,33 @@
     e.paced = now;
   }
 
+  void TrackOut(Endpoint& e) const {
+    e.out_mean += (1 - std::exp(-Us(now - e.out_at) / kReportLag)) * (e.out - e.out_mean);
+    e.out_at = now;
+  }
+
   [[nodiscard]] double Load(const Endpoint& e) const {
-    if (e.reported >= Time(0) && now - e.reported <= kPoolAge) return e.inflight;
+    if (e.reported >= Time(0) && now - e.reported <= kPoolAge) return e.others + e.out;
     double mean_out = 0;  // the other gateways are taken to have as much out as this one
     for (const Endpoint& o : eps) mean_out += o.out;
     return e.out + mean_out / static_cast<double>(eps.size()) * (s.instances - 1);
   }
 
-  // Concurrency limit on all that an endpoint holds: past it, queueing adds time and no work.
-  [[nodiscard]] double Limit(const Endpoint& e) const {
-    if (e.base <= 0) return kStretch * kParallelAtFirst;
+  // The time that a request should take at most on average, us: a share of the tightest aim.
+  [[nodiscard]] double Target() const {
     Duration aim = s.classes[0].aim;
     for (const RequestClass& c : s.classes) aim = std::min(aim, c.aim);
-    return std::max(2.0, e.parallel * std::min(kStretch, kAimShare * Us(aim) / e.base));
+    return kAimShare * Us(aim);
+  }
+
+  // Concurrency limit on all that an endpoint holds: what it can finish within the target. Past
+  // it, queueing adds only delay, and some endpoints slow down when crowded and stay slow.
+  [[nodiscard]] double Limit(const Endpoint& e) const {
+    return e.tput > 0 ? std::max(2.0, e.tput * Target()) : kLimitAtFirst;
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, int cls) const {
-    if (e.service <= 0) return 0;
-    const double queue = std::max(0.0, (Load(e) + 1) / e.parallel - 1);
-    return e.link + e.base * (std::min(Cost(cls), 2.0) + queue);
+    return e.tput > 0 ? e.link + (Load(e) + std::min(Cost(cls), 2.0)) / e.tput : 0;
   }
 
   // ---- 3. Probe pool and pick ---------------------------------------------------------------
@@ -315,18 +323,23 @@
     });
   }
 
-  void AddToPool(int ep, double rif, double latency) {
+  // An answer's in-flight figure as of now: each own send raises it, each own end lowers it.
+  [[nodiscard]] double Rif(const PoolEntry& p) const {
+    return p.others + eps[static_cast<size_t>(p.ep)].out;
+  }
+
+  void AddToPool(int ep, double others, double latency) {
     std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
     const double budget = ReuseBudget(static_cast<double>(UpCount()));
     const int uses = static_cast<int>(budget) + (Uniform() < budget - std::floor(budget) ? 1 : 0);
     if (pool.size() >= PoolBound()) pool.erase(pool.begin());  // the oldest
-    pool.push_back({ep, rif, latency, now, uses});
+    pool.push_back({ep, others, latency, now, uses});
   }
 
   // Exact rank over the pool's in-flight figures.
   [[nodiscard]] double ColdCut() const {
     std::vector<double> rifs;
-    for (const PoolEntry& p : pool) rifs.push_back(p.rif);
+    for (const PoolEntry& p : pool) rifs.push_back(Rif(p));
     const auto rank = static_cast<size_t>(kColdRank * static_cast<double>(rifs.size() - 1));
     std::nth_element(rifs.begin(), rifs.begin() + static_cast<long>(rank), rifs.end());
     return rifs[rank];
@@ -341,8 +354,8 @@
     size_t ties = 0;
     for (size_t i = 0; i < pool.size(); ++i) {
       if (!allowed(pool[i].ep)) continue;
-      const bool cold = pool[i].rif <= cut;
-      const double rank = cold ? pool[i].latency : pool[i].rif;
+      const bool cold = Rif(pool[i]) <= cut;
+      const double rank = cold ? pool[i].latency : Rif(pool[i]);
       const bool better = best < 0 || (cold != best_cold ? cold : rank < best_rank);
       const bool tie = !better && cold == best_cold && rank == best_rank;
       if (better) ties = 1;
@@ -364,9 +377,9 @@
       if (!remove_oldest) {
         const double cut = ColdCut();
         const auto worse = [&](const PoolEntry& a, const PoolEntry& b) {
-          const bool a_hot = a.rif > cut, b_hot = b.rif > cut;
+          const bool a_hot = Rif(a) > cut, b_hot = Rif(b) > cut;
           if (a_hot != b_hot) return b_hot;
-          return a_hot ? a.rif < b.rif : a.latency < b.latency;
+          return a_hot ? Rif(a) < Rif(b) : a.latency < b.latency;
         };
         gone = static_cast<size_t>(std::max_element(pool.begin(), pool.end(), worse) - pool.begin());
       }
@@ -501,11 +514,8 @@
     Endpoint& e = eps[static_cast<size_t>(ep)];
     if (!MaySend(r, e)) throw std::logic_error("a send that the rules forbid");
     if (Cold(e)) e.cold_tokens -= Cost(r.in.cls) + kColdOverhead;
+    TrackOut(e);
     if (e.out++ == 0) e.silent_since = now;
-    e.inflight += 1;
-    for (PoolEntry& p : pool) {
-      if (p.ep == ep) p.rif += 1;
-    }
     Attempt a;
     a.ep = ep;
     a.sent = now;
@@ -545,11 +555,8 @@
                      in.outcome != Outcome::kMoot;
     Endpoint& e = eps[static_cast<size_t>(a.ep)];
     const bool was_silent = Silent(e);
+    TrackOut(e);
     --e.out;
-    e.inflight = std::max(0.0, e.inflight - 1);
-    for (PoolEntry& p : pool) {
-      if (p.ep == a.ep) p.rif = std::max(0.0, p.rif - 1);
-    }
     if (in.report) Learn(a.ep, *in.report, now);
     switch (in.outcome) {
       case Outcome::kOk:
@@ -692,7 +699,8 @@
       const RequestClass& c = s.classes[Cls(r.in.cls)];
       if (ep >= 0) {
         SendTo(r, ep);
-      } else if (now >= r.in.deadline || Us(now - r.arrived) > kHoldShare * Us(c.aim)) {
+      } else if (now + 2 * kSweep >= r.in.deadline || Us(now - r.arrived) > kHoldShare * Us(c.aim)) {
+        // No timer comes early: a try that is given up soon gets its answer at this look.
         GiveUp(r);
         Forget(r);
       } else {
@@ -721,15 +729,16 @@
     if (latency > 0) {
       if (e.service <= 0) e.service = latency * 1000;
       Blend(e.service, latency * 1000, 3 * kBlend);
-      e.base = e.base <= 0 ? e.service : std::min(e.base * (1 + kBaseDrift), e.service);
     }
     if (inflight < 0) return;
-    e.inflight = std::max(inflight, static_cast<double>(e.out));
+    // The report is older than it looks: take off what was out here around then, not what is now.
+    TrackOut(e);
+    e.others = std::max(0.0, inflight - e.out_mean);
     e.reported = at;
     const bool crossing = e.info.zone != s.zone;
     const double price = crossing ? s.charges.cross_zone * Us(s.classes[0].aim) : 0;
     // Reported latency omits the link: the measured way there and the price of crossing come on top.
-    AddToPool(ep, e.inflight, std::max(latency, 0.0) * 1000 + e.link + price);
+    AddToPool(ep, e.others, std::max(latency, 0.0) * 1000 + e.link + price);
   }
 
   void OnProbe(const ProbeResult& in) {
