Count time-outs in the throughput estimate

Cause: answers alone flatter a crowded endpoint, so its limit grew while most of its work timed out.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -247,6 +247,14 @@
     const double w = std::max(kBlend / 4, 1.0 / ++t.answers);
     Blend(t.dev, std::abs(took - t.mean), w);
     Blend(t.mean, took, w);
+    Observe(e, a, took);
+    DecayPace(e);
+    e.pace += Cost(cls) / kRateSpan;
+  }
+
+  // One attempt's in-flight figure and time. What ran out of time counts too: answers alone would
+  // flatter a crowded endpoint.
+  void Observe(Endpoint& e, const Attempt& a, double took) {
     ++e.answers;
     const double we = std::max(kBlend, 1.0 / e.answers);
     Blend(e.f_mean, a.f_at_send, we);
@@ -255,10 +263,9 @@
     // only a lower bound, so a lower figure counts the less the quicker its answers are.
     if (e.answers >= kFewSamples) {
       const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / Target());
-      Blend(e.tput, sample, sample > e.tput ? 1 : kBlend * crowded * crowded);
+      if (e.tput <= 0) e.tput = sample;
+      Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
     }
-    DecayPace(e);
-    e.pace += Cost(cls) / kRateSpan;
   }
 
   void DecayPace(Endpoint& e) const {
@@ -577,6 +584,7 @@
         break;
       case Outcome::kTimeout:
       case Outcome::kCancelled:
+        Observe(e, a, Us(in.took));
         if (was_silent) Failed(e, 2 * kErrBlend);
         break;
       case Outcome::kMoot:
