--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,8 +32,9 @@
 constexpr Duration kEjectFirst{1'000'000};  // us; doubles with each failed trial
 constexpr int kEjectDoublings = 3;         // up to 8 s, the order of a short outage
 constexpr double kSilence = 3;             // typical times without any answer: suspect
-constexpr double kAimShare = 0.7;          // of the aim that the predicted time may take
-constexpr double kHoldShare = 0.25;        // of the aim that a request may wait here
+constexpr double kAimShare = 0.5;          // of the aim that the predicted time may take
+constexpr double kHoldShare = 0.2;        // of the aim that a request may wait here
+constexpr double kHedgeDevs = 3;           // mean deviations past the mean before a second copy
 constexpr double kRetryEarn = 0.2;         // further attempts earned by each request
 constexpr double kRetryMost = 10;          // further attempts saved up
 constexpr double kColdSafety = 0.5;        // of the cold budget; sizes differ and work is random
@@ -614,16 +615,15 @@
     sweeping = false;
     for (auto& [seq, r] : open) {
       if (r.over || r.streaming || r.out != 1) continue;
-      const RequestClass& c = s.classes[Cls(r.in.cls)];
       const Attempt& a = r.attempts.back();
-      if (!a.out || a.called_off || c.effect == Effect::kUnsafe || retry_tokens < 1) continue;
+      if (!a.out || a.called_off || s.classes[Cls(r.in.cls)].effect == Effect::kUnsafe || retry_tokens < 1) continue;
       const Endpoint& e = eps[static_cast<size_t>(a.ep)];
       const ClassTime& t = times[Cls(r.in.cls)];
       const double elapsed = Us(now - a.sent), left = Us(AimAt(r) - now);
       const bool bad = Silent(e) || e.info.state == EndpointState::kRemoved;
       if (left < t.mean / 2 || elapsed < t.mean) continue;
       if (s.allowed.parallel_tries) {
-        const double late = std::min(t.mean + 3 * t.dev, Us(c.aim) - 2 * t.mean);
+        const double late = t.mean + kHedgeDevs * t.dev;
         if (!bad && elapsed < late) continue;
         const int ep = Pick(r);
         if (ep < 0) continue;
