--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -41,6 +41,7 @@
 constexpr double kColdOverhead = 0.25;     // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;          // us; span over which an endpoint's pace is remembered
 constexpr double kReportLag = 1e5;         // us; about how old a report's figures are when they arrive
+constexpr double kOthersBlend = 0.3;       // a report; all gateways rush at once to what looks idle
 constexpr double kLimitAtFirst = 4;        // requests; small enough not to crowd before it is known
 constexpr int kFewSamples = 5;             // answers before an average is trusted
 
@@ -741,7 +742,7 @@
     if (inflight < 0) return;
     // The report is older than it looks: take off what was out here around then, not what is now.
     TrackOut(e);
-    e.others = std::max(0.0, inflight - e.out_mean);
+    Blend(e.others, std::max(0.0, inflight - e.out_mean), kOthersBlend);
     e.reported = at;
     const bool crossing = e.info.zone != s.zone;
     const double price = crossing ? s.charges.cross_zone * Us(s.classes[0].aim) : 0;
