--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,6 +43,7 @@
 constexpr double kReportLag = 1e5;         // us; about how old a report's figures are when they arrive
 constexpr double kOthersBlend = 0.3;       // a report; all gateways rush at once to what looks idle
 constexpr double kLimitAtFirst = 4;        // requests; small enough not to crowd before it is known
+constexpr Duration kPaceRefresh{200'000};  // us; the paces of kinds change slowly
 constexpr int kFewSamples = 5;             // answers before an average is trusted
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
@@ -128,6 +129,14 @@
     int answers = 0;
   };
   std::vector<ClassTime> times;
+  double mean_time = 0, target = 0;  // us; of a request over all classes, and aimed at
+  size_t up = 0;                     // endpoints that may get work
+  int out = 0;                       // own attempts out, anywhere
+  struct KindPace {
+    double sum = 0, n = 0;
+  };
+  std::map<int, KindPace> paces;     // of warm healthy endpoints, by kind, as of paces_at
+  Time paces_at{-1};
   std::vector<double> tenant_rate;  // decayed counts
   Time tenant_at{0};
 
@@ -147,6 +156,10 @@
     need(s.obligations.fall_multiple > 0, "Obligations.FallMultiple");
     for (const RequestClass& c : s.classes) times.push_back({Us(c.aim) / 4, Us(c.aim) / 8, 0});
     tenant_rate.assign(s.tenants.size(), 0);
+    Duration aim = s.classes[0].aim;
+    for (const RequestClass& c : s.classes) aim = std::min(aim, c.aim);
+    target = kAimShare * Us(aim);
+    SetMeanTime();
   }
 
   double Uniform() { return std::uniform_real_distribution<double>(0, 1)(rng); }
@@ -185,28 +198,25 @@
       e.info = info;
       e.listed = true;
     }
-    if (!started && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
-    started = true;
-  }
-
-  [[nodiscard]] size_t UpCount() const {
-    return static_cast<size_t>(std::count_if(eps.begin(), eps.end(), [](const Endpoint& e) {
+    up = static_cast<size_t>(std::count_if(eps.begin(), eps.end(), [](const Endpoint& e) {
       return e.info.state == EndpointState::kUp;
     }));
+    if (!started && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
+    started = true;
   }
 
   // ---- 2. Health and capacity ---------------------------------------------------------------
   // The fleet's mean time per request over the classes seen, in us.
-  [[nodiscard]] double MeanTime() const {
+  void SetMeanTime() {
     double sum = 0, n = 0;
     for (const ClassTime& t : times) {
       sum += t.mean * (t.answers + 1);
       n += t.answers + 1;
     }
-    return sum / n;
+    mean_time = sum / n;
   }
 
-  [[nodiscard]] double Cost(int cls) const { return times[Cls(cls)].mean / MeanTime(); }
+  [[nodiscard]] double Cost(int cls) const { return times[Cls(cls)].mean / mean_time; }
   [[nodiscard]] size_t Cls(int cls) const {
     return std::min(static_cast<size_t>(cls), s.classes.size() - 1);
   }
@@ -215,7 +225,7 @@
   [[nodiscard]] bool Silent(const Endpoint& e) const {
     if (e.out == 0) return false;
     const double patience = kSilence * (e.out == 1 ? 1.5 : 1) * (e.trips > 0 ? 0.5 : 1);
-    return Us(now - e.silent_since) > patience * MeanTime();
+    return Us(now - e.silent_since) > patience * mean_time;
   }
 
   [[nodiscard]] bool Ejected(const Endpoint& e) const {
@@ -233,7 +243,7 @@
       return o.info.state == EndpointState::kUp && o.trips > 0;
     });
     // Where most fail alike, no endpoint is worse than its peers: keep a bounded share out.
-    if (!trial && static_cast<double>(ejected) >= kMaxEjected * static_cast<double>(UpCount())) return;
+    if (!trial && static_cast<double>(ejected) >= kMaxEjected * static_cast<double>(up)) return;
     e.ejected_until = now + kEjectFirst * (1 << std::min(e.trips, kEjectDoublings));
     ++e.trips;
     ++stats.ejections;
@@ -249,6 +259,7 @@
     const double w = std::max(kBlend / 4, 1.0 / ++t.answers);
     Blend(t.dev, std::abs(took - t.mean), w);
     Blend(t.mean, took, w);
+    SetMeanTime();
     Observe(e, a, took);
     DecayPace(e);
     e.pace += Cost(cls) / kRateSpan;
@@ -264,7 +275,7 @@
     // Little's law gives its throughput. Crowded, that is what it can do; with room to spare it is
     // only a lower bound, so a lower figure counts the less the quicker its answers are.
     if (e.answers >= kFewSamples) {
-      const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / Target());
+      const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
       if (e.tput <= 0) e.tput = sample;
       Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
     }
@@ -282,22 +293,14 @@
 
   [[nodiscard]] double Load(const Endpoint& e) const {
     if (e.reported >= Time(0) && now - e.reported <= kPoolAge) return e.others + e.out;
-    double mean_out = 0;  // the other gateways are taken to have as much out as this one
-    for (const Endpoint& o : eps) mean_out += o.out;
-    return e.out + mean_out / static_cast<double>(eps.size()) * (s.instances - 1);
-  }
-
-  // The time that a request should take at most on average, us: a share of the tightest aim.
-  [[nodiscard]] double Target() const {
-    Duration aim = s.classes[0].aim;
-    for (const RequestClass& c : s.classes) aim = std::min(aim, c.aim);
-    return kAimShare * Us(aim);
+    // Without a fresh report the other gateways are taken to have as much out as this one.
+    return e.out + static_cast<double>(out) / static_cast<double>(up + 1) * (s.instances - 1);
   }
 
   // Concurrency limit on all that an endpoint holds: what it can finish within the target. Past
   // it, queueing adds only delay, and some endpoints slow down when crowded and stay slow.
   [[nodiscard]] double Limit(const Endpoint& e) const {
-    return e.tput > 0 ? std::max(2.0, e.tput * Target()) : kLimitAtFirst;
+    return e.tput > 0 ? std::max(2.0, e.tput * target) : kLimitAtFirst;
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, int cls) const {
@@ -306,7 +309,7 @@
 
   // ---- 3. Probe pool and pick ---------------------------------------------------------------
   [[nodiscard]] size_t PoolBound() const {
-    const auto share = static_cast<size_t>(kPoolShare * static_cast<double>(UpCount()));
+    const auto share = static_cast<size_t>(kPoolShare * static_cast<double>(up));
     return std::clamp<size_t>(share, 2, kPoolMost);
   }
 
@@ -339,7 +342,7 @@
 
   void AddToPool(int ep, double others, double latency) {
     std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
-    const double budget = ReuseBudget(static_cast<double>(UpCount()));
+    const double budget = ReuseBudget(static_cast<double>(up));
     const int uses = static_cast<int>(budget) + (Uniform() < budget - std::floor(budget) ? 1 : 0);
     if (pool.size() >= PoolBound()) pool.erase(pool.begin());  // the oldest
     pool.push_back({ep, others, latency, now, uses});
@@ -498,20 +501,33 @@
     return e.info.launched > Time(0) && now - e.info.launched < s.obligations.warm_within * 1.1;
   }
 
+  void RefreshPaces() {
+    if (paces_at >= Time(0) && now - paces_at < kPaceRefresh) return;
+    paces_at = now;
+    paces.clear();
+    for (Endpoint& o : eps) {
+      if (o.info.state != EndpointState::kUp || Cold(o) || o.trips > 0) continue;
+      DecayPace(o);
+      KindPace& p = paces[o.info.kind];
+      p.sum += o.pace, p.n += 1;
+    }
+  }
+
   // A cold endpoint falls over if all gateways together send too much. If each gateway keeps to
   // this multiple of its own pace on a like warm endpoint, the sum keeps to it as well.
   bool WithinColdBudget(Endpoint& e, double cost) {
     if (!Cold(e)) return true;
+    RefreshPaces();
     const double age = std::max(0.0, Us(now - e.info.launched) / Us(s.obligations.warm_within));
     const double share = s.obligations.cold_from + (1 - s.obligations.cold_from) * std::min(1.0, age);
-    double like = 0, like_n = 0, least = 1e18;
-    for (Endpoint& o : eps) {
-      if (o.info.state != EndpointState::kUp || Cold(o) || o.trips > 0) continue;
-      DecayPace(o);
-      least = std::min(least, o.pace);
-      if (o.info.kind == e.info.kind) like += o.pace, ++like_n;
+    const auto like = paces.find(e.info.kind);
+    double pace = 0;
+    if (like != paces.end()) {
+      pace = like->second.sum / like->second.n;
+    } else if (!paces.empty()) {
+      pace = 1e18;
+      for (const auto& [kind, p] : paces) pace = std::min(pace, p.sum / p.n);
     }
-    const double pace = like_n > 0 ? like / like_n : least < 1e18 ? least : 0;
     const double rate = pace * share * s.obligations.fall_multiple * kColdSafety;
     if (e.cold_filled >= Time(0)) e.cold_tokens += rate * Us(now - e.cold_filled);
     e.cold_filled = now;
@@ -524,6 +540,7 @@
     if (!MaySend(r, e)) throw std::logic_error("a send that the rules forbid");
     if (Cold(e)) e.cold_tokens -= Cost(r.in.cls) + kColdOverhead;
     TrackOut(e);
+    ++out;
     if (e.out++ == 0) e.silent_since = now;
     Attempt a;
     a.ep = ep;
@@ -565,7 +582,7 @@
     Endpoint& e = eps[static_cast<size_t>(a.ep)];
     const bool was_silent = Silent(e);
     TrackOut(e);
-    --e.out;
+    --e.out, --out;
     if (in.report) Learn(a.ep, *in.report, now);
     switch (in.outcome) {
       case Outcome::kOk:
@@ -582,7 +599,7 @@
         break;
       case Outcome::kFull:
         e.silent_since = now;
-        e.full_until = now + ToUs(MeanTime() / 2);
+        e.full_until = now + ToUs(mean_time / 2);
         break;
       case Outcome::kTimeout:
       case Outcome::kCancelled:
