--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,6 +44,8 @@
 constexpr double kOthersBlend = 0.3;       // a report; all gateways rush at once to what looks idle
 constexpr double kLimitAtFirst = 4;        // requests; small enough not to crowd before it is known
 constexpr Duration kPaceRefresh{200'000};  // us; the paces of kinds change slowly
+constexpr double kStretch = 1.5;           // times its least time: busy, queue still short
+constexpr double kBaseDrift = 0.01;        // an answer; an endpoint that got slower counts as such
 constexpr int kFewSamples = 5;             // answers before an average is trusted
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
@@ -67,6 +69,7 @@
   Time silent_since{0};    // last answer, or the send that found none out
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
   int answers = 0;
+  double base = 0;         // us; the least average time of late
   double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
   Time full_until{0};      // turned work away a moment ago
   double pace = 0;         // own finished work per us, decayed over kRateSpan
@@ -276,6 +279,7 @@
     // only a lower bound, so a lower figure counts the less the quicker its answers are.
     if (e.answers >= kFewSamples) {
       const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
+      e.base = e.base > 0 ? std::min(e.base * (1 + kBaseDrift), e.t_mean) : e.t_mean;
       if (e.tput <= 0) e.tput = sample;
       Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
     }
@@ -300,7 +304,7 @@
   // Concurrency limit on all that an endpoint holds: what it can finish within the target. Past
   // it, queueing adds only delay, and some endpoints slow down when crowded and stay slow.
   [[nodiscard]] double Limit(const Endpoint& e) const {
-    return e.tput > 0 ? std::max(2.0, e.tput * target) : kLimitAtFirst;
+    return e.tput > 0 ? std::max(2.0, e.tput * std::max(target, kStretch * e.base)) : kLimitAtFirst;
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, int cls) const {
