--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,7 +32,7 @@
 constexpr Duration kEjectFirst{1'000'000};  // us; doubles with each failed trial
 constexpr int kEjectDoublings = 3;         // up to 8 s, the order of a short outage
 constexpr double kSilence = 3;             // typical times without any answer: suspect
-constexpr double kAimShare = 0.5;          // of the aim that the predicted time may take
+constexpr double kAimShare = 0.4;          // of the aim that the predicted time may take
 constexpr double kHoldShare = 0.2;        // of the aim that a request may wait here
 constexpr double kHedgeDevs = 3;           // mean deviations past the mean before a second copy
 constexpr double kRetryEarn = 0.2;         // further attempts earned by each request
@@ -44,8 +44,6 @@
 constexpr double kOthersBlend = 0.3;       // a report; all gateways rush at once to what looks idle
 constexpr double kLimitAtFirst = 4;        // requests; small enough not to crowd before it is known
 constexpr Duration kPaceRefresh{200'000};  // us; the paces of kinds change slowly
-constexpr double kStretch = 1.5;           // times its least time: busy, queue still short
-constexpr double kBaseDrift = 0.01;        // an answer; an endpoint that got slower counts as such
 constexpr int kFewSamples = 5;             // answers before an average is trusted
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
@@ -69,7 +67,6 @@
   Time silent_since{0};    // last answer, or the send that found none out
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
   int answers = 0;
-  double base = 0;         // us; the least average time of late
   double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
   Time full_until{0};      // turned work away a moment ago
   double pace = 0;         // own finished work per us, decayed over kRateSpan
@@ -279,7 +276,6 @@
     // only a lower bound, so a lower figure counts the less the quicker its answers are.
     if (e.answers >= kFewSamples) {
       const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
-      e.base = e.base > 0 ? std::min(e.base * (1 + kBaseDrift), e.t_mean) : e.t_mean;
       if (e.tput <= 0) e.tput = sample;
       Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
     }
@@ -304,7 +300,7 @@
   // Concurrency limit on all that an endpoint holds: what it can finish within the target. Past
   // it, queueing adds only delay, and some endpoints slow down when crowded and stay slow.
   [[nodiscard]] double Limit(const Endpoint& e) const {
-    return e.tput > 0 ? std::max(2.0, e.tput * std::max(target, kStretch * e.base)) : kLimitAtFirst;
+    return e.tput > 0 ? std::max(2.0, e.tput * target) : kLimitAtFirst;
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, int cls) const {
