--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -300,7 +300,9 @@
   // Concurrency limit on all that an endpoint holds: what it can finish within the target. Past
   // it, queueing adds only delay, and some endpoints slow down when crowded and stay slow.
   [[nodiscard]] double Limit(const Endpoint& e) const {
-    return e.tput > 0 ? std::max(2.0, e.tput * target) : kLimitAtFirst;
+    if (e.tput <= 0) return kLimitAtFirst;
+    const double room = e.t_mean < target ? 1 : 0;  // one more, to learn whether it can do more
+    return std::max(2.0, room + e.tput * target);
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, int cls) const {
