--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -15,36 +15,37 @@
 namespace {
 
 // ---- Constants: unit and reason for each ----------------------------------------------------
-constexpr Duration kSweep{10'000};         // us; a fraction of any useful aim, cheap to run
-constexpr size_t kPoolMost = 16;           // entries; the paper's pool
-constexpr double kPoolShare = 2.0 / 3;     // of the endpoints; m < n keeps the reuse formula defined
-constexpr Duration kPoolAge{1'000'000};    // us; the design page's starting point
-constexpr double kColdRank = 0.5;          // of the pool's in-flight figures; median rank
-constexpr double kProbeSpend = 0.012;      // of the result; what probing may cost where it is priced
-constexpr double kProbeLeast = 0.25;       // probes a request; keeps a pool over a small fleet filled
-constexpr double kProbeMost = 2;           // probes a request; more tells nothing new
+constexpr Duration kSweep{10'000};       // us; a fraction of any useful aim, cheap to run
+constexpr size_t kPoolMost = 16;         // entries; the paper's pool
+constexpr double kPoolShare = 2.0 / 3;   // of the endpoints; m < n keeps the reuse formula defined
+constexpr Duration kPoolAge{1'000'000};  // us; the design page's starting point
+constexpr double kColdRank = 0.5;        // of the pool's in-flight figures; median rank
+constexpr double kProbeSpend = 0.012;    // of the result; what probing may cost where it is priced
+constexpr double kProbeLeast = 0.25;     // probes a request; keeps a pool over a small fleet filled
+constexpr double kProbeMost = 2;         // probes a request; more tells nothing new
 constexpr double kRemovePerProbe = 1.0 / 12;  // removals a probe; well inside the formula's domain
-constexpr double kReuseSlack = 1;          // the paper's delta: net growth of the pool per reuse
-constexpr double kBlend = 0.1;             // weight of one new sample in a slow average
-constexpr double kErrBlend = 0.2;          // weight of one outcome in the error share
-constexpr double kErrEject = 0.3;          // error share: two failures in a row, or in three
-constexpr double kMaxEjected = 0.5;        // of the endpoints; past that they are no worse than peers
+constexpr double kReuseSlack = 1;             // the paper's delta: net growth of the pool per reuse
+constexpr double kBlend = 0.1;                // weight of one new sample in a slow average
+constexpr double kErrBlend = 0.2;             // weight of one outcome in the error share
+constexpr double kErrEject = 0.3;             // error share: two failures in a row, or in three
+constexpr double kMaxEjected = 0.5;  // of the endpoints; past that they are no worse than peers
 constexpr Duration kEjectFirst{1'000'000};  // us; doubles with each failed trial
-constexpr int kEjectDoublings = 3;         // up to 8 s, the order of a short outage
-constexpr double kSilence = 3;             // typical times without any answer: suspect
-constexpr double kAimShare = 0.4;          // of the aim that the predicted time may take
-constexpr double kHoldShare = 0.2;        // of the aim that a request may wait here
-constexpr double kHedgeDevs = 3;           // mean deviations past the mean before a second copy
-constexpr double kRetryEarn = 0.2;         // further attempts earned by each request
-constexpr double kRetryMost = 10;          // further attempts saved up
-constexpr double kColdSafety = 0.5;        // of the cold budget; sizes differ and work is random
-constexpr double kColdOverhead = 0.25;     // requests; a handshake on top of each send
-constexpr double kRateSpan = 5e6;          // us; span over which an endpoint's pace is remembered
-constexpr double kReportLag = 1e5;         // us; about how old a report's figures are when they arrive
-constexpr double kOthersBlend = 0.3;       // a report; all gateways rush at once to what looks idle
-constexpr double kLimitAtFirst = 4;        // requests; small enough not to crowd before it is known
-constexpr Duration kPaceRefresh{200'000};  // us; the paces of kinds change slowly
-constexpr int kFewSamples = 5;             // answers before an average is trusted
+constexpr int kEjectDoublings = 3;          // up to 8 s, the order of a short outage
+constexpr double kSilence = 3;              // typical times without any answer: suspect
+constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
+constexpr double kHoldShare = 0.2;          // of the aim that a request may wait here
+constexpr double kHedgeDevs = 3;            // mean deviations past the mean before a second copy
+constexpr double kRetryEarn = 0.2;          // further attempts earned by each request
+constexpr double kRetryMost = 10;           // further attempts saved up
+constexpr double kColdSafety = 0.5;         // of the cold budget; sizes differ and work is random
+constexpr double kColdOverhead = 0.25;      // requests; a handshake on top of each send
+constexpr double kRateSpan = 5e6;           // us; span over which an endpoint's pace is remembered
+constexpr double kReportLag = 1e5;    // us; about how old a report's figures are when they arrive
+constexpr double kOthersBlend = 0.3;  // a report; all gateways rush at once to what looks idle
+constexpr double kLimitAtFirst = 4;   // requests; small enough not to crowd before it is known
+constexpr int kFewSamples = 5;        // answers before an average is trusted
+
+constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
 Duration ToUs(double us) { return Duration(std::llround(us)); }
@@ -53,30 +54,30 @@
 struct Endpoint {
   EndpointInfo info;
   bool listed = false;
-  int out = 0;             // own attempts out
+  int out = 0;  // own attempts out
   int probes_out = 0;
-  double others = 0;       // in flight there from elsewhere, by the last reports
-  double out_mean = 0;     // own attempts out, averaged over kReportLag
+  double others = 0;    // in flight there from elsewhere, by the last reports
+  double out_mean = 0;  // own attempts out, averaged over kReportLag
   Time out_at{0};
-  Time reported{-1};       // when that report came; -1: never
-  double service = 0;      // us; reported service time, 0 unknown
-  double link = 0;         // us; probe round trip, 0 unknown
-  double err = 0;          // share of failed outcomes, recent
+  Time reported{-1};   // when that report came; -1: never
+  double service = 0;  // us; reported service time, 0 unknown
+  double link = 0;     // us; probe round trip, 0 unknown
+  double err = 0;      // share of failed outcomes, recent
   Time ejected_until{0};
-  int trips = 0;           // ejections in a row
-  Time silent_since{0};    // last answer, or the send that found none out
+  int trips = 0;                  // ejections in a row
+  Time silent_since{0};           // last answer, or the send that found none out
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
   int answers = 0;
   double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
   Time full_until{0};      // turned work away a moment ago
-  double pace = 0;         // own finished work per us, decayed over kRateSpan
-  Time paced{0};
   double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
   Time cold_filled{-1};
 };
 
+bool Up(const Endpoint& e) { return e.info.state == EndpointState::kUp; }
+
 struct Attempt {
-  int ep = 0;
+  size_t ep = 0;
   Time sent{0};
   bool out = true;
   bool may_have_run = true;  // until an outcome proves otherwise
@@ -84,8 +85,15 @@
   double f_at_send = 0;
 };
 
+struct ClassTime {  // of this gateway's answers to a class, us
+  double mean = 0, dev = 0;
+  int answers = 0;
+};
+
 struct Request {
   uint64_t seq = 0;
+  const RequestClass* cls = nullptr;
+  ClassTime* time = nullptr;
   Submit in;
   Time arrived{0};
   std::vector<Attempt> attempts;
@@ -96,7 +104,7 @@
 };
 
 struct PoolEntry {
-  int ep = 0;
+  size_t ep = 0;
   double others = 0;  // reported in flight less this gateway's own part
   double latency = 0;
   Time at{0};
@@ -115,28 +123,21 @@
   std::vector<Action>* act = nullptr;
 
   std::vector<Endpoint> eps;
-  std::unordered_map<std::string, int> ep_index;    // look-up only, never iterated
-  std::map<uint64_t, Request> open;                 // in order of arrival
-  std::unordered_map<std::string, uint64_t> by_id;  // look-up only
-  std::vector<uint64_t> waiting;                    // held requests, unsorted
+  std::unordered_map<std::string, size_t> ep_index;  // look-up only, never iterated
+  std::map<uint64_t, Request> open;                  // in order of arrival
+  std::unordered_map<std::string, uint64_t> by_id;   // look-up only
+  std::vector<uint64_t> waiting;                     // held requests, unsorted
   std::vector<PoolEntry> pool;
   uint64_t next_seq = 0;
   bool sweeping = false, started = false, remove_oldest = true;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
   int follow_failures = 0;
-  struct ClassTime {
-    double mean = 0, dev = 0;
-    int answers = 0;
-  };
   std::vector<ClassTime> times;
   double mean_time = 0, target = 0;  // us; of a request over all classes, and aimed at
   size_t up = 0;                     // endpoints that may get work
   int out = 0;                       // own attempts out, anywhere
-  struct KindPace {
-    double sum = 0, n = 0;
-  };
-  std::map<int, KindPace> paces;     // of warm healthy endpoints, by kind, as of paces_at
-  Time paces_at{-1};
+  double pace = 0;                   // see Pace()
+  Time paced{0};
   std::vector<double> tenant_rate;  // decayed counts
   Time tenant_at{0};
 
@@ -170,13 +171,13 @@
   }
 
   // ---- 1. Membership ------------------------------------------------------------------------
-  int Intern(const std::string& id) {
-    const auto [at, fresh] = ep_index.try_emplace(id, static_cast<int>(eps.size()));
+  size_t Intern(const std::string& id) {
+    const auto [at, fresh] = ep_index.try_emplace(id, eps.size());
     if (fresh) eps.emplace_back().info.id = id;
     return at->second;
   }
 
-  void OnMembers(const Members& m) {
+  void On(const Members& m) {
     if (m.kind == ListKind::kFailed) {
       // Ask again, later each time and not in step with the other gateways: the registry is small.
       const double base = std::max(Us(s.obligations.must_ask_in) / 20, 2.5e5);
@@ -188,7 +189,7 @@
       for (Endpoint& e : eps) e.info.state = EndpointState::kRemoved;  // absent means gone
     }
     for (const EndpointInfo& info : m.entries) {
-      Endpoint& e = eps[static_cast<size_t>(Intern(info.id))];
+      Endpoint& e = eps[Intern(info.id)];
       if (info.launched > e.info.launched && e.listed) {
         // A restarted process: nothing learned of the old one holds.
         const int out = e.out, probes_out = e.probes_out;
@@ -198,11 +199,10 @@
       e.info = info;
       e.listed = true;
     }
-    up = static_cast<size_t>(std::count_if(eps.begin(), eps.end(), [](const Endpoint& e) {
-      return e.info.state == EndpointState::kUp;
-    }));
+    up = static_cast<size_t>(std::count_if(eps.begin(), eps.end(), Up));
     if (!started && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
     started = true;
+    Dispatch();
   }
 
   // ---- 2. Health and capacity ---------------------------------------------------------------
@@ -216,10 +216,7 @@
     mean_time = sum / n;
   }
 
-  [[nodiscard]] double Cost(int cls) const { return times[Cls(cls)].mean / mean_time; }
-  [[nodiscard]] size_t Cls(int cls) const {
-    return std::min(static_cast<size_t>(cls), s.classes.size() - 1);
-  }
+  [[nodiscard]] double Cost(const Request& r) const { return r.time->mean / mean_time; }
 
   // A hung endpoint keeps answering probes: what shows is that nothing of ours comes back.
   [[nodiscard]] bool Silent(const Endpoint& e) const {
@@ -239,30 +236,27 @@
     Blend(e.err, 1, weight);
     const bool trial = e.trips > 0 && now >= e.ejected_until;
     if (e.err <= kErrEject || (e.trips > 0 && !trial)) return;
-    const auto ejected = std::count_if(eps.begin(), eps.end(), [&](const Endpoint& o) {
-      return o.info.state == EndpointState::kUp && o.trips > 0;
-    });
+    const auto ejected = std::count_if(eps.begin(), eps.end(),
+                                       [&](const Endpoint& o) { return Up(o) && o.trips > 0; });
     // Where most fail alike, no endpoint is worse than its peers: keep a bounded share out.
     if (!trial && static_cast<double>(ejected) >= kMaxEjected * static_cast<double>(up)) return;
     e.ejected_until = now + kEjectFirst * (1 << std::min(e.trips, kEjectDoublings));
     ++e.trips;
-    ++stats.ejections;
   }
 
-  void Answered(Endpoint& e, const Attempt& a, int cls, double took) {
+  void Answered(Endpoint& e, const Attempt& a, const Request& r, double took) {
     Blend(e.err, 0, kErrBlend);
     if (e.trips > 0 && a.sent >= e.ejected_until) {
       e.trips = 0;  // the trial succeeded
       e.err = std::min(e.err, kErrEject * 0.7);
     }
-    ClassTime& t = times[Cls(cls)];
+    ClassTime& t = *r.time;
     const double w = std::max(kBlend / 4, 1.0 / ++t.answers);
     Blend(t.dev, std::abs(took - t.mean), w);
     Blend(t.mean, took, w);
     SetMeanTime();
     Observe(e, a, took);
-    DecayPace(e);
-    e.pace += Cost(cls) / kRateSpan;
+    pace = Pace() + Cost(r) / kRateSpan;
   }
 
   // One attempt's in-flight figure and time. What ran out of time counts too: answers alone would
@@ -281,9 +275,11 @@
     }
   }
 
-  void DecayPace(Endpoint& e) const {
-    e.pace *= std::exp(-Us(now - e.paced) / kRateSpan);
-    e.paced = now;
+  // This gateway's finished work of late, in mean requests per us.
+  double Pace() {
+    pace *= std::exp(-Us(now - paced) / kRateSpan);
+    paced = now;
+    return pace;
   }
 
   void TrackOut(Endpoint& e) const {
@@ -305,8 +301,8 @@
     return std::max(2.0, room + e.tput * target);
   }
 
-  [[nodiscard]] double Predict(const Endpoint& e, int cls) const {
-    return e.tput > 0 ? e.link + (Load(e) + std::min(Cost(cls), 2.0)) / e.tput : 0;
+  [[nodiscard]] double Predict(const Endpoint& e, const Request& r) const {
+    return e.tput > 0 ? e.link + (Load(e) + std::min(Cost(r), 2.0)) / e.tput : 0;
   }
 
   // ---- 3. Probe pool and pick ---------------------------------------------------------------
@@ -332,17 +328,14 @@
 
   void Purge() {
     std::erase_if(pool, [&](const PoolEntry& p) {
-      return p.uses <= 0 || now - p.at > kPoolAge ||
-             eps[static_cast<size_t>(p.ep)].info.state != EndpointState::kUp;
+      return p.uses <= 0 || now - p.at > kPoolAge || !Up(eps[p.ep]);
     });
   }
 
   // An answer's in-flight figure as of now: each own send raises it, each own end lowers it.
-  [[nodiscard]] double Rif(const PoolEntry& p) const {
-    return p.others + eps[static_cast<size_t>(p.ep)].out;
-  }
+  [[nodiscard]] double Rif(const PoolEntry& p) const { return p.others + eps[p.ep].out; }
 
-  void AddToPool(int ep, double others, double latency) {
+  void AddToPool(size_t ep, double others, double latency) {
     std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
     const double budget = ReuseBudget(static_cast<double>(up));
     const int uses = static_cast<int>(budget) + (Uniform() < budget - std::floor(budget) ? 1 : 0);
@@ -359,10 +352,10 @@
     return rifs[rank];
   }
 
-  // Place in the pool of the best entry by the hot-cold order, ties at random; -1 if none.
+  // Place in the pool of the best entry by the hot-cold order, ties at random; kNone if none.
   template <typename Filter>
-  int HotCold(double cut, const Filter& allowed, Regime& regime) {
-    int best = -1;
+  size_t HotCold(double cut, const Filter& allowed, Regime& regime) {
+    size_t best = kNone;
     double best_rank = 0;
     bool best_cold = false;
     size_t ties = 0;
@@ -370,16 +363,14 @@
       if (!allowed(pool[i].ep)) continue;
       const bool cold = Rif(pool[i]) <= cut;
       const double rank = cold ? pool[i].latency : Rif(pool[i]);
-      const bool better = best < 0 || (cold != best_cold ? cold : rank < best_rank);
+      const bool better = best == kNone || (cold != best_cold ? cold : rank < best_rank);
       const bool tie = !better && cold == best_cold && rank == best_rank;
       if (better) ties = 1;
       if (better || (tie && Below(++ties) == 0)) {
-        best = static_cast<int>(i);
-        best_rank = rank;
-        best_cold = cold;
+        best = i, best_rank = rank, best_cold = cold;
       }
     }
-    regime = best < 0 ? Regime::kNone : best_cold ? Regime::kCold : Regime::kHot;
+    regime = best == kNone ? Regime::kNone : best_cold ? Regime::kCold : Regime::kHot;
     return best;
   }
 
@@ -395,7 +386,8 @@
           if (a_hot != b_hot) return b_hot;
           return a_hot ? Rif(a) < Rif(b) : a.latency < b.latency;
         };
-        gone = static_cast<size_t>(std::max_element(pool.begin(), pool.end(), worse) - pool.begin());
+        gone =
+            static_cast<size_t>(std::max_element(pool.begin(), pool.end(), worse) - pool.begin());
       }
       pool.erase(pool.begin() + static_cast<long>(gone));
       remove_oldest = !remove_oldest;
@@ -405,16 +397,13 @@
   // Probes ride on requests and go to random endpoints.
   void ProbeSome() {
     for (probe_due += ProbeRate(); probe_due >= 1; probe_due -= 1) {
-      std::vector<int> to;
+      std::vector<size_t> to;
       for (size_t i = 0; i < eps.size(); ++i) {
-        if (eps[i].info.state == EndpointState::kUp && eps[i].probes_out == 0) {
-          to.push_back(static_cast<int>(i));
-        }
+        if (Up(eps[i]) && eps[i].probes_out == 0) to.push_back(i);
       }
       if (to.empty()) continue;
-      Endpoint& e = eps[static_cast<size_t>(to[Below(to.size())])];
+      Endpoint& e = eps[to[Below(to.size())]];
       ++e.probes_out;
-      ++stats.probes;
       Do(Probe{e.info.id});
     }
   }
@@ -422,79 +411,75 @@
   // How strictly a pick filters its candidates; each level lets go of one wish.
   enum class Strict { kAim, kCapacity, kHealth };
 
-  bool Eligible(const Request& r, int ep, Strict level) {
-    Endpoint& e = eps[static_cast<size_t>(ep)];
+  bool Eligible(const Request& r, size_t ep, Strict level) {
+    Endpoint& e = eps[ep];
     if (!MaySend(r, e)) return false;
     for (const Attempt& a : r.attempts) {
       if (a.ep == ep && (a.out || level != Strict::kHealth)) return false;
     }
-    const RequestClass& c = s.classes[Cls(r.in.cls)];
     if (level != Strict::kHealth && !Healthy(e)) return false;
-    if (e.trips > 0 && c.effect == Effect::kUnsafe && level != Strict::kHealth) return false;
+    if (e.trips > 0 && r.cls->effect == Effect::kUnsafe && level != Strict::kHealth) return false;
     if (now < e.full_until || Load(e) + 1 > Limit(e)) return false;
     if (level != Strict::kAim) return true;
-    return Predict(e, r.in.cls) <= kAimShare * Us(r.arrived + c.aim - now);
+    return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
 
-  // The endpoint for a request, or -1 where none may take it now.
-  int Pick(const Request& r) {
+  // The endpoint for a request, or kNone where none may take it now.
+  size_t Pick(const Request& r) {
     Purge();
     for (const Strict level : {Strict::kAim, Strict::kCapacity, Strict::kHealth}) {
       if (level == Strict::kHealth && AnyHealthy()) break;
-      const auto allowed = [&](int ep) { return Eligible(r, ep, level); };
-      const auto usable =
-          std::count_if(pool.begin(), pool.end(), [&](const PoolEntry& p) { return allowed(p.ep); });
+      const auto allowed = [&](size_t ep) { return Eligible(r, ep, level); };
+      const auto usable = std::count_if(pool.begin(), pool.end(),
+                                        [&](const PoolEntry& p) { return allowed(p.ep); });
       if (usable >= 2) {
-        const int at = HotCold(ColdCut(), allowed, stats.last);
-        PoolEntry& p = pool[static_cast<size_t>(at)];
+        const size_t at = HotCold(ColdCut(), allowed, stats.last);
+        PoolEntry& p = pool[at];
         --p.uses;
-        ++(stats.last == Regime::kCold ? stats.cold : stats.hot);
+        ++stats.picks[static_cast<size_t>(stats.last)];
         return p.ep;
       }
       // Fallback without probes: two random choices by own attempts out.
-      std::vector<int> to;
+      std::vector<size_t> to;
       for (size_t i = 0; i < eps.size(); ++i) {
-        if (allowed(static_cast<int>(i))) to.push_back(static_cast<int>(i));
+        if (allowed(i)) to.push_back(i);
       }
       if (to.empty()) continue;
-      const int a = to[Below(to.size())], b = to[Below(to.size())];
+      const size_t a = to[Below(to.size())], b = to[Below(to.size())];
       stats.last = Regime::kFallback;
-      ++stats.fallback;
-      return eps[static_cast<size_t>(b)].out < eps[static_cast<size_t>(a)].out ? b : a;
+      ++stats.picks[static_cast<size_t>(stats.last)];
+      return eps[b].out < eps[a].out ? b : a;
     }
-    return -1;
+    return kNone;
   }
 
   [[nodiscard]] bool AnyHealthy() const {
-    return std::any_of(eps.begin(), eps.end(), [&](const Endpoint& e) {
-      return e.info.state == EndpointState::kUp && Healthy(e);
-    });
+    return std::any_of(eps.begin(), eps.end(),
+                       [&](const Endpoint& e) { return Up(e) && Healthy(e); });
   }
 
   // ---- 4. Legality gate: every send, refusal and failure passes here -------------------------
   bool MaySend(const Request& r, Endpoint& e) {
     if (r.over || now >= r.in.deadline) return false;
     if (static_cast<int>(r.attempts.size()) >= s.allowed.send_cap) return false;
-    if (e.info.state != EndpointState::kUp) return false;  // a drain holds from the moment it is told
+    if (!Up(e)) return false;  // a drain holds from the moment it is told
     if (!s.allowed.parallel_tries && r.out > 0) return false;
-    const RequestClass& c = s.classes[Cls(r.in.cls)];
     for (const Attempt& a : r.attempts) {
       if (!a.may_have_run) continue;
-      if (c.effect == Effect::kUnsafe) return false;
-      if (c.effect == Effect::kSafe) continue;
-      const EndpointInfo& was = eps[static_cast<size_t>(a.ep)].info;
-      if (c.group == DedupGroup::kZone && was.zone != e.info.zone) return false;
-      if (c.group == DedupGroup::kCell && was.cell != e.info.cell) return false;
+      if (r.cls->effect == Effect::kUnsafe) return false;
+      if (r.cls->effect == Effect::kSafe) continue;
+      const EndpointInfo& was = eps[a.ep].info;
+      if (r.cls->group == DedupGroup::kZone && was.zone != e.info.zone) return false;
+      if (r.cls->group == DedupGroup::kCell && was.cell != e.info.cell) return false;
       // A margin for the way there, so that the repeat arrives while it is still remembered.
-      if (now - a.sent + s.allowed.connect_timeout >= c.window) return false;
+      if (now - a.sent + s.allowed.connect_timeout >= r.cls->window) return false;
     }
-    return WithinColdBudget(e, Cost(r.in.cls));
+    return WithinColdBudget(e, Cost(r));
   }
 
   [[nodiscard]] bool MayRefuse(const Request& r) const {
-    const RequestClass& c = s.classes[Cls(r.in.cls)];
-    if (c.effect == Effect::kSafe) return true;
-    if (c.effect == Effect::kKeyed && c.group == DedupGroup::kAll) return true;
+    if (r.cls->effect == Effect::kSafe) return true;
+    if (r.cls->effect == Effect::kKeyed && r.cls->group == DedupGroup::kAll) return true;
     return std::none_of(r.attempts.begin(), r.attempts.end(),
                         [](const Attempt& a) { return a.may_have_run; });
   }
@@ -503,33 +488,14 @@
     return e.info.launched > Time(0) && now - e.info.launched < s.obligations.warm_within * 1.1;
   }
 
-  void RefreshPaces() {
-    if (paces_at >= Time(0) && now - paces_at < kPaceRefresh) return;
-    paces_at = now;
-    paces.clear();
-    for (Endpoint& o : eps) {
-      if (o.info.state != EndpointState::kUp || Cold(o) || o.trips > 0) continue;
-      DecayPace(o);
-      KindPace& p = paces[o.info.kind];
-      p.sum += o.pace, p.n += 1;
-    }
-  }
-
   // A cold endpoint falls over if all gateways together send too much. If each gateway keeps to
-  // this multiple of its own pace on a like warm endpoint, the sum keeps to it as well.
+  // this multiple of its own mean pace on an endpoint, the sum keeps to it as well.
   bool WithinColdBudget(Endpoint& e, double cost) {
     if (!Cold(e)) return true;
-    RefreshPaces();
     const double age = std::max(0.0, Us(now - e.info.launched) / Us(s.obligations.warm_within));
-    const double share = s.obligations.cold_from + (1 - s.obligations.cold_from) * std::min(1.0, age);
-    const auto like = paces.find(e.info.kind);
-    double pace = 0;
-    if (like != paces.end()) {
-      pace = like->second.sum / like->second.n;
-    } else if (!paces.empty()) {
-      pace = 1e18;
-      for (const auto& [kind, p] : paces) pace = std::min(pace, p.sum / p.n);
-    }
+    const double share =
+        s.obligations.cold_from + (1 - s.obligations.cold_from) * std::min(1.0, age);
+    const double pace = Pace() / static_cast<double>(std::max<size_t>(up, 1));
     const double rate = pace * share * s.obligations.fall_multiple * kColdSafety;
     if (e.cold_filled >= Time(0)) e.cold_tokens += rate * Us(now - e.cold_filled);
     e.cold_filled = now;
@@ -537,18 +503,14 @@
     return e.cold_tokens >= cost + kColdOverhead;
   }
 
-  void SendTo(Request& r, int ep) {
-    Endpoint& e = eps[static_cast<size_t>(ep)];
+  void SendTo(Request& r, size_t ep) {
+    Endpoint& e = eps[ep];
     if (!MaySend(r, e)) throw std::logic_error("a send that the rules forbid");
-    if (Cold(e)) e.cold_tokens -= Cost(r.in.cls) + kColdOverhead;
+    if (Cold(e)) e.cold_tokens -= Cost(r) + kColdOverhead;
     TrackOut(e);
     ++out;
     if (e.out++ == 0) e.silent_since = now;
-    Attempt a;
-    a.ep = ep;
-    a.sent = now;
-    a.f_at_send = Load(e);
-    r.attempts.push_back(a);
+    r.attempts.push_back({.ep = ep, .sent = now, .f_at_send = Load(e)});
     ++r.out;
     Do(Send{r.in.id, e.info.id, Duration(0)});
     Degrade();
@@ -558,59 +520,41 @@
   void GiveUp(Request& r) {
     if (r.over) return;
     r.over = true;
-    if (MayRefuse(r)) {
-      ++stats.refused;
-      Do(Refuse{r.in.id, s.allowed.retry_after ? s.allowed.max_retry_after : Duration(0)});
-    } else {
-      ++stats.failed;
-      Do(Fail{r.in.id});
-    }
+    if (!MayRefuse(r)) return Do(Fail{r.in.id});
+    Do(Refuse{r.in.id, s.allowed.retry_after ? s.allowed.max_retry_after : Duration(0)});
   }
 
   // ---- 5. Attempts --------------------------------------------------------------------------
-  [[nodiscard]] Time AimAt(const Request& r) const { return r.arrived + s.classes[Cls(r.in.cls)].aim; }
-
-  void OnSettled(const Settled& in) {
-    const auto id = by_id.find(in.id);
-    if (id == by_id.end()) return;
-    Request& r = open.at(id->second);
-    if (in.attempt < 0 || static_cast<size_t>(in.attempt) >= r.attempts.size()) return;
-    Attempt& a = r.attempts[static_cast<size_t>(in.attempt)];
-    if (!a.out) return;
+  [[nodiscard]] Time AimAt(const Request& r) const { return r.arrived + r.cls->aim; }
+
+  Request* Find(const std::string& id) {
+    const auto at = by_id.find(id);
+    return at == by_id.end() ? nullptr : &open.at(at->second);
+  }
+
+  void On(const Settled& in) {
+    Request* const known = Find(in.id);
+    if (!known || in.attempt >= known->attempts.size() || !known->attempts[in.attempt].out) return;
+    Request& r = *known;
+    Attempt& a = r.attempts[in.attempt];
     a.out = false;
     --r.out;
     a.may_have_run = in.outcome != Outcome::kFull && in.outcome != Outcome::kConnectFailed &&
                      in.outcome != Outcome::kMoot;
-    Endpoint& e = eps[static_cast<size_t>(a.ep)];
+    Endpoint& e = eps[a.ep];
     const bool was_silent = Silent(e);
     TrackOut(e);
     --e.out, --out;
     if (in.report) Learn(a.ep, *in.report, now);
-    switch (in.outcome) {
-      case Outcome::kOk:
-        e.silent_since = now;
-        Answered(e, a, r.in.cls, Us(in.took));
-        break;
-      case Outcome::kError:
-      case Outcome::kReset:
-        e.silent_since = now;
-        Failed(e, kErrBlend);
-        break;
-      case Outcome::kConnectFailed:
-        Failed(e, 2 * kErrBlend);
-        break;
-      case Outcome::kFull:
-        e.silent_since = now;
-        e.full_until = now + ToUs(mean_time / 2);
-        break;
-      case Outcome::kTimeout:
-      case Outcome::kCancelled:
-        Observe(e, a, Us(in.took));
-        if (was_silent) Failed(e, 2 * kErrBlend);
-        break;
-      case Outcome::kMoot:
-        break;
-    }
+    const bool silent = in.outcome == Outcome::kTimeout || in.outcome == Outcome::kCancelled;
+    const bool answered =
+        !silent && in.outcome != Outcome::kConnectFailed && in.outcome != Outcome::kMoot;
+    if (answered) e.silent_since = now;
+    if (silent) Observe(e, a, Us(in.took));
+    if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
+    if (in.outcome == Outcome::kFull) e.full_until = now + ToUs(mean_time / 2);
+    if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
+    if (in.outcome == Outcome::kConnectFailed || (silent && was_silent)) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
       r.over = true;
     } else if (r.out == 0) {
@@ -622,11 +566,10 @@
 
   void TryAgain(Request& r) {
     if (now >= r.in.deadline) return GiveUp(r);
-    if (retry_tokens < 1 || Us(AimAt(r) - now) < times[Cls(r.in.cls)].mean / 2) return GiveUp(r);
-    const int ep = Pick(r);
-    if (ep < 0) return GiveUp(r);
+    if (retry_tokens < 1 || Us(AimAt(r) - now) < r.time->mean / 2) return GiveUp(r);
+    const size_t ep = Pick(r);
+    if (ep == kNone) return GiveUp(r);
     retry_tokens -= 1;
-    ++stats.retries;
     SendTo(r, ep);
   }
 
@@ -636,23 +579,21 @@
     for (auto& [seq, r] : open) {
       if (r.over || r.streaming || r.out != 1) continue;
       const Attempt& a = r.attempts.back();
-      if (!a.out || a.called_off || s.classes[Cls(r.in.cls)].effect == Effect::kUnsafe || retry_tokens < 1) continue;
-      const Endpoint& e = eps[static_cast<size_t>(a.ep)];
-      const ClassTime& t = times[Cls(r.in.cls)];
+      if (!a.out || a.called_off || r.cls->effect == Effect::kUnsafe || retry_tokens < 1) continue;
+      const Endpoint& e = eps[a.ep];
       const double elapsed = Us(now - a.sent), left = Us(AimAt(r) - now);
       const bool bad = Silent(e) || e.info.state == EndpointState::kRemoved;
-      if (left < t.mean / 2 || elapsed < t.mean) continue;
+      if (left < r.time->mean / 2 || elapsed < r.time->mean) continue;
       if (s.allowed.parallel_tries) {
-        const double late = t.mean + kHedgeDevs * t.dev;
+        const double late = r.time->mean + kHedgeDevs * r.time->dev;
         if (!bad && elapsed < late) continue;
-        const int ep = Pick(r);
-        if (ep < 0) continue;
+        const size_t ep = Pick(r);
+        if (ep == kNone) continue;
         retry_tokens -= 1;
-        ++stats.hedges;
         SendTo(r, ep);
       } else if (bad && s.allowed.cancel) {
         r.attempts.back().called_off = true;
-        Do(Cancel{r.in.id, static_cast<int>(r.attempts.size()) - 1});
+        Do(Cancel{r.in.id, r.attempts.size() - 1});
       }
     }
     Dispatch();
@@ -667,40 +608,39 @@
 
   // ---- 6. Admission and fairness ------------------------------------------------------------
   // Whether a tenant sends more than its part: judged by its part of what arrives here.
-  [[nodiscard]] bool OverQuota(int tenant) const {
-    if (tenant < 0 || static_cast<size_t>(tenant) >= s.tenants.size()) return false;
+  [[nodiscard]] bool OverQuota(size_t tenant) const {
+    if (tenant >= s.tenants.size()) return false;
     double rate = 0, quota = 0;
     for (size_t i = 0; i < s.tenants.size(); ++i) {
       rate += tenant_rate[i];
       quota += s.tenants[i].quota_per_s;
     }
-    const auto at = static_cast<size_t>(tenant);
-    const double part = s.tenants[at].quota_per_s / std::max(quota, 1e-9);
+    const double part = s.tenants[tenant].quota_per_s / std::max(quota, 1e-9);
     const double here = quota * kRateSpan / 1e6 / s.instances;  // what quotas allow here
-    return tenant_rate[at] > 1.2 * part * std::max(rate, here);
+    return tenant_rate[tenant] > 1.2 * part * std::max(rate, here);
   }
 
   [[nodiscard]] double Priority(const Request& r) const {
-    const RequestClass& c = s.classes[Cls(r.in.cls)];
-    const double worth = c.worth * (OverQuota(r.in.tenant) ? s.over_share_worth : 1);
-    return s.worth_by_work ? worth : worth / times[Cls(r.in.cls)].mean;
+    const double worth = r.cls->worth * (OverQuota(r.in.tenant) ? s.over_share_worth : 1);
+    return s.worth_by_work ? worth : worth / r.time->mean;
   }
 
-  void OnSubmit(const Submit& in) {
+  void On(const Submit& in) {
     if (by_id.contains(in.id)) return;
     const uint64_t seq = next_seq++;
     Request& r = open[seq];
     by_id[in.id] = seq;
     r.seq = seq;
+    const size_t cls = std::min(in.cls, s.classes.size() - 1);
+    r.cls = &s.classes[cls];
+    r.time = &times[cls];
     r.in = in;
     r.arrived = now;
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
     const double decay = std::exp(-Us(now - tenant_at) / kRateSpan);
     for (double& rate : tenant_rate) rate *= decay;
     tenant_at = now;
-    if (in.tenant >= 0 && static_cast<size_t>(in.tenant) < tenant_rate.size()) {
-      tenant_rate[static_cast<size_t>(in.tenant)] += 1;
-    }
+    if (in.tenant < tenant_rate.size()) tenant_rate[in.tenant] += 1;
     ProbeSome();
     r.waiting = true;
     waiting.push_back(seq);
@@ -723,11 +663,11 @@
         Forget(r);
         continue;
       }
-      const int ep = full ? -1 : Pick(r);
-      const RequestClass& c = s.classes[Cls(r.in.cls)];
-      if (ep >= 0) {
+      const size_t ep = full ? kNone : Pick(r);
+      if (ep != kNone) {
         SendTo(r, ep);
-      } else if (now + 2 * kSweep >= r.in.deadline || Us(now - r.arrived) > kHoldShare * Us(c.aim)) {
+      } else if (now + 2 * kSweep >= r.in.deadline ||
+                 Us(now - r.arrived) > kHoldShare * Us(r.cls->aim)) {
         // No timer comes early: a try that is given up soon gets its answer at this look.
         GiveUp(r);
         Forget(r);
@@ -746,8 +686,8 @@
   }
 
   // ---- 7. Events ----------------------------------------------------------------------------
-  void Learn(int ep, const Report& report, Time at) {
-    Endpoint& e = eps[static_cast<size_t>(ep)];
+  void Learn(size_t ep, const Report& report, Time at) {
+    Endpoint& e = eps[ep];
     const auto value = [&](int place) {
       return place >= 0 && static_cast<size_t>(place) < report.size()
                  ? std::max(0.0, report[static_cast<size_t>(place)])
@@ -765,52 +705,43 @@
     e.reported = at;
     const bool crossing = e.info.zone != s.zone;
     const double price = crossing ? s.charges.cross_zone * Us(s.classes[0].aim) : 0;
-    // Reported latency omits the link: the measured way there and the price of crossing come on top.
+    // Reported latency omits the link: the measured way there and the price of crossing come on
+    // top.
     AddToPool(ep, e.others, std::max(latency, 0.0) * 1000 + e.link + price);
   }
 
-  void OnProbe(const ProbeResult& in) {
+  void On(const ProbeResult& in) {
     const auto at = ep_index.find(in.endpoint);
     if (at == ep_index.end()) return;
-    Endpoint& e = eps[static_cast<size_t>(at->second)];
+    Endpoint& e = eps[at->second];
     e.probes_out = std::max(0, e.probes_out - 1);
     if (in.outcome == Outcome::kOk) {
       if (e.link <= 0) e.link = Us(in.took);
       Blend(e.link, Us(in.took), kBlend);
-      if (in.report && e.info.state == EndpointState::kUp) Learn(at->second, *in.report, now);
+      if (in.report && Up(e)) Learn(at->second, *in.report, now);
     } else if (in.outcome == Outcome::kConnectFailed || in.outcome == Outcome::kTimeout) {
       Failed(e, kErrBlend);
     }
     Dispatch();
   }
 
-  void OnTimer(const std::string& token) {
-    if (token == "sweep") return Sweep();
-    if (token == "follow" && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
-  }
-
-  void Handle(const Event& event) {
-    if (const auto* members = std::get_if<Members>(&event)) {
-      OnMembers(*members);
-      Dispatch();
-    } else if (const auto* submit = std::get_if<Submit>(&event)) {
-      OnSubmit(*submit);
-    } else if (const auto* settled = std::get_if<Settled>(&event)) {
-      OnSettled(*settled);
-    } else if (const auto* probed = std::get_if<ProbeResult>(&event)) {
-      OnProbe(*probed);
-    } else if (const auto* timer = std::get_if<TimerFired>(&event)) {
-      OnTimer(timer->token);
-    } else if (const auto* begun = std::get_if<Established>(&event)) {
-      if (const auto id = by_id.find(begun->id); id != by_id.end()) open.at(id->second).streaming = true;
-    } else if (const auto* left = std::get_if<ClientLeft>(&event)) {
-      if (const auto id = by_id.find(left->id); id != by_id.end()) {
-        Request& r = open.at(id->second);
-        r.over = true;
-        Forget(r);
-      }
-    }
+  void On(const TimerFired& in) {
+    if (in.token == "sweep") Sweep();
+    if (in.token == "follow" && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
+  }
+
+  void On(const Established& in) {
+    if (Request* const r = Find(in.id)) r->streaming = true;
   }
+
+  void On(const ClientLeft& in) {
+    Request* const r = Find(in.id);
+    if (!r) return;
+    r->over = true;
+    Forget(*r);
+  }
+
+  void On(const PeerNote&) {}  // peers are not asked: each gateway decides by what it sees itself
 };
 
 Brain::Brain(const Settings& settings, uint64_t seed)
@@ -822,7 +753,7 @@
 void Brain::Handle(Time now, const Event& event, std::vector<Action>& actions) {
   impl_->now = now;
   impl_->act = &actions;
-  impl_->Handle(event);
+  std::visit([this](const auto& e) { impl_->On(e); }, event);
 }
 
 const Stats& Brain::stats() const { return impl_->stats; }
--- a/src/brain.h
+++ b/src/brain.h
@@ -3,7 +3,9 @@
 #ifndef PADDLESTILE_BRAIN_H_
 #define PADDLESTILE_BRAIN_H_
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -113,9 +115,9 @@
 struct Submit {
   std::string id;
   Time deadline{0};
-  int tenant = 0;
+  size_t tenant = 0;
   bool is_write = false;
-  int cls = 0;
+  size_t cls = 0;
   std::optional<std::string> key;
   std::optional<Duration> expected;
   bool again = false;  // a repeat by the client, where clients mark repeats
@@ -136,14 +138,14 @@
 
 struct Established {
   std::string id;
-  int attempt = 0;
+  size_t attempt = 0;
   std::string endpoint;
   Duration took{0};
 };
 
 struct Settled {
   std::string id;
-  int attempt = 0;
+  size_t attempt = 0;
   std::string endpoint;
   Outcome outcome = Outcome::kOk;
   Duration took{0};
@@ -190,7 +192,7 @@
 };
 struct Cancel {
   std::string id;
-  int attempt = 0;
+  size_t attempt = 0;
 };
 struct SetTimer {
   Duration after{0};
@@ -207,8 +209,7 @@
   std::string text;
 };
 
-using Action =
-    std::variant<Send, Refuse, Fail, Cancel, SetTimer, Probe, Follow, FetchList, Log>;
+using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Probe, Follow, FetchList, Log>;
 
 // ---- The module -----------------------------------------------------------------------------
 
@@ -216,8 +217,7 @@
 enum class Regime { kNone, kCold, kHot, kFallback };
 
 struct Stats {
-  uint64_t cold = 0, hot = 0, fallback = 0, probes = 0, retries = 0, hedges = 0;
-  uint64_t refused = 0, failed = 0, ejections = 0;
+  std::array<uint64_t, 4> picks{};  // by Regime
   Regime last = Regime::kNone;
 };
 
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -12,7 +12,7 @@
 
 using Parts = std::vector<std::string_view>;
 
-constexpr int kMaxRosters = 16;
+constexpr uint32_t kMaxRosters = 16;
 constexpr double kMaxMillis = 1e12;  // keeps microseconds far inside 64 bits
 
 std::invalid_argument Bad(std::string_view what, std::string_view value) {
@@ -46,9 +46,10 @@
   return value;
 }
 
-int ToIndex(std::string_view what, std::string_view text) {
-  const int value = ToInt<int>(what, text);
-  if (value < 0) throw Bad(what, text);
+// A place in a list: small and not negative.
+uint32_t ToIndex(std::string_view what, std::string_view text) {
+  const auto value = ToInt<uint32_t>(what, text);
+  if (value > 1'000'000) throw Bad(what, text);
   return value;
 }
 
@@ -139,10 +140,10 @@
   EndpointInfo info;
   info.launched = Absent(parts[1]) ? Time(0) : ToTime("Launched", parts[1]);
   info.id = ToWord("Host", parts[2]);
-  info.zone = Absent(parts[3]) ? 0 : ToIndex("FailureDomain", parts[3]);
-  info.kind = Absent(parts[4]) ? 0 : ToIndex("Hw", parts[4]);
+  if (!Absent(parts[3])) info.zone = static_cast<int>(ToIndex("FailureDomain", parts[3]));
+  if (!Absent(parts[4])) info.kind = static_cast<int>(ToIndex("Hw", parts[4]));
   info.weight = Absent(parts[5]) ? 1 : ToNumber("PowerHint", parts[5]);
-  info.cell = Absent(parts[6]) ? 0 : ToIndex("Group", parts[6]);
+  if (!Absent(parts[6])) info.cell = static_cast<int>(ToIndex("Group", parts[6]));
   if (parts[7] == "up") {
     info.state = EndpointState::kUp;
   } else if (parts[7] == "draining") {
@@ -379,7 +380,7 @@
 
 void Reader::ReadRoster(const Parts& parts) {
   NeedParts(parts, 3);
-  const int bank = ToIndex("Bank", parts[1]);
+  const uint32_t bank = ToIndex("Bank", parts[1]);
   if (bank >= kMaxRosters) throw Bad("Bank", parts[1]);
   const auto count = ToInt<uint32_t>("entry count", parts[2]);
   std::vector<EndpointInfo> entries;
@@ -412,8 +413,9 @@
   const Parts parts = Split(line, ' ');
   if (tag == "roster") return ReadRoster(parts);
   static constexpr std::pair<std::string_view, size_t> kTags[] = {
-      {"retire", 2},   {"announce", 5},    {"submit", 10},      {"established", 6}, {"settled", 9},
-      {"client_left", 3}, {"deadline_hit", 3}, {"health_result", 6}, {"note_from", 4}};
+      {"retire", 2},       {"announce", 5},      {"submit", 10},
+      {"established", 6},  {"settled", 9},       {"client_left", 3},
+      {"deadline_hit", 3}, {"health_result", 6}, {"note_from", 4}};
   const auto* known = std::find_if(std::begin(kTags), std::end(kTags),
                                    [&](const auto& entry) { return entry.first == tag; });
   if (known == std::end(kTags)) throw Bad("message", tag);
@@ -449,7 +451,8 @@
                     Absent(parts[4]) ? Duration(0) : ToTime("TimeTaken", parts[4]),
                     ToReport(parts[5])});
   } else {
-    add(PeerNote{Absent(parts[2]) ? 0 : ToIndex("OriginPeer", parts[2]), FromBase64(parts[3])});
+    const uint32_t from = Absent(parts[2]) ? 0 : ToIndex("OriginPeer", parts[2]);
+    add(PeerNote{static_cast<int>(from), FromBase64(parts[3])});
   }
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -56,7 +56,7 @@
   std::istream& in_;
   std::string line_;
   uint64_t line_no_ = 0;
-  std::map<int, std::vector<EndpointInfo>> rosters_;
+  std::map<uint32_t, std::vector<EndpointInfo>> rosters_;
 };
 
 // Settings from path=value pairs; unknown ones are ignored. Throws std::invalid_argument.
