--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -59,9 +59,10 @@
   double others = 0;    // in flight there from elsewhere, by the last reports
   double out_mean = 0;  // own attempts out, averaged over kReportLag
   Time out_at{0};
-  Time reported{-1};  // when that report came; -1: never
-  double link = 0;    // us; probe round trip, 0 unknown
-  double err = 0;     // share of failed outcomes, recent
+  Time reported{-1};   // when that report came; -1: never
+  double service = 0;  // us; reported service time, 0 unknown
+  double link = 0;     // us; probe round trip, 0 unknown
+  double err = 0;      // share of failed outcomes, recent
   Time ejected_until{0};
   int trips = 0;                  // ejections in a row
   Time silent_since{0};           // last answer, or the send that found none out
@@ -300,6 +301,10 @@
     return std::max(2.0, room + e.tput * target);
   }
 
+  [[nodiscard]] double Predict(const Endpoint& e, const Request& r) const {
+    return e.tput > 0 ? e.link + (Load(e) + std::min(Cost(r), 2.0)) / e.tput : 0;
+  }
+
   // ---- 3. Probe pool and pick ---------------------------------------------------------------
   [[nodiscard]] size_t PoolBound() const {
     const auto share = static_cast<size_t>(kPoolShare * static_cast<double>(up));
@@ -404,7 +409,7 @@
   }
 
   // How strictly a pick filters its candidates; each level lets go of one wish.
-  enum class Strict { kCapacity, kHealth };
+  enum class Strict { kAim, kCapacity, kHealth };
 
   bool Eligible(const Request& r, size_t ep, Strict level) {
     Endpoint& e = eps[ep];
@@ -414,13 +419,15 @@
     }
     if (level != Strict::kHealth && !Healthy(e)) return false;
     if (e.trips > 0 && r.cls->effect == Effect::kUnsafe && level != Strict::kHealth) return false;
-    return now >= e.full_until && Load(e) + 1 <= Limit(e);
+    if (now < e.full_until || Load(e) + 1 > Limit(e)) return false;
+    if (level != Strict::kAim) return true;
+    return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
 
   // The endpoint for a request, or kNone where none may take it now.
   size_t Pick(const Request& r) {
     Purge();
-    for (const Strict level : {Strict::kCapacity, Strict::kHealth}) {
+    for (const Strict level : {Strict::kAim, Strict::kCapacity, Strict::kHealth}) {
       if (level == Strict::kHealth && AnyHealthy()) break;
       const auto allowed = [&](size_t ep) { return Eligible(r, ep, level); };
       const auto usable = std::count_if(pool.begin(), pool.end(),
@@ -687,6 +694,10 @@
                  : -1.0;
     };
     const double inflight = value(s.report.inflight), latency = value(s.report.latency_ms);
+    if (latency > 0) {
+      if (e.service <= 0) e.service = latency * 1000;
+      Blend(e.service, latency * 1000, 3 * kBlend);
+    }
     if (inflight < 0) return;
     // The report is older than it looks: take off what was out here around then, not what is now.
     TrackOut(e);
