--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -59,10 +59,9 @@
   double others = 0;    // in flight there from elsewhere, by the last reports
   double out_mean = 0;  // own attempts out, averaged over kReportLag
   Time out_at{0};
-  Time reported{-1};   // when that report came; -1: never
-  double service = 0;  // us; reported service time, 0 unknown
-  double link = 0;     // us; probe round trip, 0 unknown
-  double err = 0;      // share of failed outcomes, recent
+  Time reported{-1};  // when that report came; -1: never
+  double link = 0;    // us; probe round trip, 0 unknown
+  double err = 0;     // share of failed outcomes, recent
   Time ejected_until{0};
   int trips = 0;                  // ejections in a row
   Time silent_since{0};           // last answer, or the send that found none out
@@ -694,10 +693,6 @@
                  : -1.0;
     };
     const double inflight = value(s.report.inflight), latency = value(s.report.latency_ms);
-    if (latency > 0) {
-      if (e.service <= 0) e.service = latency * 1000;
-      Blend(e.service, latency * 1000, 3 * kBlend);
-    }
     if (inflight < 0) return;
     // The report is older than it looks: take off what was out here around then, not what is now.
     TrackOut(e);
--- /dev/null
+++ b/tests/brain_test.cpp
@@ -0,0 +1,524 @@
+#include "brain.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <stdexcept>
+
+#include "bench.h"
+
+namespace paddlestile {
+namespace {
+
+using testing::Gateway;
+using testing::MakeSettings;
+using testing::Ms;
+
+// ---- Settings and membership ----------------------------------------------------------------
+
+TEST(Settings, RefusedWithTheNameOfTheSetting) {
+  const auto error = [](auto change) -> std::string {
+    Settings s = MakeSettings();
+    change(s);
+    try {
+      Brain brain(s, 1);
+    } catch (const std::invalid_argument& e) {
+      return e.what();
+    }
+    return "";
+  };
+  EXPECT_EQ(error([](Settings&) {}), "");
+  EXPECT_NE(error([](Settings& s) { s.instances = 0; }).find("NInstances"), std::string::npos);
+  EXPECT_NE(error([](Settings& s) { s.classes.clear(); }).find("Classes"), std::string::npos);
+  EXPECT_NE(error([](Settings& s) { s.classes[1].aim = Ms(0); }).find("Slo"), std::string::npos);
+  EXPECT_NE(error([](Settings& s) { s.allowed.send_cap = 0; }).find("SendCap"), std::string::npos);
+  EXPECT_NE(error([](Settings& s) { s.obligations.cold_from = 2; }).find("ColdFrom"),
+            std::string::npos);
+}
+
+TEST(Membership, NothingGoesToDrainingOrRemoved) {
+  Gateway g(MakeSettings());
+  g.Endpoints(3);
+  g.Change("e0", EndpointState::kDraining);
+  Members full;
+  full.kind = ListKind::kFull;
+  EndpointInfo kept;
+  kept.id = "e1";
+  full.entries = {kept};
+  g.Give(full);  // e2 is absent from a full list, so it is gone
+  g.WarmUp(60);
+  ASSERT_FALSE(g.sends.empty());
+  for (const Send& send : g.sends) EXPECT_EQ(send.endpoint, "e1");
+}
+
+TEST(Membership, PooledAnswersOfADrainingEndpointAreNotPicked) {
+  Gateway g(MakeSettings());
+  g.Endpoints(4);
+  for (const char* id : {"e0", "e1", "e2", "e3"}) g.Probed(id, 0, id[1] == '0' ? 1 : 50);
+  g.Change("e0", EndpointState::kDraining);
+  const auto sends = Gateway::All<Send>(g.Ask("r"));
+  ASSERT_EQ(sends.size(), 1U);
+  EXPECT_NE(sends[0].endpoint, "e0");
+}
+
+TEST(Membership, FollowsAtStartAndAfterAFailureOnlyWhereAsked) {
+  Settings s = MakeSettings();
+  Gateway pushed(s);
+  pushed.Endpoints(2);
+  EXPECT_TRUE(Gateway::All<Follow>(pushed.log).empty());
+  s.discovery = DiscoveryMode::kAsk;
+  Gateway g(s);
+  g.Endpoints(2);
+  EXPECT_EQ(Gateway::All<Follow>(g.log).size(), 1U);
+  const auto failed = g.Give(Members{ListKind::kFailed, {}});
+  EXPECT_TRUE(Gateway::All<Follow>(failed).empty());  // not at once: the registry is small
+  g.Pass(s.obligations.must_ask_in / 2);
+  EXPECT_EQ(Gateway::All<Follow>(g.log).size(), 2U);
+}
+
+TEST(Membership, BackOffGrowsAndStaysWithinTheObligation) {
+  Settings s = MakeSettings();
+  s.discovery = DiscoveryMode::kAsk;
+  Gateway g(s);
+  g.Endpoints(2);
+  Duration longest{0};
+  for (int i = 0; i < 8; ++i) {
+    for (const SetTimer& t : Gateway::All<SetTimer>(g.Give(Members{ListKind::kFailed, {}}))) {
+      longest = std::max(longest, t.after);
+      EXPECT_LT(t.after, s.obligations.must_ask_in);
+    }
+  }
+  EXPECT_GT(longest, s.obligations.must_ask_in / 10);
+}
+
+// ---- The hot-cold pick ----------------------------------------------------------------------
+
+TEST(Pick, FallbackUnderTwoEntriesIsReported) {
+  Gateway g(MakeSettings());
+  g.Endpoints(4);
+  g.Probed("e0", 0, 10);
+  g.Ask("r0");
+  EXPECT_EQ(g.brain.stats().last, Regime::kFallback);
+  g.Probed("e0", 0, 10);
+  g.Probed("e1", 0, 10);
+  g.Ask("r1");
+  EXPECT_EQ(g.brain.stats().last, Regime::kCold);
+}
+
+TEST(Pick, ColdTakesTheLowestLatencyNotTheFewestInFlight) {
+  Gateway g(MakeSettings());
+  g.Endpoints(6);
+  g.Probed("e0", 0, 40);
+  g.Probed("e1", 1, 20);
+  g.Probed("e2", 3, 5);  // hot: over the median
+  g.Probed("e3", 3, 6);
+  const auto sends = Gateway::All<Send>(g.Ask("r"));
+  ASSERT_EQ(sends.size(), 1U);
+  EXPECT_EQ(sends[0].endpoint, "e1");
+}
+
+TEST(Pick, EachSendRaisesTheInFlightFigure) {
+  Gateway g(MakeSettings());
+  g.Endpoints(6);
+  for (const char* id : {"e0", "e1", "e2", "e3"}) g.Probed(id, 0, id[1] == '0' ? 5 : 20);
+  std::multiset<std::string> met;
+  for (int i = 0; i < 4; ++i) {
+    for (const Send& s : Gateway::All<Send>(g.Ask("r" + std::to_string(i)))) met.insert(s.endpoint);
+  }
+  // The quickest is over the cut once it was sent one; the others get their turns.
+  EXPECT_LE(met.count("e0"), 2U);
+  EXPECT_GE(std::set<std::string>(met.begin(), met.end()).size(), 3U);
+}
+
+TEST(Pick, AgedAnswersAreNotUsed) {
+  Gateway g(MakeSettings());
+  g.Endpoints(6);
+  for (const char* id : {"e0", "e1", "e2", "e3"}) g.Probed(id, 0, 10);
+  g.Pass(Ms(1500));
+  g.Ask("r");
+  EXPECT_EQ(g.brain.stats().last, Regime::kFallback);
+}
+
+TEST(Pick, AnswersAreUsedABoundedNumberOfTimes) {
+  Gateway g(MakeSettings());
+  g.Endpoints(9);
+  g.Probed("e0", 0, 10);
+  g.Probed("e1", 0, 10);
+  int pooled = 0;
+  for (int i = 0; i < 300; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const size_t before = g.sends.size();
+    g.Ask(id);
+    if (g.brain.stats().last != Regime::kFallback) ++pooled;
+    if (g.sends.size() > before) g.End(id, 0, g.sends.back().endpoint, Outcome::kOk, Ms(10), true);
+  }
+  EXPECT_GT(pooled, 0);
+  EXPECT_LT(pooled, 150);
+}
+
+TEST(Pick, TiesAreBrokenAtRandom) {
+  std::set<std::string> met;
+  for (uint64_t seed = 0; seed < 30; ++seed) {
+    Gateway g(MakeSettings(), seed);
+    g.Endpoints(6);
+    for (const char* id : {"e0", "e1", "e2", "e3"}) g.Probed(id, 0, 10);
+    g.Ask("r");
+    met.insert(g.sends.at(0).endpoint);
+  }
+  EXPECT_EQ(met.size(), 4U);
+}
+
+TEST(Probes, RideOnRequestsAtTheirRateAndGoToAll) {
+  Settings s = MakeSettings();
+  s.charges.probe = 0.03;
+  Gateway g(s);
+  g.Endpoints(5);
+  g.Pass(Ms(5000));
+  EXPECT_TRUE(Gateway::All<Probe>(g.log).empty());  // no request, no probe
+  std::set<std::string> met;
+  for (int i = 0; i < 100; ++i) {
+    g.WarmUp(1);
+    for (const Probe& p : Gateway::All<Probe>(g.log)) met.insert(p.endpoint);
+    for (const Probe& p : Gateway::All<Probe>(g.log)) g.Probed(p.endpoint, 0, 10);
+    g.log.clear();
+  }
+  EXPECT_EQ(met.size(), 5U);
+}
+
+TEST(Probes, NoneWhereTheyAreNotAllowed) {
+  Settings s = MakeSettings();
+  s.allowed.probes = false;
+  Gateway g(s);
+  g.Endpoints(5);
+  g.WarmUp(50);
+  EXPECT_TRUE(Gateway::All<Probe>(g.log).empty());
+  EXPECT_EQ(g.sends.size(), 50U);
+}
+
+// The trouble: all gateways see an endpoint idle in one stale report and fill it in step.
+TEST(Load, OneReportOfIdlenessDoesNotWipeOutWhatOthersHold) {
+  Gateway g(MakeSettings());
+  g.Endpoints(2);
+  for (int i = 0; i < 20; ++i) {
+    g.Probed("e0", 30, 10);
+    g.Probed("e1", 30, 10);
+  }
+  g.Probed("e0", 0, 10);
+  EXPECT_TRUE(Gateway::All<Send>(g.Ask("r")).empty());
+}
+
+// ---- Health ---------------------------------------------------------------------------------
+
+// The trouble: an endpoint that fails fast looks idle and quick.
+TEST(Health, AnEndpointThatFailsFastIsLeftAlone) {
+  Gateway g(MakeSettings());
+  g.Endpoints(6);
+  g.WarmUp(200);
+  int to_bad = 0;
+  for (int i = 0; i < 200; ++i) {
+    g.Probed("e0", 0, 1);
+    g.Probed("e1", 1, 20);
+    g.Probed("e2", 1, 20);
+    const std::string id = "r" + std::to_string(i);
+    const size_t before = g.sends.size();
+    g.Ask(id);
+    for (size_t k = before; k < g.sends.size(); ++k) {
+      const bool bad = g.sends[k].endpoint == "e0";
+      to_bad += bad ? 1 : 0;
+      g.End(id, k - before, g.sends[k].endpoint, bad ? Outcome::kError : Outcome::kOk, Ms(10),
+            !bad);
+    }
+    g.Pass(Ms(5));
+  }
+  EXPECT_GE(to_bad, 1);
+  EXPECT_LE(to_bad, 8);
+}
+
+// The trouble: a hung endpoint takes work and answers probes.
+TEST(Health, ASilentEndpointIsAvoidedBeforeAnyTimeOut) {
+  Gateway g(MakeSettings());
+  g.Endpoints(6);
+  g.WarmUp(200);
+  g.Probed("e0", 0, 1);
+  for (const char* id : {"e1", "e2", "e3"}) g.Probed(id, 0, 30);
+  g.Ask("stuck", 4);  // unsafe: no second copy
+  ASSERT_EQ(g.sends.back().endpoint, "e0");
+  g.Pass(Ms(250));
+  for (int i = 0; i < 10; ++i) {
+    g.Probed("e0", 0, 1);
+    for (const char* id : {"e1", "e2", "e3"}) g.Probed(id, 0, 30);
+    const std::string id = "r" + std::to_string(i);
+    g.Ask(id, 4);
+    EXPECT_NE(g.sends.back().endpoint, "e0");
+    g.End(id, 0, g.sends.back().endpoint, Outcome::kOk, Ms(20), true);
+  }
+}
+
+TEST(Health, WhereAllFailSomeStillGetWork) {
+  Gateway g(MakeSettings());
+  g.Endpoints(4);
+  size_t late_sends = 0;
+  for (int i = 0; i < 400; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const size_t before = g.sends.size();
+    g.Ask(id, 4);
+    if (g.sends.size() > before) {
+      g.End(id, 0, g.sends.back().endpoint, Outcome::kError, Ms(5));
+      if (i >= 300) ++late_sends;
+    }
+    g.Pass(Ms(5));
+  }
+  EXPECT_GT(late_sends, 50U);
+}
+
+// The trouble: work piles up on an endpoint that is already full, and some then stay slow.
+TEST(Capacity, WorkIsHeldRatherThanPiledOn) {
+  Gateway g(MakeSettings());
+  g.Endpoints(2);
+  for (int i = 0; i < 100; ++i) g.Ask("r" + std::to_string(i));
+  EXPECT_LE(g.sends.size(), 12U);
+  EXPECT_GE(g.sends.size(), 2U);
+}
+
+TEST(Capacity, ARequestThatCannotMakeItIsRefusedPromptly) {
+  Gateway g(MakeSettings());
+  g.Endpoints(2);
+  for (int i = 0; i < 100; ++i) g.Ask("r" + std::to_string(i));
+  g.Pass(Ms(150));
+  EXPECT_EQ(Gateway::All<Refuse>(g.log).size() + g.sends.size(), 100U);
+}
+
+// The trouble: time-outs left out of the average flatter an endpoint, and its limit runs away.
+TEST(Capacity, TimeOutsLowerTheLimit) {
+  const auto sent_in_a_rush = [](bool time_outs) {
+    Gateway g(MakeSettings());
+    g.Endpoints(1);
+    g.WarmUp(100, Ms(20));
+    for (int i = 0; time_outs && i < 60; ++i) {
+      const std::string id = "t" + std::to_string(i);
+      const size_t before = g.sends.size();
+      g.Ask(id, 4);
+      if (g.sends.size() > before) g.End(id, 0, "e0", Outcome::kTimeout, Ms(900));
+      g.Pass(Ms(20));
+    }
+    g.Pass(Ms(20'000));
+    const size_t before = g.sends.size();
+    for (int i = 0; i < 50; ++i) g.Ask("r" + std::to_string(i), 4);
+    return g.sends.size() - before;
+  };
+  EXPECT_LT(sent_in_a_rush(true), sent_in_a_rush(false));
+}
+
+// ---- The legality gate ----------------------------------------------------------------------
+
+struct LegalCase {
+  size_t cls;
+  Outcome outcome;
+  bool other_zone_ok;  // a further attempt may go to another zone and cell
+  bool refusable;
+};
+
+class Legality : public ::testing::TestWithParam<LegalCase> {};
+
+// Endpoint e0 is in zone 0, cell 0; the only other one is in zone 1, cell 1.
+TEST_P(Legality, AFurtherAttemptElsewhere) {
+  const LegalCase c = GetParam();
+  Gateway g(MakeSettings());
+  g.Endpoints(1);
+  g.Ask("r", c.cls);
+  ASSERT_EQ(g.sends.size(), 1U);
+  EndpointInfo other;
+  other.id = "o";
+  other.zone = 1;
+  other.cell = 1;
+  g.Give(Members{ListKind::kDelta, {other}});
+  g.Pass(Ms(5));
+  const auto then = g.End("r", 0, "e0", c.outcome, Ms(5));
+  EXPECT_EQ(Gateway::All<Send>(then).size(), c.other_zone_ok ? 1U : 0U);
+  if (!c.other_zone_ok) {
+    EXPECT_EQ(Gateway::All<Refuse>(then).size(), c.refusable ? 1U : 0U);
+    EXPECT_EQ(Gateway::All<Fail>(then).size(), c.refusable ? 0U : 1U);
+  }
+}
+
+std::vector<LegalCase> LegalCases() {
+  std::vector<LegalCase> cases;
+  for (const Outcome o : {Outcome::kError, Outcome::kReset, Outcome::kTimeout, Outcome::kCancelled,
+                          Outcome::kFull, Outcome::kConnectFailed, Outcome::kMoot}) {
+    const bool never_ran =
+        o == Outcome::kFull || o == Outcome::kConnectFailed || o == Outcome::kMoot;
+    cases.push_back({0, o, true, true});
+    cases.push_back({1, o, true, true});
+    cases.push_back({2, o, never_ran, never_ran});
+    cases.push_back({3, o, never_ran, never_ran});
+    cases.push_back({4, o, never_ran, never_ran});
+  }
+  return cases;
+}
+
+INSTANTIATE_TEST_SUITE_P(EffectOutcomeGroup, Legality, ::testing::ValuesIn(LegalCases()));
+
+TEST(Gate, AKeyedRepeatStaysInItsWindow) {
+  for (const bool late : {false, true}) {
+    Settings s = MakeSettings();
+    s.classes[1].window = Ms(150);
+    s.classes[1].aim = Ms(1000);
+    s.allowed.parallel_tries = false;
+    Gateway g(s);
+    g.Endpoints(4);
+    g.Ask("r", 1);
+    g.now += late ? Ms(120) : Ms(50);  // 50 ms of the window are kept for the way
+    const auto then = g.End("r", 0, g.sends[0].endpoint, Outcome::kError, Ms(50));
+    EXPECT_EQ(Gateway::All<Send>(then).size(), late ? 0U : 1U);
+  }
+}
+
+TEST(Gate, NeverTwoOutWhereThatIsNotAllowed) {
+  Settings s = MakeSettings();
+  s.allowed.parallel_tries = false;
+  Gateway g(s);
+  g.Endpoints(4);
+  g.WarmUp(100);
+  g.Ask("r");
+  const size_t sent = g.sends.size();
+  g.Pass(Ms(300));
+  EXPECT_EQ(g.sends.size(), sent);
+  EXPECT_EQ(Gateway::All<Cancel>(g.log).size(), 1U);  // silent: called off, to go elsewhere
+  g.End("r", 0, g.sends.back().endpoint, Outcome::kCancelled, Ms(200));
+  EXPECT_EQ(g.sends.size(), sent + 1);
+}
+
+TEST(Gate, ASecondCopyOfASafeRequestButNotOfAnUnsafeOne) {
+  for (const size_t cls : {0U, 4U}) {
+    Gateway g(MakeSettings());
+    g.Endpoints(4);
+    g.WarmUp(100);
+    const size_t before = g.sends.size();
+    g.Ask("r", cls);
+    g.Pass(Ms(200));
+    EXPECT_EQ(g.sends.size() - before, cls == 0 ? 2U : 1U);
+  }
+}
+
+TEST(Gate, NothingIsSentForARequestThatIsOver) {
+  Gateway g(MakeSettings());
+  g.Endpoints(4);
+  g.WarmUp(100);
+  g.Ask("r");
+  g.Give(ClientLeft{"r"});
+  const size_t sent = g.sends.size();
+  g.Pass(Ms(500));
+  g.End("r", 0, g.sends.back().endpoint, Outcome::kError, Ms(500), true);
+  EXPECT_EQ(g.sends.size(), sent);
+}
+
+TEST(Gate, AStreamThatHasBegunIsLeftAlone) {
+  Gateway g(MakeSettings());
+  g.Endpoints(4);
+  g.WarmUp(100);
+  g.Ask("r");
+  const size_t sent = g.sends.size();
+  g.Give(Established{"r", 0, g.sends.back().endpoint, Ms(5)});
+  g.Pass(Ms(5000));
+  EXPECT_EQ(g.sends.size(), sent);
+  EXPECT_TRUE(Gateway::All<Cancel>(g.log).empty());
+}
+
+// The trouble: a client's last try comes with only milliseconds left, and no timer comes early.
+TEST(Gate, ATryWithLittleTimeLeftIsAnsweredInTime) {
+  Gateway g(MakeSettings());
+  g.Endpoints(1);
+  for (int i = 0; i < 30; ++i) g.Ask("fill" + std::to_string(i), 4);
+  g.log.clear();
+  g.Ask("r", 0, Ms(18));
+  g.Pass(Ms(18));
+  const auto refused = Gateway::All<Refuse>(g.log);
+  EXPECT_TRUE(
+      std::any_of(refused.begin(), refused.end(), [](const Refuse& x) { return x.id == "r"; }));
+}
+
+TEST(Gate, ADeadlineAlreadyPastAndNoEndpointAtAll) {
+  Gateway g(MakeSettings());
+  EXPECT_TRUE(Gateway::All<Send>(g.Ask("a")).empty());
+  g.Pass(Ms(200));
+  EXPECT_EQ(Gateway::All<Refuse>(g.log).size(), 1U);
+  g.Endpoints(0);
+  EXPECT_EQ(Gateway::All<Refuse>(g.Ask("b", 0, Ms(-5))).size(), 1U);
+}
+
+TEST(Gate, TimeOutAtTheDeadlineIsAnsweredAtOnce) {
+  Gateway g(MakeSettings());
+  g.Endpoints(1);
+  g.Ask("r", 4, Ms(500));
+  g.now += Ms(500);
+  const auto then = g.End("r", 0, "e0", Outcome::kTimeout, Ms(500));
+  EXPECT_EQ(Gateway::All<Fail>(then).size(), 1U);
+}
+
+// ---- Cold endpoints -------------------------------------------------------------------------
+
+TEST(Cold, SendsStayWithinTheBudgetOverAnyWindow) {
+  Settings s = MakeSettings();
+  Gateway g(s);
+  g.Endpoints(5);
+  g.WarmUp(1500, Ms(20), Ms(5));  // 40 a second on each endpoint
+  std::vector<Time> cold;
+  g.Change("new", EndpointState::kUp, g.now);
+  const Time born = g.now;
+  for (int i = 0; i < 1500; ++i) {
+    g.Probed("new", 0, 1);  // looks like the best there is
+    g.Probed("e1", 1, 20);
+    g.Probed("e2", 1, 20);
+    const size_t before = g.sends.size();
+    g.WarmUp(1, Ms(20), Ms(5));
+    for (size_t k = before; k < g.sends.size(); ++k) {
+      if (g.sends[k].endpoint == "new") cold.push_back(g.now);
+    }
+  }
+  ASSERT_FALSE(cold.empty());
+  const double pace = 40.0;  // what a warm endpoint takes from this gateway, a second
+  for (size_t i = 0; i < cold.size(); ++i) {
+    const auto in_window = std::count_if(cold.begin(), cold.end(), [&](Time t) {
+      return t >= cold[i] && t < cold[i] + s.obligations.fall;
+    });
+    const double age = static_cast<double>((cold[i] - born).count()) /
+                       static_cast<double>(s.obligations.warm_within.count());
+    const double share = 0.25 + 0.75 * std::min(1.0, age);
+    EXPECT_LE(static_cast<double>(in_window), 3 * share * pace * 1.5 + 1) << "at " << age;
+  }
+}
+
+TEST(Cold, NothingBeforeThisGatewayKnowsAnyPace) {
+  Gateway g(MakeSettings());
+  g.Change("new", EndpointState::kUp, g.now - Ms(10));
+  for (int i = 0; i < 20; ++i) g.Ask("r" + std::to_string(i));
+  EXPECT_TRUE(g.sends.empty());
+}
+
+// ---- Odd events -----------------------------------------------------------------------------
+
+TEST(Odd, EventsForWhatIsUnknownOrOverAreIgnored) {
+  Gateway g(MakeSettings());
+  g.Endpoints(2);
+  EXPECT_TRUE(g.End("nobody", 0, "e0", Outcome::kOk, Ms(1), true).empty());
+  EXPECT_TRUE(g.Give(ClientLeft{"nobody"}).empty());
+  EXPECT_TRUE(g.Give(TimerFired{"unknown"}).empty());
+  EXPECT_TRUE(g.Give(PeerNote{1, "x"}).empty());
+  EXPECT_TRUE(g.Give(ProbeResult{"nowhere", Outcome::kOk, Ms(1), Report{1, 1}}).empty());
+  EXPECT_TRUE(g.Give(Established{"nobody", 0, "e0", Ms(1)}).empty());
+  g.Ask("r");
+  g.End("r", 0, g.sends[0].endpoint, Outcome::kOk, Ms(10), true);
+  EXPECT_TRUE(g.End("r", 0, g.sends[0].endpoint, Outcome::kError, Ms(10), true).empty());
+  EXPECT_TRUE(g.Give(ProbeResult{"e0", Outcome::kOk, Ms(1), Report{}}).empty());
+  EXPECT_TRUE(g.Give(ProbeResult{"e0", Outcome::kOk, Ms(1), std::nullopt}).empty());
+}
+
+TEST(Odd, UnknownClassAndTenantAreServed) {
+  Gateway g(MakeSettings());
+  g.Endpoints(2);
+  EXPECT_EQ(Gateway::All<Send>(g.Ask("r", 99, Ms(1000), 42)).size(), 1U);
+}
+
+}  // namespace
+}  // namespace paddlestile
--- /dev/null
+++ b/tests/wire/wire_test.cpp
@@ -0,0 +1,217 @@
+#include "wire/wire.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+#include <string>
+
+namespace paddlestile::wire {
+namespace {
+
+Batch ReadOne(const std::string& text) {
+  std::istringstream in(text);
+  Reader reader(in);
+  Batch batch;
+  EXPECT_TRUE(reader.Next(batch));
+  return batch;
+}
+
+std::string Failure(const std::string& text) {
+  std::istringstream in(text);
+  Reader reader(in);
+  Batch batch;
+  try {
+    while (reader.Next(batch)) {}
+  } catch (const WireError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+template <typename T>
+const T& EventOf(const Batch& batch, size_t at = 0) {
+  return std::get<T>(std::get<Event>(batch.inputs.at(at).what));
+}
+
+TEST(Read, EmptyBatchThenCleanEnd) {
+  std::istringstream in("clock 8412.25 1\neob\n");
+  Reader reader(in);
+  Batch batch;
+  ASSERT_TRUE(reader.Next(batch));
+  EXPECT_EQ(batch.now, Time(8412250));
+  EXPECT_EQ(batch.seq, "1");
+  EXPECT_TRUE(batch.inputs.empty());
+  EXPECT_FALSE(reader.Next(batch));
+}
+
+TEST(Read, SubmitWithAndWithoutOptionalValues) {
+  const Batch batch = ReadOne(
+      "clock 1 2\nsubmit 3 id-1 8652.25 4 1 2 91f03b7c55d20a64 12.5 1\n"
+      "submit 3 id-2 9 - - 0 - - -\neob\n");
+  const auto& a = EventOf<Submit>(batch, 0);
+  EXPECT_EQ(a.id, "id-1");
+  EXPECT_EQ(a.deadline, Time(8652250));
+  EXPECT_EQ(a.tenant, 4U);
+  EXPECT_TRUE(a.is_write);
+  EXPECT_EQ(a.cls, 2U);
+  EXPECT_EQ(a.key, "91f03b7c55d20a64");
+  EXPECT_EQ(a.expected, Duration(12500));
+  EXPECT_TRUE(a.again);
+  const auto& b = EventOf<Submit>(batch, 1);
+  EXPECT_FALSE(b.key.has_value());
+  EXPECT_FALSE(b.expected.has_value());
+  EXPECT_FALSE(b.again);
+}
+
+TEST(Read, EveryOtherEvent) {
+  const Batch batch = ReadOne(
+      "clock 1 2\n"
+      "established 1 id 0 host.a 3.5\n"
+      "settled 1 id 2 host.a UNAVAILABLE 18.5 0 2.5,40\n"
+      "client_left 1 id\n"
+      "deadline_hit 1 sweep\n"
+      "health_result 1 host.a OK 2 3,17.25\n"
+      "note_from 1 4 aGkgNw==\n"
+      "retire 1\neob\n");
+  EXPECT_EQ(EventOf<Established>(batch, 0).took, Duration(3500));
+  const auto& settled = EventOf<Settled>(batch, 1);
+  EXPECT_EQ(settled.attempt, 2U);
+  EXPECT_EQ(settled.outcome, Outcome::kConnectFailed);
+  EXPECT_EQ(settled.report, (Report{2.5, 40}));
+  EXPECT_EQ(EventOf<ClientLeft>(batch, 2).id, "id");
+  EXPECT_EQ(EventOf<TimerFired>(batch, 3).token, "sweep");
+  EXPECT_EQ(EventOf<ProbeResult>(batch, 4).report, (Report{3, 17.25}));
+  EXPECT_EQ(EventOf<PeerNote>(batch, 5).bytes, "hi 7");
+  EXPECT_TRUE(std::holds_alternative<Retire>(batch.inputs[6].what));
+}
+
+TEST(Read, EveryOutcome) {
+  const std::pair<const char*, Outcome> all[] = {{"OK", Outcome::kOk},
+                                                 {"INTERNAL", Outcome::kError},
+                                                 {"RESOURCE_EXHAUSTED", Outcome::kFull},
+                                                 {"DEADLINE_EXCEEDED", Outcome::kTimeout},
+                                                 {"UNAVAILABLE", Outcome::kConnectFailed},
+                                                 {"ABORTED", Outcome::kReset},
+                                                 {"CANCELLED", Outcome::kCancelled},
+                                                 {"TOO_LATE", Outcome::kMoot}};
+  for (const auto& [word, outcome] : all) {
+    const Batch b = ReadOne("clock 1 2\nsettled 1 id 0 h " + std::string(word) + " 1 0 -\neob\n");
+    EXPECT_EQ(EventOf<Settled>(b).outcome, outcome);
+    EXPECT_FALSE(EventOf<Settled>(b).report.has_value());
+  }
+}
+
+TEST(Read, ANumberedListIsResolvedInOrderAndOutlivesItsBatch) {
+  std::istringstream in(
+      "clock 1 1\nroster 0 1\nhost - a 0 0 1 0 up\nannounce 1 warm_copy 4 0\n"
+      "roster 0 1\nhost 6100.5 b 1 2 1.5 3 draining\nannounce 2 incr 5 0\neob\n"
+      "clock 2 2\nannounce 3 total 6 0\nannounce 3 lost - -\neob\n");
+  Reader reader(in);
+  Batch batch;
+  ASSERT_TRUE(reader.Next(batch));
+  EXPECT_EQ(EventOf<Members>(batch, 0).entries.at(0).id, "a");
+  EXPECT_EQ(EventOf<Members>(batch, 0).kind, ListKind::kCached);
+  const EndpointInfo& b = EventOf<Members>(batch, 1).entries.at(0);
+  EXPECT_EQ(b.id, "b");
+  EXPECT_EQ(b.launched, Time(6100500));
+  EXPECT_EQ(b.zone, 1);
+  EXPECT_EQ(b.kind, 2);
+  EXPECT_DOUBLE_EQ(b.weight, 1.5);
+  EXPECT_EQ(b.cell, 3);
+  EXPECT_EQ(b.state, EndpointState::kDraining);
+  ASSERT_TRUE(reader.Next(batch));
+  EXPECT_EQ(EventOf<Members>(batch, 0).entries.at(0).id, "b");
+  EXPECT_EQ(EventOf<Members>(batch, 1).kind, ListKind::kFailed);
+}
+
+TEST(Read, SettingsOfEveryPart) {
+  const Settings s = ParseSettings(
+      "Me=1 NInstances=4 Zone=3 FailureDomains=a,b,c,d Classes.count=1 Classes.0.Effect=keyed "
+      "Classes.0.Group=zone Classes.0.Window=2000.0 Classes.0.Slo=150.0 Classes.0.Deadline=400.0 "
+      "Classes.0.Worth=8.0 Tenants.count=1 Tenants.0.QuotaPerS=41.5 Tenants.0.Share=0.5 "
+      "RegistryMode=subscribe ValueBy=work WeightKind=none Allowed.ParallelTries=true "
+      "Allowed.SendCap=5 Charges.Probe=0.04 Obligations.Fall=1500.0 Obligations.ColdFrom=0.31 "
+      "Stats.Fields=util,inflight,latency_ms Stats.Source=probe ResultMix.Whole=0.25 "
+      "Brand.New=whatever OverShareWorth=0.05");
+  EXPECT_EQ(s.instances, 4);
+  EXPECT_EQ(s.zones, 4);
+  ASSERT_EQ(s.classes.size(), 1U);
+  EXPECT_EQ(s.classes[0].effect, Effect::kKeyed);
+  EXPECT_EQ(s.classes[0].group, DedupGroup::kZone);
+  EXPECT_EQ(s.classes[0].window, Duration(2'000'000));
+  EXPECT_DOUBLE_EQ(s.classes[0].worth, 8);
+  EXPECT_DOUBLE_EQ(s.tenants.at(0).quota_per_s, 41.5);
+  EXPECT_EQ(s.discovery, DiscoveryMode::kAsk);
+  EXPECT_TRUE(s.worth_by_work);
+  EXPECT_TRUE(s.allowed.parallel_tries);
+  EXPECT_EQ(s.report.inflight, 1);
+  EXPECT_EQ(s.report.latency_ms, 2);
+  EXPECT_DOUBLE_EQ(s.over_share_worth, 0.05);
+}
+
+struct Malformed {
+  const char* text;
+  const char* line;
+  const char* reason;
+};
+
+class Bad : public ::testing::TestWithParam<Malformed> {};
+
+TEST_P(Bad, IsToldWithLineAndReason) {
+  const std::string error = Failure(GetParam().text);
+  EXPECT_EQ(error.rfind(std::string("line ") + GetParam().line + ":", 0), 0U) << error;
+  EXPECT_NE(error.find(GetParam().reason), std::string::npos) << error;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Lines, Bad,
+    ::testing::Values(
+        Malformed{"hello\n", "1", "before clock"}, Malformed{"clock x 1\neob\n", "1", "clock"},
+        Malformed{"clock 1\neob\n", "1", "2 values"},
+        Malformed{"clock 1 1\nwhat 1\neob\n", "2", "message 'what'"},
+        Malformed{"clock 1 1\nclient_left 1\neob\n", "2", "2 values"},
+        Malformed{"clock 1 1\nclient_left x id\neob\n", "2", "Who"},
+        Malformed{"clock 1 1\nsettled 1 id 0 h NOPE 1 0 -\neob\n", "2", "Verdict"},
+        Malformed{"clock 1 1\nsettled 1 id 0 h OK 1e 0 -\neob\n", "2", "TimeTaken"},
+        Malformed{"clock 1 1\nsettled 1 id -1 h OK 1 0 -\neob\n", "2", "Trial"},
+        Malformed{"clock 1 1\nsettled 1 id 0 h OK 1 2 -\neob\n", "2", "Final"},
+        Malformed{"clock 1 1\nsettled 1 id 0 h OK nan 0 -\neob\n", "2", "TimeTaken"},
+        Malformed{"clock 1 1\nhealth_result 1 h OK 1 1,,2\neob\n", "2", "load report"},
+        Malformed{"clock 1 1\nannounce 1 total 1 7\neob\n", "2", "unknown list"},
+        Malformed{"clock 1 1\nannounce 1 some 1 7\neob\n", "2", "Mode"},
+        Malformed{"clock 1 1\nroster 0 2\nhost - a 0 0 1 0 up\neob\n", "4", "list entry"},
+        Malformed{"clock 1 1\nroster 0 -2\neob\n", "2", "entry count"},
+        Malformed{"clock 1 1\nroster 16 0\neob\n", "2", "Bank"},
+        Malformed{"clock 1 1\nroster 0 1\nhost - a 0 0 1 0 odd\neob\n", "3", "Mode"},
+        Malformed{"clock 1 1\nroster 0 1\nhost - a 0 0 1 up\neob\n", "3", "7 values"},
+        Malformed{"clock 1 1\nnote_from 1 0 a?==\neob\n", "2", "Bytes"},
+        Malformed{"clock 1 1\nstart 1 5 NInstances=x\neob\n", "2", "NInstances"},
+        Malformed{"clock 1 1\nstart 1 5 Classes.count=1 Classes.0.Effect=odd\neob\n", "2",
+                  "Classes.0.Effect"},
+        Malformed{"clock 1 1\nstart 1\neob\n", "2", "start lacks"},
+        Malformed{"clock 1 1\n\neob\n", "2", "empty line"},
+        Malformed{"clock 1 1\nretire 1\n", "3", "middle of a batch"},
+        Malformed{"clock 1 1\neo", "2", "middle of a line"},
+        Malformed{"clock 1 1\nroster 0 2\nhost - a 0 0 1 0 up\n", "4", "middle of a list"}));
+
+TEST(Write, EveryAction) {
+  std::string out;
+  Print(3, Send{"id", "host.a", Duration(80'000)}, out);
+  Print(3, Refuse{"id", Duration(1'500'250)}, out);
+  Print(3, Fail{"id"}, out);
+  Print(3, Cancel{"id", 1}, out);
+  Print(3, SetTimer{Duration(500'000), "sweep"}, out);
+  Print(3, Probe{"host.a"}, out);
+  Print(3, Follow{true}, out);
+  Print(3, FetchList{}, out);
+  Print(3, Log{"two servers known"}, out);
+  PrintPanic(3, "it\nbroke", out);
+  PrintEnd("12", out);
+  EXPECT_EQ(out,
+            "place 3 id host.a 80.000\npush_back 3 id 1500.250\nsurrender 3 id\nrevoke 3 id 1\n"
+            "arm 3 500.000 sweep\nping 3 host.a\nfollow 3 1\nread_list 3\n"
+            "debug 3 two servers known\npanic 3 it broke\nend 12\n");
+}
+
+}  // namespace
+}  // namespace paddlestile::wire
