--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <random>
 #include <stdexcept>
@@ -53,7 +52,6 @@
 
 struct Endpoint {
   EndpointInfo info;
-  bool listed = false;
   int out = 0;  // own attempts out
   int probes_out = 0;
   double others = 0;    // in flight there from elsewhere, by the last reports
@@ -137,6 +135,7 @@
   int out = 0;                       // own attempts out, anywhere
   double pace = 0;                   // see Pace()
   Time paced{0};
+  int answers = 0;
   std::vector<double> tenant_rate;  // decayed counts
   Time tenant_at{0};
 
@@ -154,12 +153,13 @@
     need(s.allowed.send_cap >= 1, "Allowed.SendCap");
     need(s.obligations.cold_from >= 0 && s.obligations.cold_from <= 1, "Obligations.ColdFrom");
     need(s.obligations.fall_multiple > 0, "Obligations.FallMultiple");
-    for (const RequestClass& c : s.classes) times.push_back({Us(c.aim) / 4, Us(c.aim) / 8, 0});
+    target = kAimShare * Us(s.classes[0].aim);
+    for (const RequestClass& c : s.classes) {
+      times.push_back({Us(c.aim) / 4, Us(c.aim) / 8, 0});
+      target = std::min(target, kAimShare * Us(c.aim));
+    }
     tenant_rate.assign(s.tenants.size(), 0);
-    Duration aim = s.classes[0].aim;
-    for (const RequestClass& c : s.classes) aim = std::min(aim, c.aim);
-    target = kAimShare * Us(aim);
-    SetMeanTime();
+    mean_time = target;
   }
 
   double Uniform() { return std::uniform_real_distribution<double>(0, 1)(rng); }
@@ -189,14 +189,11 @@
     }
     for (const EndpointInfo& info : m.entries) {
       Endpoint& e = eps[Intern(info.id)];
-      if (info.launched > e.info.launched && e.listed) {
-        // A restarted process: nothing learned of the old one holds.
+      if (info.launched > e.info.launched) {  // a new process: nothing learned of the old one holds
         const int out = e.out, probes_out = e.probes_out;
-        e = Endpoint{};
-        e.out = out, e.probes_out = probes_out;
+        e = Endpoint{}, e.out = out, e.probes_out = probes_out;
       }
       e.info = info;
-      e.listed = true;
     }
     up = static_cast<size_t>(std::count_if(eps.begin(), eps.end(), Up));
     if (!started && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
@@ -205,16 +202,6 @@
   }
 
   // ---- 2. Health and capacity ---------------------------------------------------------------
-  // The fleet's mean time per request over the classes seen, in us.
-  void SetMeanTime() {
-    double sum = 0, n = 0;
-    for (const ClassTime& t : times) {
-      sum += t.mean * (t.answers + 1);
-      n += t.answers + 1;
-    }
-    mean_time = sum / n;
-  }
-
   [[nodiscard]] double Cost(const Request& r) const { return r.time->mean / mean_time; }
 
   // A hung endpoint keeps answering probes: what shows is that nothing of ours comes back.
@@ -224,13 +211,11 @@
     return Us(now - e.silent_since) > patience * mean_time;
   }
 
-  [[nodiscard]] bool Ejected(const Endpoint& e) const {
-    if (e.trips == 0) return false;
-    return now < e.ejected_until || e.out > 0;  // after the wait: one trial at a time
+  [[nodiscard]] bool Healthy(const Endpoint& e) const {
+    if (e.trips > 0 && (now < e.ejected_until || e.out > 0)) return false;  // one trial at a time
+    return !Silent(e);
   }
 
-  [[nodiscard]] bool Healthy(const Endpoint& e) const { return !Ejected(e) && !Silent(e); }
-
   void Failed(Endpoint& e, double weight) {
     Blend(e.err, 1, weight);
     const bool trial = e.trips > 0 && now >= e.ejected_until;
@@ -249,11 +234,10 @@
       e.trips = 0;  // the trial succeeded
       e.err = std::min(e.err, kErrEject * 0.7);
     }
-    ClassTime& t = *r.time;
-    const double w = std::max(kBlend / 4, 1.0 / ++t.answers);
-    Blend(t.dev, std::abs(took - t.mean), w);
-    Blend(t.mean, took, w);
-    SetMeanTime();
+    const double w = std::max(kBlend / 4, 1.0 / ++r.time->answers);
+    Blend(r.time->dev, std::abs(took - r.time->mean), w);
+    Blend(r.time->mean, took, w);
+    Blend(mean_time, took, std::max(kBlend / 4, 1.0 / ++answers));
     Observe(e, a, took);
     pace = Pace() + Cost(r) / kRateSpan;
   }
@@ -267,11 +251,10 @@
     Blend(e.t_mean, took, we);
     // Little's law gives its throughput. Crowded, that is what it can do; with room to spare it is
     // only a lower bound, so a lower figure counts the less the quicker its answers are.
-    if (e.answers >= kFewSamples) {
-      const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
-      if (e.tput <= 0) e.tput = sample;
-      Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
-    }
+    if (e.answers < kFewSamples) return;
+    const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
+    if (e.tput <= 0) e.tput = sample;
+    Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
   }
 
   // This gateway's finished work of late, in mean requests per us.
@@ -336,8 +319,7 @@
 
   void AddToPool(size_t ep, double others, double latency) {
     std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
-    const double budget = ReuseBudget(static_cast<double>(up));
-    const int uses = static_cast<int>(budget) + (Uniform() < budget - std::floor(budget) ? 1 : 0);
+    const int uses = static_cast<int>(ReuseBudget(static_cast<double>(up)) + Uniform());
     if (pool.size() >= PoolBound()) pool.erase(pool.begin());  // the oldest
     pool.push_back({ep, others, latency, now, uses});
   }
@@ -351,25 +333,26 @@
     return rifs[rank];
   }
 
-  // Place in the pool of the best entry by the hot-cold order, ties at random; kNone if none.
+  // The hot-cold order: the cold before the hot, the cold by latency, the hot by in-flight.
+  using Key = std::pair<bool, double>;
+  [[nodiscard]] Key Rank(const PoolEntry& p, double cut) const {
+    const double rif = Rif(p);
+    return rif <= cut ? Key{false, p.latency} : Key{true, rif};
+  }
+
+  // Place in the pool of the best entry that is allowed, ties at random; kNone if there is none.
   template <typename Filter>
-  size_t HotCold(double cut, const Filter& allowed, Regime& regime) {
-    size_t best = kNone;
-    double best_rank = 0;
-    bool best_cold = false;
-    size_t ties = 0;
+  size_t HotCold(const Filter& allowed) {
+    size_t best = kNone, ties = 0;
+    Key best_key;
+    const double cut = ColdCut();
     for (size_t i = 0; i < pool.size(); ++i) {
-      if (!allowed(pool[i].ep)) continue;
-      const bool cold = Rif(pool[i]) <= cut;
-      const double rank = cold ? pool[i].latency : Rif(pool[i]);
-      const bool better = best == kNone || (cold != best_cold ? cold : rank < best_rank);
-      const bool tie = !better && cold == best_cold && rank == best_rank;
-      if (better) ties = 1;
-      if (better || (tie && Below(++ties) == 0)) {
-        best = i, best_rank = rank, best_cold = cold;
-      }
+      const Key key = Rank(pool[i], cut);
+      if (!allowed(pool[i].ep) || (best != kNone && key > best_key)) continue;
+      ties = best != kNone && key == best_key ? ties + 1 : 1;
+      if (Below(ties) == 0) best = i, best_key = key;
     }
-    regime = best == kNone ? Regime::kNone : best_cold ? Regime::kCold : Regime::kHot;
+    if (best != kNone) stats.last = best_key.first ? Regime::kHot : Regime::kCold;
     return best;
   }
 
@@ -377,18 +360,11 @@
   void Degrade() {
     for (remove_due += ProbeRate() * kRemovePerProbe; remove_due >= 1; remove_due -= 1) {
       if (pool.empty()) continue;
-      size_t gone = 0;
-      if (!remove_oldest) {
-        const double cut = ColdCut();
-        const auto worse = [&](const PoolEntry& a, const PoolEntry& b) {
-          const bool a_hot = Rif(a) > cut, b_hot = Rif(b) > cut;
-          if (a_hot != b_hot) return b_hot;
-          return a_hot ? Rif(a) < Rif(b) : a.latency < b.latency;
-        };
-        gone =
-            static_cast<size_t>(std::max_element(pool.begin(), pool.end(), worse) - pool.begin());
-      }
-      pool.erase(pool.begin() + static_cast<long>(gone));
+      const double cut = ColdCut();
+      const auto worse = [&](const PoolEntry& a, const PoolEntry& b) {
+        return Rank(a, cut) < Rank(b, cut);
+      };
+      pool.erase(remove_oldest ? pool.begin() : std::max_element(pool.begin(), pool.end(), worse));
       remove_oldest = !remove_oldest;
     }
   }
@@ -432,8 +408,7 @@
       const auto usable = std::count_if(pool.begin(), pool.end(),
                                         [&](const PoolEntry& p) { return allowed(p.ep); });
       if (usable >= 2) {
-        const size_t at = HotCold(ColdCut(), allowed, stats.last);
-        PoolEntry& p = pool[at];
+        PoolEntry& p = pool[HotCold(allowed)];
         --p.uses;
         ++stats.picks[static_cast<size_t>(stats.last)];
         return p.ep;
@@ -461,15 +436,14 @@
   bool MaySend(const Request& r, Endpoint& e) {
     if (r.over || now >= r.in.deadline) return false;
     if (static_cast<int>(r.attempts.size()) >= s.allowed.send_cap) return false;
-    if (!Up(e)) return false;  // a drain holds from the moment it is told
-    if (!s.allowed.parallel_tries && r.out > 0) return false;
+    if (!Up(e) || (!s.allowed.parallel_tries && r.out > 0)) return false;  // drains hold once told
     for (const Attempt& a : r.attempts) {
       if (!a.may_have_run) continue;
       if (r.cls->effect == Effect::kUnsafe) return false;
       if (r.cls->effect == Effect::kSafe) continue;
-      const EndpointInfo& was = eps[a.ep].info;
-      if (r.cls->group == DedupGroup::kZone && was.zone != e.info.zone) return false;
-      if (r.cls->group == DedupGroup::kCell && was.cell != e.info.cell) return false;
+      const EndpointInfo &was = eps[a.ep].info, &to = e.info;
+      if (r.cls->group == DedupGroup::kZone && was.zone != to.zone) return false;
+      if (r.cls->group == DedupGroup::kCell && was.cell != to.cell) return false;
       // A margin for the way there, so that the repeat arrives while it is still remembered.
       if (now - a.sent + s.allowed.connect_timeout >= r.cls->window) return false;
     }
@@ -564,9 +538,8 @@
   }
 
   void TryAgain(Request& r) {
-    if (now >= r.in.deadline) return GiveUp(r);
-    if (retry_tokens < 1 || Us(AimAt(r) - now) < r.time->mean / 2) return GiveUp(r);
-    const size_t ep = Pick(r);
+    const bool hopeless = retry_tokens < 1 || Us(AimAt(r) - now) < r.time->mean / 2;
+    const size_t ep = hopeless ? kNone : Pick(r);
     if (ep == kNone) return GiveUp(r);
     retry_tokens -= 1;
     SendTo(r, ep);
@@ -626,22 +599,15 @@
 
   void On(const Submit& in) {
     if (by_id.contains(in.id)) return;
-    const uint64_t seq = next_seq++;
-    Request& r = open[seq];
-    by_id[in.id] = seq;
-    r.seq = seq;
+    const uint64_t seq = by_id[in.id] = next_seq++;
     const size_t cls = std::min(in.cls, s.classes.size() - 1);
-    r.cls = &s.classes[cls];
-    r.time = &times[cls];
-    r.in = in;
-    r.arrived = now;
+    open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}, 0, false, true, false};
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
     const double decay = std::exp(-Us(now - tenant_at) / kRateSpan);
     for (double& rate : tenant_rate) rate *= decay;
     tenant_at = now;
     if (in.tenant < tenant_rate.size()) tenant_rate[in.tenant] += 1;
     ProbeSome();
-    r.waiting = true;
     waiting.push_back(seq);
     Dispatch();
     KeepSweeping();
@@ -658,12 +624,10 @@
     for (const auto& [priority, seq] : order) {
       Request& r = open.at(seq);
       r.waiting = false;
+      const size_t ep = full || r.over ? kNone : Pick(r);
       if (r.over) {
         Forget(r);
-        continue;
-      }
-      const size_t ep = full ? kNone : Pick(r);
-      if (ep != kNone) {
+      } else if (ep != kNone) {
         SendTo(r, ep);
       } else if (now + 2 * kSweep >= r.in.deadline ||
                  Us(now - r.arrived) > kHoldShare * Us(r.cls->aim)) {
@@ -688,9 +652,9 @@
   void Learn(size_t ep, const Report& report, Time at) {
     Endpoint& e = eps[ep];
     const auto value = [&](int place) {
-      return place >= 0 && static_cast<size_t>(place) < report.size()
+      return static_cast<size_t>(place) < report.size()
                  ? std::max(0.0, report[static_cast<size_t>(place)])
-                 : -1.0;
+                 : -1;
     };
     const double inflight = value(s.report.inflight), latency = value(s.report.latency_ms);
     if (inflight < 0) return;
@@ -698,10 +662,8 @@
     TrackOut(e);
     Blend(e.others, std::max(0.0, inflight - e.out_mean), kOthersBlend);
     e.reported = at;
-    const bool crossing = e.info.zone != s.zone;
-    const double price = crossing ? s.charges.cross_zone * Us(s.classes[0].aim) : 0;
-    // Reported latency omits the link: the measured way there and the price of crossing come on
-    // top.
+    // Reported latency omits the link: the measured way and the price of crossing come on top.
+    const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
     AddToPool(ep, e.others, std::max(latency, 0.0) * 1000 + e.link + price);
   }
 
