--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,7 +16,7 @@
 // ---- Constants: unit and reason for each ----------------------------------------------------
 constexpr Duration kSweep{10'000};       // us; a fraction of any useful aim, cheap to run
 constexpr size_t kPoolMost = 16;         // entries; the paper's pool
-constexpr double kPoolShare = 2.0 / 3;   // of the endpoints; m < n keeps the reuse formula defined
+constexpr double kPoolShare = 0.8;       // of the endpoints; m < n keeps the reuse formula defined
 constexpr Duration kPoolAge{1'000'000};  // us; the design page's starting point
 constexpr double kColdRank = 0.5;        // of the pool's in-flight figures; median rank
 constexpr double kProbeSpend = 0.012;    // of the result; what probing may cost where it is priced
@@ -42,6 +42,7 @@
 constexpr double kReportLag = 1e5;    // us; about how old a report's figures are when they arrive
 constexpr double kOthersBlend = 0.3;  // a report; all gateways rush at once to what looks idle
 constexpr double kLimitAtFirst = 4;   // requests; small enough not to crowd before it is known
+constexpr double kQuotaBurst = 1e6;   // us; of a tenant's rate that may come at once
 constexpr int kFewSamples = 5;        // answers before an average is trusted
 
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
@@ -66,7 +67,6 @@
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
   int answers = 0;
   double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
-  Time full_until{0};      // turned work away a moment ago
   double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
   Time cold_filled{-1};
 };
@@ -98,6 +98,7 @@
   bool over = false;
   bool waiting = false;
   bool streaming = false;
+  bool beyond = false;  // beyond its tenant's share
 };
 
 struct PoolEntry {
@@ -136,8 +137,9 @@
   double pace = 0;                   // see Pace()
   Time paced{0};
   int answers = 0;
-  std::vector<double> tenant_rate;  // decayed counts
-  Time tenant_at{0};
+  std::vector<double> tenant_tokens;  // requests still within each tenant's share
+  double arrivals = 0;                // decayed over kRateSpan
+  Time arrivals_at{0};
 
   void Validate() {
     const auto need = [](bool ok, const char* name) {
@@ -158,7 +160,7 @@
       times.push_back({Us(c.aim) / 4, Us(c.aim) / 8, 0});
       target = std::min(target, kAimShare * Us(c.aim));
     }
-    tenant_rate.assign(s.tenants.size(), 0);
+    tenant_tokens.assign(s.tenants.size(), 1);
     mean_time = target;
   }
 
@@ -394,7 +396,7 @@
     }
     if (level != Strict::kHealth && !Healthy(e)) return false;
     if (e.trips > 0 && r.cls->effect == Effect::kUnsafe && level != Strict::kHealth) return false;
-    if (now < e.full_until || Load(e) + 1 > Limit(e)) return false;
+    if (Load(e) + 1 > Limit(e)) return false;
     if (level != Strict::kAim) return true;
     return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
@@ -525,7 +527,6 @@
     if (answered) e.silent_since = now;
     if (silent) Observe(e, a, Us(in.took));
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
-    if (in.outcome == Outcome::kFull) e.full_until = now + ToUs(mean_time / 2);
     if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
     if (in.outcome == Outcome::kConnectFailed || (silent && was_silent)) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
@@ -579,21 +580,27 @@
   }
 
   // ---- 6. Admission and fairness ------------------------------------------------------------
-  // Whether a tenant sends more than its part: judged by its part of what arrives here.
-  [[nodiscard]] bool OverQuota(size_t tenant) const {
+  // Whether a request is beyond its tenant's part of what arrives here, or of this gateway's part
+  // of the quotas if that is more. Only the excess counts as beyond, not all that the tenant sends.
+  bool BeyondShare(size_t tenant) {
+    const double passed = Us(now - arrivals_at);
+    arrivals_at = now;
+    arrivals = arrivals * std::exp(-passed / kRateSpan) + 1;
     if (tenant >= s.tenants.size()) return false;
-    double rate = 0, quota = 0;
+    double quota = 0;
+    for (const Tenant& t : s.tenants) quota += t.quota_per_s / 1e6;
+    const double total = std::max(arrivals / kRateSpan, quota / s.instances);
     for (size_t i = 0; i < s.tenants.size(); ++i) {
-      rate += tenant_rate[i];
-      quota += s.tenants[i].quota_per_s;
+      const double rate = total * s.tenants[i].quota_per_s / 1e6 / std::max(quota, 1e-12);
+      tenant_tokens[i] = std::min(tenant_tokens[i] + rate * passed, 2 + rate * kQuotaBurst);
     }
-    const double part = s.tenants[tenant].quota_per_s / std::max(quota, 1e-9);
-    const double here = quota * kRateSpan / 1e6 / s.instances;  // what quotas allow here
-    return tenant_rate[tenant] > 1.2 * part * std::max(rate, here);
+    const bool beyond = tenant_tokens[tenant] < 1;
+    if (!beyond) tenant_tokens[tenant] -= 1;
+    return beyond;
   }
 
   [[nodiscard]] double Priority(const Request& r) const {
-    const double worth = r.cls->worth * (OverQuota(r.in.tenant) ? s.over_share_worth : 1);
+    const double worth = r.cls->worth * (r.beyond ? s.over_share_worth : 1);
     return s.worth_by_work ? worth : worth / r.time->mean;
   }
 
@@ -601,12 +608,10 @@
     if (by_id.contains(in.id)) return;
     const uint64_t seq = by_id[in.id] = next_seq++;
     const size_t cls = std::min(in.cls, s.classes.size() - 1);
-    open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}, 0, false, true, false};
+    open[seq] =
+        Request{seq, &s.classes[cls], &times[cls], in, now, {}, 0, false, true, false, false};
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
-    const double decay = std::exp(-Us(now - tenant_at) / kRateSpan);
-    for (double& rate : tenant_rate) rate *= decay;
-    tenant_at = now;
-    if (in.tenant < tenant_rate.size()) tenant_rate[in.tenant] += 1;
+    open[seq].beyond = BeyondShare(in.tenant);
     ProbeSome();
     waiting.push_back(seq);
     Dispatch();
