--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -23,7 +23,6 @@
 constexpr double kProbeLeast = 0.25;     // probes a request; keeps a pool over a small fleet filled
 constexpr double kProbeMost = 2;         // probes a request; more tells nothing new
 constexpr double kRemovePerProbe = 1.0 / 12;  // removals a probe; well inside the formula's domain
-constexpr double kReuseSlack = 1;             // the paper's delta: net growth of the pool per reuse
 constexpr double kBlend = 0.1;                // weight of one new sample in a slow average
 constexpr double kErrBlend = 0.2;             // weight of one outcome in the error share
 constexpr double kErrEject = 0.3;             // error share: two failures in a row, or in three
@@ -33,17 +32,18 @@
 constexpr double kSilence = 3;              // typical times without any answer: suspect
 constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
 constexpr double kHoldShare = 0.2;          // of the aim that a request may wait here
-constexpr double kHedgeDevs = 3;            // mean deviations past the mean before a second copy
+constexpr double kHedgeAfter = 3;           // times a class's mean time before a second copy
 constexpr double kRetryEarn = 0.2;          // further attempts earned by each request
 constexpr double kRetryMost = 10;           // further attempts saved up
 constexpr double kColdSafety = 0.5;         // of the cold budget; sizes differ and work is random
 constexpr double kColdOverhead = 0.25;      // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;           // us; span over which an endpoint's pace is remembered
-constexpr double kReportLag = 1e5;    // us; about how old a report's figures are when they arrive
-constexpr double kOthersBlend = 0.3;  // a report; all gateways rush at once to what looks idle
-constexpr double kLimitAtFirst = 4;   // requests; small enough not to crowd before it is known
-constexpr double kQuotaBurst = 1e6;   // us; of a tenant's rate that may come at once
-constexpr int kFewSamples = 5;        // answers before an average is trusted
+constexpr double kReportLag = 1e5;     // us; about how old a report's figures are when they arrive
+constexpr double kOthersBlend = 0.15;  // a report; all gateways rush at once to what looks idle
+constexpr double kLimitAtFirst = 4;    // requests; small enough not to crowd before it is known
+constexpr double kQuotaSlack = 1.3;    // tenants are not spread alike over the gateways
+constexpr double kQuotaBurst = 1e6;    // us; of a tenant's rate that may come at once
+constexpr int kFewSamples = 5;         // answers before an average is trusted
 
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
 
@@ -83,7 +83,7 @@
 };
 
 struct ClassTime {  // of this gateway's answers to a class, us
-  double mean = 0, dev = 0;
+  double mean = 0;
   int answers = 0;
 };
 
@@ -157,13 +157,14 @@
     need(s.obligations.fall_multiple > 0, "Obligations.FallMultiple");
     target = kAimShare * Us(s.classes[0].aim);
     for (const RequestClass& c : s.classes) {
-      times.push_back({Us(c.aim) / 4, Us(c.aim) / 8, 0});
+      times.push_back({Us(c.aim) / 4, 0});
       target = std::min(target, kAimShare * Us(c.aim));
     }
     tenant_tokens.assign(s.tenants.size(), 1);
     mean_time = target;
   }
 
+  void SetRegime(Regime r) { stats.last = r, ++stats.picks[static_cast<size_t>(r)]; }
   double Uniform() { return std::uniform_real_distribution<double>(0, 1)(rng); }
   size_t Below(size_t n) { return static_cast<size_t>(Uniform() * static_cast<double>(n)) % n; }
   template <typename T>
@@ -236,9 +237,7 @@
       e.trips = 0;  // the trial succeeded
       e.err = std::min(e.err, kErrEject * 0.7);
     }
-    const double w = std::max(kBlend / 4, 1.0 / ++r.time->answers);
-    Blend(r.time->dev, std::abs(took - r.time->mean), w);
-    Blend(r.time->mean, took, w);
+    Blend(r.time->mean, took, std::max(kBlend / 4, 1.0 / ++r.time->answers));
     Blend(mean_time, took, std::max(kBlend / 4, 1.0 / ++answers));
     Observe(e, a, took);
     pace = Pace() + Cost(r) / kRateSpan;
@@ -307,7 +306,7 @@
     const double m = static_cast<double>(PoolBound());
     const double net = (1 - m / n) * ProbeRate() - ProbeRate() * kRemovePerProbe;
     if (n <= m || net <= 0) return 1;
-    return std::max(1.0, (1 + kReuseSlack) / net);
+    return std::max(1.0, 2 / net);  // 2: one more than the paper's delta of 1
   }
 
   void Purge() {
@@ -354,7 +353,7 @@
       ties = best != kNone && key == best_key ? ties + 1 : 1;
       if (Below(ties) == 0) best = i, best_key = key;
     }
-    if (best != kNone) stats.last = best_key.first ? Regime::kHot : Regime::kCold;
+    if (best != kNone) SetRegime(best_key.first ? Regime::kHot : Regime::kCold);
     return best;
   }
 
@@ -404,15 +403,15 @@
   // The endpoint for a request, or kNone where none may take it now.
   size_t Pick(const Request& r) {
     Purge();
+    const auto fit = [&](const Endpoint& e) { return Up(e) && Healthy(e); };
     for (const Strict level : {Strict::kAim, Strict::kCapacity, Strict::kHealth}) {
-      if (level == Strict::kHealth && AnyHealthy()) break;
+      if (level == Strict::kHealth && std::any_of(eps.begin(), eps.end(), fit)) break;
       const auto allowed = [&](size_t ep) { return Eligible(r, ep, level); };
       const auto usable = std::count_if(pool.begin(), pool.end(),
                                         [&](const PoolEntry& p) { return allowed(p.ep); });
       if (usable >= 2) {
         PoolEntry& p = pool[HotCold(allowed)];
         --p.uses;
-        ++stats.picks[static_cast<size_t>(stats.last)];
         return p.ep;
       }
       // Fallback without probes: two random choices by own attempts out.
@@ -422,18 +421,12 @@
       }
       if (to.empty()) continue;
       const size_t a = to[Below(to.size())], b = to[Below(to.size())];
-      stats.last = Regime::kFallback;
-      ++stats.picks[static_cast<size_t>(stats.last)];
+      SetRegime(Regime::kFallback);
       return eps[b].out < eps[a].out ? b : a;
     }
     return kNone;
   }
 
-  [[nodiscard]] bool AnyHealthy() const {
-    return std::any_of(eps.begin(), eps.end(),
-                       [&](const Endpoint& e) { return Up(e) && Healthy(e); });
-  }
-
   // ---- 4. Legality gate: every send, refusal and failure passes here -------------------------
   bool MaySend(const Request& r, Endpoint& e) {
     if (r.over || now >= r.in.deadline) return false;
@@ -558,8 +551,7 @@
       const bool bad = Silent(e) || e.info.state == EndpointState::kRemoved;
       if (left < r.time->mean / 2 || elapsed < r.time->mean) continue;
       if (s.allowed.parallel_tries) {
-        const double late = r.time->mean + kHedgeDevs * r.time->dev;
-        if (!bad && elapsed < late) continue;
+        if (!bad && elapsed < kHedgeAfter * r.time->mean) continue;
         const size_t ep = Pick(r);
         if (ep == kNone) continue;
         retry_tokens -= 1;
@@ -591,7 +583,8 @@
     for (const Tenant& t : s.tenants) quota += t.quota_per_s / 1e6;
     const double total = std::max(arrivals / kRateSpan, quota / s.instances);
     for (size_t i = 0; i < s.tenants.size(); ++i) {
-      const double rate = total * s.tenants[i].quota_per_s / 1e6 / std::max(quota, 1e-12);
+      const double rate =
+          kQuotaSlack * total * s.tenants[i].quota_per_s / 1e6 / std::max(quota, 1e-12);
       tenant_tokens[i] = std::min(tenant_tokens[i] + rate * passed, 2 + rate * kQuotaBurst);
     }
     const bool beyond = tenant_tokens[tenant] < 1;
