--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,6 +1,5 @@
-// Every decision of the balancer. Its interface (settings, events, actions) is brain.h.
-// Top to bottom: constants, membership, health and capacity, probe pool and pick, legality gate,
-// attempts, admission, dispatch of events.
+// Every decision of the balancer; its interface (settings, events, actions) is brain.h. In order:
+// membership, health and capacity, pool and pick, legality gate, attempts, admission, events.
 #include "brain.h"
 
 #include <algorithm>
@@ -58,9 +57,8 @@
   double others = 0;    // in flight there from elsewhere, by the last reports
   double out_mean = 0;  // own attempts out, averaged over kReportLag
   Time out_at{0};
-  Time reported{-1};  // when that report came; -1: never
-  double link = 0;    // us; probe round trip, 0 unknown
-  double err = 0;     // share of failed outcomes, recent
+  double link = 0;  // us; probe round trip, 0 unknown
+  double err = 0;   // share of failed outcomes, recent
   Time ejected_until{0};
   int trips = 0;                  // ejections in a row
   Time silent_since{0};           // last answer, or the send that found none out
@@ -82,15 +80,10 @@
   double f_at_send = 0;
 };
 
-struct ClassTime {  // of this gateway's answers to a class, us
-  double mean = 0;
-  int answers = 0;
-};
-
 struct Request {
   uint64_t seq = 0;
   const RequestClass* cls = nullptr;
-  ClassTime* time = nullptr;
+  double* time = nullptr;  // us; mean of its class here
   Submit in;
   Time arrived{0};
   std::vector<Attempt> attempts;
@@ -130,13 +123,11 @@
   bool sweeping = false, started = false, remove_oldest = true;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
   int follow_failures = 0;
-  std::vector<ClassTime> times;
+  std::vector<double> times;         // us; mean time of each class
   double mean_time = 0, target = 0;  // us; of a request over all classes, and aimed at
   size_t up = 0;                     // endpoints that may get work
-  int out = 0;                       // own attempts out, anywhere
   double pace = 0;                   // see Pace()
   Time paced{0};
-  int answers = 0;
   std::vector<double> tenant_tokens;  // requests still within each tenant's share
   double arrivals = 0;                // decayed over kRateSpan
   Time arrivals_at{0};
@@ -154,10 +145,9 @@
     }
     need(s.allowed.send_cap >= 1, "Allowed.SendCap");
     need(s.obligations.cold_from >= 0 && s.obligations.cold_from <= 1, "Obligations.ColdFrom");
-    need(s.obligations.fall_multiple > 0, "Obligations.FallMultiple");
     target = kAimShare * Us(s.classes[0].aim);
     for (const RequestClass& c : s.classes) {
-      times.push_back({Us(c.aim) / 4, 0});
+      times.push_back(Us(c.aim) / 4);
       target = std::min(target, kAimShare * Us(c.aim));
     }
     tenant_tokens.assign(s.tenants.size(), 1);
@@ -205,7 +195,7 @@
   }
 
   // ---- 2. Health and capacity ---------------------------------------------------------------
-  [[nodiscard]] double Cost(const Request& r) const { return r.time->mean / mean_time; }
+  [[nodiscard]] double Cost(const Request& r) const { return *r.time / mean_time; }
 
   // A hung endpoint keeps answering probes: what shows is that nothing of ours comes back.
   [[nodiscard]] bool Silent(const Endpoint& e) const {
@@ -237,8 +227,8 @@
       e.trips = 0;  // the trial succeeded
       e.err = std::min(e.err, kErrEject * 0.7);
     }
-    Blend(r.time->mean, took, std::max(kBlend / 4, 1.0 / ++r.time->answers));
-    Blend(mean_time, took, std::max(kBlend / 4, 1.0 / ++answers));
+    Blend(*r.time, took, kBlend / 4);
+    Blend(mean_time, took, kBlend / 4);
     Observe(e, a, took);
     pace = Pace() + Cost(r) / kRateSpan;
   }
@@ -270,11 +260,7 @@
     e.out_at = now;
   }
 
-  [[nodiscard]] double Load(const Endpoint& e) const {
-    if (e.reported >= Time(0) && now - e.reported <= kPoolAge) return e.others + e.out;
-    // Without a fresh report the other gateways are taken to have as much out as this one.
-    return e.out + static_cast<double>(out) / static_cast<double>(up + 1) * (s.instances - 1);
-  }
+  [[nodiscard]] double Load(const Endpoint& e) const { return e.others + e.out; }
 
   // Concurrency limit on all that an endpoint holds: what it can finish within the target. Past
   // it, queueing adds only delay, and some endpoints slow down when crowded and stay slow.
@@ -474,9 +460,8 @@
   void SendTo(Request& r, size_t ep) {
     Endpoint& e = eps[ep];
     if (!MaySend(r, e)) throw std::logic_error("a send that the rules forbid");
-    if (Cold(e)) e.cold_tokens -= Cost(r) + kColdOverhead;
+    e.cold_tokens -= Cost(r) + kColdOverhead;
     TrackOut(e);
-    ++out;
     if (e.out++ == 0) e.silent_since = now;
     r.attempts.push_back({.ep = ep, .sent = now, .f_at_send = Load(e)});
     ++r.out;
@@ -512,8 +497,8 @@
     Endpoint& e = eps[a.ep];
     const bool was_silent = Silent(e);
     TrackOut(e);
-    --e.out, --out;
-    if (in.report) Learn(a.ep, *in.report, now);
+    --e.out;
+    if (in.report) Learn(a.ep, *in.report);
     const bool silent = in.outcome == Outcome::kTimeout || in.outcome == Outcome::kCancelled;
     const bool answered =
         !silent && in.outcome != Outcome::kConnectFailed && in.outcome != Outcome::kMoot;
@@ -532,7 +517,7 @@
   }
 
   void TryAgain(Request& r) {
-    const bool hopeless = retry_tokens < 1 || Us(AimAt(r) - now) < r.time->mean / 2;
+    const bool hopeless = retry_tokens < 1 || Us(AimAt(r) - now) < *r.time / 2;
     const size_t ep = hopeless ? kNone : Pick(r);
     if (ep == kNone) return GiveUp(r);
     retry_tokens -= 1;
@@ -549,9 +534,9 @@
       const Endpoint& e = eps[a.ep];
       const double elapsed = Us(now - a.sent), left = Us(AimAt(r) - now);
       const bool bad = Silent(e) || e.info.state == EndpointState::kRemoved;
-      if (left < r.time->mean / 2 || elapsed < r.time->mean) continue;
+      if (left < *r.time / 2 || elapsed < *r.time) continue;
       if (s.allowed.parallel_tries) {
-        if (!bad && elapsed < kHedgeAfter * r.time->mean) continue;
+        if (!bad && elapsed < kHedgeAfter * *r.time) continue;
         const size_t ep = Pick(r);
         if (ep == kNone) continue;
         retry_tokens -= 1;
@@ -594,7 +579,7 @@
 
   [[nodiscard]] double Priority(const Request& r) const {
     const double worth = r.cls->worth * (r.beyond ? s.over_share_worth : 1);
-    return s.worth_by_work ? worth : worth / r.time->mean;
+    return s.worth_by_work ? worth : worth / *r.time;
   }
 
   void On(const Submit& in) {
@@ -647,7 +632,7 @@
   }
 
   // ---- 7. Events ----------------------------------------------------------------------------
-  void Learn(size_t ep, const Report& report, Time at) {
+  void Learn(size_t ep, const Report& report) {
     Endpoint& e = eps[ep];
     const auto value = [&](int place) {
       return static_cast<size_t>(place) < report.size()
@@ -659,7 +644,6 @@
     // The report is older than it looks: take off what was out here around then, not what is now.
     TrackOut(e);
     Blend(e.others, std::max(0.0, inflight - e.out_mean), kOthersBlend);
-    e.reported = at;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
     const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
     AddToPool(ep, e.others, std::max(latency, 0.0) * 1000 + e.link + price);
@@ -673,7 +657,7 @@
     if (in.outcome == Outcome::kOk) {
       if (e.link <= 0) e.link = Us(in.took);
       Blend(e.link, Us(in.took), kBlend);
-      if (in.report && Up(e)) Learn(at->second, *in.report, now);
+      if (in.report && Up(e)) Learn(at->second, *in.report);
     } else if (in.outcome == Outcome::kConnectFailed || in.outcome == Outcome::kTimeout) {
       Failed(e, kErrBlend);
     }
