--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,8 +42,7 @@
 constexpr double kLimitAtFirst = 4;    // requests; small enough not to crowd before it is known
 constexpr double kQuotaSlack = 1.3;    // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;    // us; of a tenant's rate that may come at once
-constexpr Duration kTryFull{1'000'000};  // us; how often the bank tries what reports itself full
-constexpr int kFewSamples = 5;           // answers before an average is trusted
+constexpr int kFewSamples = 5;         // answers before an average is trusted
 
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
 
@@ -61,8 +60,7 @@
   double link = 0;  // us; probe round trip, 0 unknown
   double err = 0;   // share of failed outcomes, recent
   Time ejected_until{0};
-  int trips = 0;  // ejections in a row
-  Time sent_at{0};
+  int trips = 0;                  // ejections in a row
   Time silent_since{0};           // last answer, or the send that found none out
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
   int answers = 0;
@@ -383,9 +381,7 @@
     }
     if (level != Strict::kHealth && !Healthy(e)) return false;
     if (e.trips > 0 && r.cls->effect == Effect::kUnsafe && level != Strict::kHealth) return false;
-    // Reports may be frozen or false: without work of its own an endpoint deemed full stays so.
-    if (Load(e) + 1 > Limit(e) && (e.out > 0 || now - e.sent_at < kTryFull * s.instances))
-      return false;
+    if (Load(e) + 1 > Limit(e)) return false;
     if (level != Strict::kAim) return true;
     return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
@@ -467,7 +463,6 @@
     e.cold_tokens -= Cost(r) + kColdOverhead;
     TrackOut(e);
     if (e.out++ == 0) e.silent_since = now;
-    e.sent_at = now;
     r.attempts.push_back({.ep = ep, .sent = now, .f_at_send = Load(e)});
     ++r.out;
     Do(Send{r.in.id, e.info.id, Duration(0)});
