--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,6 +42,7 @@
 constexpr double kLimitAtFirst = 4;    // requests; small enough not to crowd before it is known
 constexpr double kQuotaSlack = 1.3;    // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;    // us; of a tenant's rate that may come at once
+constexpr double kPeerFloor = 0.5;     // of the peers' mean limit: slow by nature is not crowded
 constexpr int kFewSamples = 5;         // answers before an average is trusted
 
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
@@ -123,10 +124,11 @@
   bool sweeping = false, started = false, remove_oldest = true;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
   int follow_failures = 0;
-  std::vector<double> times;         // us; mean time of each class
-  double mean_time = 0, target = 0;  // us; of a request over all classes, and aimed at
-  size_t up = 0;                     // endpoints that may get work
-  double pace = 0;                   // see Pace()
+  std::vector<double> times;  // us; mean time of each class
+  double limit_mean = 0, mean_time = 0,
+         target = 0;  // us; of a request over all classes, and aimed at
+  size_t up = 0;      // endpoints that may get work
+  double pace = 0;    // see Pace()
   Time paced{0};
   std::vector<double> tenant_tokens;  // requests still within each tenant's share
   double arrivals = 0;                // decayed over kRateSpan
@@ -245,6 +247,7 @@
     if (e.answers < kFewSamples) return;
     const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
     if (e.tput <= 0) e.tput = sample;
+    Blend(limit_mean, Limit(e), kBlend / 4);
     Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
   }
 
@@ -262,12 +265,12 @@
 
   [[nodiscard]] double Load(const Endpoint& e) const { return e.others + e.out; }
 
-  // Concurrency limit on all that an endpoint holds: what it can finish within the target. Past
-  // it, queueing adds only delay, and some endpoints slow down when crowded and stay slow.
+  // Limit on all that an endpoint holds: what it can finish within the target. Past it, queueing
+  // adds only delay, and some slow down when crowded and stay slow.
   [[nodiscard]] double Limit(const Endpoint& e) const {
     if (e.tput <= 0) return kLimitAtFirst;
     const double room = e.t_mean < target ? 1 : 0;  // one more, to learn whether it can do more
-    return std::max(2.0, room + e.tput * target);
+    return std::max({2.0, kPeerFloor * limit_mean, room + e.tput * target});
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, const Request& r) const {
