--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -37,13 +37,14 @@
 constexpr double kColdSafety = 0.5;         // of the cold budget; sizes differ and work is random
 constexpr double kColdOverhead = 0.25;      // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;           // us; span over which an endpoint's pace is remembered
-constexpr double kReportLag = 1e5;     // us; about how old a report's figures are when they arrive
-constexpr double kOthersBlend = 0.15;  // a report; all gateways rush at once to what looks idle
-constexpr double kLimitAtFirst = 4;    // requests; small enough not to crowd before it is known
-constexpr double kQuotaSlack = 1.3;    // tenants are not spread alike over the gateways
-constexpr double kQuotaBurst = 1e6;    // us; of a tenant's rate that may come at once
-constexpr double kPeerFloor = 0.5;     // of the peers' mean limit: slow by nature is not crowded
-constexpr int kFewSamples = 5;         // answers before an average is trusted
+constexpr double kReportLag = 1e5;  // us; about how old a report's figures are when they arrive
+constexpr double kOthersSpan =
+    1e6;  // us; averaged, since all gateways rush at once to what looks idle
+constexpr double kLimitAtFirst = 4;  // requests; small enough not to crowd before it is known
+constexpr double kQuotaSlack = 1.3;  // tenants are not spread alike over the gateways
+constexpr double kQuotaBurst = 1e6;  // us; of a tenant's rate that may come at once
+constexpr double kPeerFloor = 0.5;   // of the peers' mean limit: slow by nature is not crowded
+constexpr int kFewSamples = 5;       // answers before an average is trusted
 
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
 
@@ -56,6 +57,7 @@
   int out = 0;  // own attempts out
   int probes_out = 0;
   double others = 0;    // in flight there from elsewhere, by the last reports
+  Time reported{-1};    // when a report last came; -1: never
   double out_mean = 0;  // own attempts out, averaged over kReportLag
   Time out_at{0};
   double link = 0;  // us; probe round trip, 0 unknown
@@ -127,6 +129,7 @@
   std::vector<double> times;  // us; mean time of each class
   double limit_mean = 0, mean_time = 0,
          target = 0;  // us; of a request over all classes, and aimed at
+  int out = 0;        // own attempts out, anywhere
   size_t up = 0;      // endpoints that may get work
   double pace = 0;    // see Pace()
   Time paced{0};
@@ -263,7 +266,11 @@
     e.out_at = now;
   }
 
-  [[nodiscard]] double Load(const Endpoint& e) const { return e.others + e.out; }
+  [[nodiscard]] double Load(const Endpoint& e) const {
+    if (e.reported >= Time(0)) return e.others + e.out;
+    // Unreported: the other gateways are taken to have as much out on an endpoint as this one.
+    return e.out + static_cast<double>(out) / static_cast<double>(up + 1) * (s.instances - 1);
+  }
 
   // Limit on all that an endpoint holds: what it can finish within the target. Past it, queueing
   // adds only delay, and some slow down when crowded and stay slow.
@@ -465,6 +472,7 @@
     if (!MaySend(r, e)) throw std::logic_error("a send that the rules forbid");
     e.cold_tokens -= Cost(r) + kColdOverhead;
     TrackOut(e);
+    ++out;
     if (e.out++ == 0) e.silent_since = now;
     r.attempts.push_back({.ep = ep, .sent = now, .f_at_send = Load(e)});
     ++r.out;
@@ -500,7 +508,7 @@
     Endpoint& e = eps[a.ep];
     const bool was_silent = Silent(e);
     TrackOut(e);
-    --e.out;
+    --e.out, --out;
     if (in.report) Learn(a.ep, *in.report);
     const bool silent = in.outcome == Outcome::kTimeout || in.outcome == Outcome::kCancelled;
     const bool answered =
@@ -646,7 +654,10 @@
     if (inflight < 0) return;
     // The report is older than it looks: take off what was out here around then, not what is now.
     TrackOut(e);
-    Blend(e.others, std::max(0.0, inflight - e.out_mean), kOthersBlend);
+    const double fresh =
+        e.reported < Time(0) ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
+    Blend(e.others, std::max(0.0, inflight - e.out_mean), fresh);
+    e.reported = now;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
     const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
     AddToPool(ep, e.others, std::max(latency, 0.0) * 1000 + e.link + price);
