--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -49,7 +49,6 @@
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
-Duration ToUs(double us) { return Duration(std::llround(us)); }
 void Blend(double& mean, double sample, double weight) { mean += weight * (sample - mean); }
 
 struct Endpoint {
@@ -123,7 +122,7 @@
   std::vector<uint64_t> waiting;                     // held requests, unsorted
   std::vector<PoolEntry> pool;
   uint64_t next_seq = 0;
-  bool sweeping = false, started = false, remove_oldest = true;
+  bool started = false, remove_oldest = true;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
   int follow_failures = 0;
   std::vector<double> times;  // us; mean time of each class
@@ -179,7 +178,7 @@
       // Ask again, later each time and not in step with the other gateways: the registry is small.
       const double base = std::max(Us(s.obligations.must_ask_in) / 20, 2.5e5);
       const double wait = base * std::pow(2, std::min(follow_failures++, 3)) * (0.5 + Uniform());
-      return Do(SetTimer{ToUs(wait), "follow"});
+      return Do(SetTimer{Duration(std::llround(wait)), "follow"});
     }
     if (m.kind != ListKind::kCached) follow_failures = 0;
     if (m.kind != ListKind::kDelta) {
@@ -195,6 +194,7 @@
     }
     up = static_cast<size_t>(std::count_if(eps.begin(), eps.end(), Up));
     if (!started && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
+    if (!started) Do(SetTimer{kSweep, "sweep"});
     started = true;
     Dispatch();
   }
@@ -216,12 +216,12 @@
 
   void Failed(Endpoint& e, double weight) {
     Blend(e.err, 1, weight);
-    const bool trial = e.trips > 0 && now >= e.ejected_until;
-    if (e.err <= kErrEject || (e.trips > 0 && !trial)) return;
+    if (e.err <= kErrEject || now < e.ejected_until) return;
     const auto ejected = std::count_if(eps.begin(), eps.end(),
                                        [&](const Endpoint& o) { return Up(o) && o.trips > 0; });
     // Where most fail alike, no endpoint is worse than its peers: keep a bounded share out.
-    if (!trial && static_cast<double>(ejected) >= kMaxEjected * static_cast<double>(up)) return;
+    if (e.trips == 0 && static_cast<double>(ejected) >= kMaxEjected * static_cast<double>(up))
+      return;
     e.ejected_until = now + kEjectFirst * (1 << std::min(e.trips, kEjectDoublings));
     ++e.trips;
   }
@@ -238,15 +238,13 @@
     pace = Pace() + Cost(r) / kRateSpan;
   }
 
-  // One attempt's in-flight figure and time. What ran out of time counts too: answers alone would
-  // flatter a crowded endpoint.
+  // What ran out of time counts too: answers alone would flatter a crowded endpoint.
   void Observe(Endpoint& e, const Attempt& a, double took) {
     ++e.answers;
     const double we = std::max(kBlend, 1.0 / e.answers);
     Blend(e.f_mean, a.f_at_send, we);
     Blend(e.t_mean, took, we);
-    // Little's law gives its throughput. Crowded, that is what it can do; with room to spare it is
-    // only a lower bound, so a lower figure counts the less the quicker its answers are.
+    // Little's law. With room to spare, a lower throughput says little of what it can do.
     if (e.answers < kFewSamples) return;
     const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
     if (e.tput <= 0) e.tput = sample;
@@ -254,7 +252,6 @@
     Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
   }
 
-  // This gateway's finished work of late, in mean requests per us.
   double Pace() {
     pace *= std::exp(-Us(now - paced) / kRateSpan);
     paced = now;
@@ -296,8 +293,8 @@
     return std::clamp(kProbeSpend / s.charges.probe, kProbeLeast, kProbeMost);
   }
 
-  // Uses that one answer is good for, from the rates (the paper's formula). Outside its domain no
-  // budget keeps the pool filled, so an answer serves once and the fallback shows in the regime.
+  // Uses of one answer, by the paper's formula. Outside its domain no budget keeps the pool filled:
+  // an answer serves once, and the fallback shows in the regime.
   double ReuseBudget(double n) const {
     const double m = static_cast<double>(PoolBound());
     const double net = (1 - m / n) * ProbeRate() - ProbeRate() * kRemovePerProbe;
@@ -337,7 +334,7 @@
     return rif <= cut ? Key{false, p.latency} : Key{true, rif};
   }
 
-  // Place in the pool of the best entry that is allowed, ties at random; kNone if there is none.
+  // Place in the pool of the best entry that is allowed, ties at random.
   template <typename Filter>
   size_t HotCold(const Filter& allowed) {
     size_t best = kNone, ties = 0;
@@ -349,7 +346,7 @@
       ties = best != kNone && key == best_key ? ties + 1 : 1;
       if (Below(ties) == 0) best = i, best_key = key;
     }
-    if (best != kNone) SetRegime(best_key.first ? Regime::kHot : Regime::kCold);
+    SetRegime(best_key.first ? Regime::kHot : Regime::kCold);
     return best;
   }
 
@@ -389,8 +386,8 @@
     for (const Attempt& a : r.attempts) {
       if (a.ep == ep && (a.out || level != Strict::kHealth)) return false;
     }
-    if (level != Strict::kHealth && !Healthy(e)) return false;
-    if (e.trips > 0 && r.cls->effect == Effect::kUnsafe && level != Strict::kHealth) return false;
+    const bool risky = e.trips > 0 && r.cls->effect == Effect::kUnsafe;  // no trials with these
+    if (level != Strict::kHealth && (risky || !Healthy(e))) return false;
     if (Load(e) + 1 > Limit(e)) return false;
     if (level != Strict::kAim) return true;
     return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
@@ -489,7 +486,6 @@
   }
 
   // ---- 5. Attempts --------------------------------------------------------------------------
-  [[nodiscard]] Time AimAt(const Request& r) const { return r.arrived + r.cls->aim; }
 
   Request* Find(const std::string& id) {
     const auto at = by_id.find(id);
@@ -528,7 +524,7 @@
   }
 
   void TryAgain(Request& r) {
-    const bool hopeless = retry_tokens < 1 || Us(AimAt(r) - now) < *r.time / 2;
+    const bool hopeless = retry_tokens < 1 || Us(r.arrived + r.cls->aim - now) < *r.time / 2;
     const size_t ep = hopeless ? kNone : Pick(r);
     if (ep == kNone) return GiveUp(r);
     retry_tokens -= 1;
@@ -537,13 +533,13 @@
 
   // Looks over what is out: moves requests off endpoints gone silent, adds second copies.
   void Sweep() {
-    sweeping = false;
+    Do(SetTimer{kSweep, "sweep"});
     for (auto& [seq, r] : open) {
       if (r.over || r.streaming || r.out != 1) continue;
       const Attempt& a = r.attempts.back();
       if (!a.out || a.called_off || r.cls->effect == Effect::kUnsafe || retry_tokens < 1) continue;
       const Endpoint& e = eps[a.ep];
-      const double elapsed = Us(now - a.sent), left = Us(AimAt(r) - now);
+      const double elapsed = Us(now - a.sent), left = Us(r.arrived + r.cls->aim - now);
       const bool bad = Silent(e) || e.info.state == EndpointState::kRemoved;
       if (left < *r.time / 2 || elapsed < *r.time) continue;
       if (s.allowed.parallel_tries) {
@@ -558,18 +554,10 @@
       }
     }
     Dispatch();
-    KeepSweeping();
-  }
-
-  void KeepSweeping() {
-    if (sweeping || open.empty()) return;
-    sweeping = true;
-    Do(SetTimer{kSweep, "sweep"});
   }
 
   // ---- 6. Admission and fairness ------------------------------------------------------------
-  // Whether a request is beyond its tenant's part of what arrives here, or of this gateway's part
-  // of the quotas if that is more. Only the excess counts as beyond, not all that the tenant sends.
+  // Whether this request is beyond its tenant's part of the arrivals, or of the quotas if more.
   bool BeyondShare(size_t tenant) {
     const double passed = Us(now - arrivals_at);
     arrivals_at = now;
@@ -604,7 +592,6 @@
     ProbeSome();
     waiting.push_back(seq);
     Dispatch();
-    KeepSweeping();
   }
 
   // Sends what waits, the most worth for its work first; gives up at once on what cannot make it.
@@ -645,10 +632,8 @@
   // ---- 7. Events ----------------------------------------------------------------------------
   void Learn(size_t ep, const Report& report) {
     Endpoint& e = eps[ep];
-    const auto value = [&](int place) {
-      return static_cast<size_t>(place) < report.size()
-                 ? std::max(0.0, report[static_cast<size_t>(place)])
-                 : -1;
+    const auto value = [&](size_t at) {
+      return at < report.size() ? std::max(0.0, report[at]) : -1;
     };
     const double inflight = value(s.report.inflight), latency = value(s.report.latency_ms);
     if (inflight < 0) return;
--- a/src/brain.h
+++ b/src/brain.h
@@ -86,8 +86,8 @@
   } obligations;
   struct {
     ReportSource source = ReportSource::kNone;
-    int inflight = -1;  // place in the report's values; -1: not reported
-    int latency_ms = -1;
+    size_t inflight = SIZE_MAX;  // place in the report's values, past its end if not reported
+    size_t latency_ms = SIZE_MAX;
   } report;
 };
 
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -340,8 +340,8 @@
                             {"none", ReportSource::kNone}});
   const Parts fields = facts.List("Stats.Fields");
   for (size_t i = 0; i < fields.size(); ++i) {
-    if (fields[i] == "inflight") s.report.inflight = static_cast<int>(i);
-    if (fields[i] == "latency_ms") s.report.latency_ms = static_cast<int>(i);
+    if (fields[i] == "inflight") s.report.inflight = i;
+    if (fields[i] == "latency_ms") s.report.latency_ms = i;
   }
   return s;
 }
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -440,6 +440,7 @@
 
 TEST(Gate, ADeadlineAlreadyPastAndNoEndpointAtAll) {
   Gateway g(MakeSettings());
+  g.Endpoints(0);
   EXPECT_TRUE(Gateway::All<Send>(g.Ask("a")).empty());
   g.Pass(Ms(200));
   EXPECT_EQ(Gateway::All<Refuse>(g.log).size(), 1U);
--- a/tests/wire/wire_test.cpp
+++ b/tests/wire/wire_test.cpp
@@ -144,8 +144,8 @@
   EXPECT_EQ(s.discovery, DiscoveryMode::kAsk);
   EXPECT_TRUE(s.worth_by_work);
   EXPECT_TRUE(s.allowed.parallel_tries);
-  EXPECT_EQ(s.report.inflight, 1);
-  EXPECT_EQ(s.report.latency_ms, 2);
+  EXPECT_EQ(s.report.inflight, 1U);
+  EXPECT_EQ(s.report.latency_ms, 2U);
   EXPECT_DOUBLE_EQ(s.over_share_worth, 0.05);
 }
 
