--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -130,7 +130,7 @@
          target = 0;  // us; of a request over all classes, and aimed at
   int out = 0;        // own attempts out, anywhere
   size_t up = 0;      // endpoints that may get work
-  double pace = 0;    // see Pace()
+  double pace = 0;    // own finished work of late, in mean requests per us
   Time paced{0};
   std::vector<double> tenant_tokens;  // requests still within each tenant's share
   double arrivals = 0;                // decayed over kRateSpan
