--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -208,6 +208,47 @@
   EXPECT_TRUE(Gateway::All<Send>(g.Ask("r")).empty());
 }
 
+// The trouble: gateways that know nothing yet fill every endpoint at once, each seeing it empty.
+TEST(Load, AnUnreportedEndpointIsSharedOut) {
+  const auto sent = [](int instances) {
+    Settings s = MakeSettings();
+    s.instances = instances;
+    s.allowed.probes = false;
+    Gateway g(s);
+    g.Endpoints(4);
+    for (int i = 0; i < 60; ++i) g.Ask("r" + std::to_string(i));
+    return g.sends.size();
+  };
+  EXPECT_LT(sent(20), sent(1) / 2);
+}
+
+// The trouble: what is slow by nature needs near the target when idle, and its limit shrank away.
+TEST(Capacity, ASlowEndpointIsNotStarvedBesideQuickOnes) {
+  Settings s = MakeSettings();
+  s.instances = 1;
+  Gateway g(s);
+  g.Endpoints(4);
+  const auto serve = [&](const Send& send) {
+    const bool slow = send.endpoint == "e0";
+    g.End(send.id, 0, send.endpoint, Outcome::kOk, slow ? Ms(220) : Ms(60), true);
+  };
+  std::vector<Send> batch;
+  for (int round = 0; round < 60; ++round) {  // sixteen at a time, so that limits are learned
+    const size_t before = g.sends.size();
+    for (int i = 0; i < 16; ++i) g.Ask(std::to_string(round) + "-" + std::to_string(i));
+    g.now += Ms(10);
+    for (size_t k = before; k < g.sends.size(); ++k) batch.push_back(g.sends[k]);
+    for (const Send& send : batch) serve(send);
+    batch.clear();
+  }
+  size_t on_slow = 0;
+  for (const Send& send : g.sends) g.Probed(send.endpoint, 0, 1);
+  const size_t before = g.sends.size();
+  for (int i = 0; i < 60; ++i) g.Ask("last" + std::to_string(i));
+  for (size_t k = before; k < g.sends.size(); ++k) on_slow += g.sends[k].endpoint == "e0" ? 1 : 0;
+  EXPECT_GE(on_slow, 3U);
+}
+
 // ---- Health ---------------------------------------------------------------------------------
 
 // The trouble: an endpoint that fails fast looks idle and quick.
