--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -93,7 +93,8 @@
   bool over = false;
   bool waiting = false;
   bool streaming = false;
-  bool beyond = false;  // beyond its tenant's share
+  bool in_time = false;  // answered within its aim
+  bool beyond = false;   // beyond its tenant's share
 };
 
 struct PoolEntry {
@@ -125,7 +126,8 @@
   bool started = false, remove_oldest = true;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
   int follow_failures = 0;
-  std::vector<double> times;  // us; mean time of each class
+  std::vector<double> served, shares;  // of each class: served in its aim, part of the arrivals
+  std::vector<double> times;           // us; mean time of each class
   double limit_mean = 0, mean_time = 0,
          target = 0;  // us; of a request over all classes, and aimed at
   int out = 0;        // own attempts out, anywhere
@@ -154,6 +156,8 @@
       times.push_back(Us(c.aim) / 4);
       target = std::min(target, kAimShare * Us(c.aim));
     }
+    served.assign(s.classes.size(), 1);
+    shares.assign(s.classes.size(), 1.0 / static_cast<double>(s.classes.size()));
     tenant_tokens.assign(s.tenants.size(), 1);
     mean_time = target;
   }
@@ -512,25 +516,23 @@
     if (answered) e.silent_since = now;
     if (silent) Observe(e, a, Us(in.took));
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
+    if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
     if (in.outcome == Outcome::kConnectFailed || (silent && was_silent)) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
       r.over = true;
     } else if (r.out == 0) {
-      TryAgain(r);
+      if (retry_tokens < 1 || Us(r.arrived + r.cls->aim - now) < *r.time / 2) {
+        GiveUp(r);
+      } else {
+        retry_tokens -= 1, r.waiting = true;
+        waiting.push_back(r.seq);
+      }
     }
     Forget(r);
     Dispatch();
   }
 
-  void TryAgain(Request& r) {
-    const bool hopeless = retry_tokens < 1 || Us(r.arrived + r.cls->aim - now) < *r.time / 2;
-    const size_t ep = hopeless ? kNone : Pick(r);
-    if (ep == kNone) return GiveUp(r);
-    retry_tokens -= 1;
-    SendTo(r, ep);
-  }
-
   // Looks over what is out: moves requests off endpoints gone silent, adds second copies.
   void Sweep() {
     Do(SetTimer{kSweep, "sweep"});
@@ -576,18 +578,27 @@
     return beyond;
   }
 
+  // Worth for work. The class served worst here gains what the result mix adds for it, so that
+  // under overload the cheapest worth does not starve a class.
   [[nodiscard]] double Priority(const Request& r) const {
-    const double worth = r.cls->worth * (r.beyond ? s.over_share_worth : 1);
-    return s.worth_by_work ? worth : worth / *r.time;
+    double worth = r.cls->worth, mean_worth = 0;
+    for (size_t i = 0; i < shares.size(); ++i) mean_worth += shares[i] * s.classes[i].worth;
+    if (served[r.in.cls] <= *std::min_element(served.begin(), served.end())) {
+      const double whole = std::max(s.mix.whole + s.mix.worst_window, 0.1);
+      worth += s.mix.worst_class / whole * mean_worth / std::max(shares[r.in.cls], kBlend);
+    }
+    return worth * (r.beyond ? s.over_share_worth : 1) / (s.worth_by_work ? 1 : *r.time);
   }
 
   void On(const Submit& in) {
     if (by_id.contains(in.id)) return;
     const uint64_t seq = by_id[in.id] = next_seq++;
     const size_t cls = std::min(in.cls, s.classes.size() - 1);
-    open[seq] =
-        Request{seq, &s.classes[cls], &times[cls], in, now, {}, 0, false, true, false, false};
+    for (size_t i = 0; i < shares.size(); ++i) Blend(shares[i], i == cls ? 1 : 0, kBlend / 4);
+    open[seq] = Request{seq, &s.classes[cls], &times[cls], in,    now,   {},
+                        0,   false,           true,        false, false, false};
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
+    open[seq].in.cls = cls;
     open[seq].beyond = BeyondShare(in.tenant);
     ProbeSome();
     waiting.push_back(seq);
@@ -616,7 +627,7 @@
         GiveUp(r);
         Forget(r);
       } else {
-        full = true;
+        full = full || r.attempts.empty();  // a repeat may be bound to few endpoints
         r.waiting = true;
         waiting.push_back(seq);
       }
@@ -625,6 +636,7 @@
 
   void Forget(Request& r) {
     if (!r.over || r.out > 0 || r.waiting) return;
+    Blend(served[r.in.cls], r.in_time ? 1 : 0, kBlend / 4);
     by_id.erase(r.in.id);
     open.erase(r.seq);
   }
