--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -8,6 +8,7 @@
 #include <random>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
 
 namespace paddlestile {
 namespace {
@@ -44,7 +45,7 @@
 constexpr double kQuotaSlack = 1.3;  // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;  // us; of a tenant's rate that may come at once
 constexpr double kPeerFloor = 0.5;   // of the peers' mean limit: slow by nature is not crowded
-constexpr int kFewSamples = 5;       // answers before an average is trusted
+constexpr double kFewSamples = 4;    // answers before an average is trusted
 
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
 
@@ -65,7 +66,7 @@
   int trips = 0;                  // ejections in a row
   Time silent_since{0};           // last answer, or the send that found none out
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
-  int answers = 0;
+  double busy = 0, done = 0;      // us spent by own attempts there, attempts ended
   double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
   double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
   Time cold_filled{-1};
@@ -91,7 +92,7 @@
   std::vector<Attempt> attempts;
   int out = 0;
   bool over = false;
-  bool waiting = false;
+  bool waiting = true;
   bool streaming = false;
   bool in_time = false;  // answered within its aim
   bool beyond = false;   // beyond its tenant's share
@@ -196,10 +197,11 @@
       }
       e.info = info;
     }
-    up = static_cast<size_t>(std::count_if(eps.begin(), eps.end(), Up));
-    if (!started && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
-    if (!started) Do(SetTimer{kSweep, "sweep"});
-    started = true;
+    up = static_cast<size_t>(std::ranges::count_if(eps, Up));
+    if (!std::exchange(started, true)) {
+      Do(SetTimer{kSweep, "sweep"});
+      if (s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
+    }
     Dispatch();
   }
 
@@ -221,11 +223,10 @@
   void Failed(Endpoint& e, double weight) {
     Blend(e.err, 1, weight);
     if (e.err <= kErrEject || now < e.ejected_until) return;
-    const auto ejected = std::count_if(eps.begin(), eps.end(),
-                                       [&](const Endpoint& o) { return Up(o) && o.trips > 0; });
+    const auto out_now = [](const Endpoint& o) { return Up(o) && o.trips > 0; };
+    const auto ejected = static_cast<double>(std::ranges::count_if(eps, out_now));
     // Where most fail alike, no endpoint is worse than its peers: keep a bounded share out.
-    if (e.trips == 0 && static_cast<double>(ejected) >= kMaxEjected * static_cast<double>(up))
-      return;
+    if (e.trips == 0 && ejected >= kMaxEjected * static_cast<double>(up)) return;
     e.ejected_until = now + kEjectFirst * (1 << std::min(e.trips, kEjectDoublings));
     ++e.trips;
   }
@@ -238,32 +239,28 @@
     }
     Blend(*r.time, took, kBlend / 4);
     Blend(mean_time, took, kBlend / 4);
-    Observe(e, a, took);
-    pace = Pace() + Cost(r) / kRateSpan;
+    Observe(e, a);
+    pace = pace * std::exp(-Us(now - paced) / kRateSpan) + Cost(r) / kRateSpan;
+    paced = now;
   }
 
-  // What ran out of time counts too: answers alone would flatter a crowded endpoint.
-  void Observe(Endpoint& e, const Attempt& a, double took) {
-    ++e.answers;
-    const double we = std::max(kBlend, 1.0 / e.answers);
-    Blend(e.f_mean, a.f_at_send, we);
-    Blend(e.t_mean, took, we);
+  // What is out or ran out of time counts too: answers alone would flatter a crowded endpoint.
+  void Observe(Endpoint& e, const Attempt& a) {
+    e.done = e.done * (1 - kBlend) + 1;
+    e.busy *= 1 - kBlend;
+    e.t_mean = e.busy / e.done;
+    Blend(e.f_mean, a.f_at_send, 1 / e.done);
     // Little's law. With room to spare, a lower throughput says little of what it can do.
-    if (e.answers < kFewSamples) return;
+    if (e.done < kFewSamples) return;
     const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
     if (e.tput <= 0) e.tput = sample;
     Blend(limit_mean, Limit(e), kBlend / 4);
     Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
   }
 
-  double Pace() {
-    pace *= std::exp(-Us(now - paced) / kRateSpan);
-    paced = now;
-    return pace;
-  }
-
   void TrackOut(Endpoint& e) const {
     e.out_mean += (1 - std::exp(-Us(now - e.out_at) / kReportLag)) * (e.out - e.out_mean);
+    e.busy += Us(now - e.out_at) * e.out;
     e.out_at = now;
   }
 
@@ -359,10 +356,8 @@
     for (remove_due += ProbeRate() * kRemovePerProbe; remove_due >= 1; remove_due -= 1) {
       if (pool.empty()) continue;
       const double cut = ColdCut();
-      const auto worse = [&](const PoolEntry& a, const PoolEntry& b) {
-        return Rank(a, cut) < Rank(b, cut);
-      };
-      pool.erase(remove_oldest ? pool.begin() : std::max_element(pool.begin(), pool.end(), worse));
+      const auto rank = [&](const PoolEntry& p) { return Rank(p, cut); };
+      pool.erase(remove_oldest ? pool.begin() : std::ranges::max_element(pool, {}, rank));
       remove_oldest = !remove_oldest;
     }
   }
@@ -402,10 +397,9 @@
     Purge();
     const auto fit = [&](const Endpoint& e) { return Up(e) && Healthy(e); };
     for (const Strict level : {Strict::kAim, Strict::kCapacity, Strict::kHealth}) {
-      if (level == Strict::kHealth && std::any_of(eps.begin(), eps.end(), fit)) break;
+      if (level == Strict::kHealth && std::ranges::any_of(eps, fit)) break;
       const auto allowed = [&](size_t ep) { return Eligible(r, ep, level); };
-      const auto usable = std::count_if(pool.begin(), pool.end(),
-                                        [&](const PoolEntry& p) { return allowed(p.ep); });
+      const auto usable = std::ranges::count_if(pool, allowed, &PoolEntry::ep);
       if (usable >= 2) {
         PoolEntry& p = pool[HotCold(allowed)];
         --p.uses;
@@ -445,8 +439,7 @@
   [[nodiscard]] bool MayRefuse(const Request& r) const {
     if (r.cls->effect == Effect::kSafe) return true;
     if (r.cls->effect == Effect::kKeyed && r.cls->group == DedupGroup::kAll) return true;
-    return std::none_of(r.attempts.begin(), r.attempts.end(),
-                        [](const Attempt& a) { return a.may_have_run; });
+    return std::ranges::none_of(r.attempts, &Attempt::may_have_run);
   }
 
   [[nodiscard]] bool Cold(const Endpoint& e) const {
@@ -460,8 +453,8 @@
     const double age = std::max(0.0, Us(now - e.info.launched) / Us(s.obligations.warm_within));
     const double share =
         s.obligations.cold_from + (1 - s.obligations.cold_from) * std::min(1.0, age);
-    const double pace = Pace() / static_cast<double>(std::max<size_t>(up, 1));
-    const double rate = pace * share * s.obligations.fall_multiple * kColdSafety;
+    const double mean_pace = pace / static_cast<double>(std::max<size_t>(up, 1));
+    const double rate = mean_pace * share * s.obligations.fall_multiple * kColdSafety;
     if (e.cold_filled >= Time(0)) e.cold_tokens += rate * Us(now - e.cold_filled);
     e.cold_filled = now;
     e.cold_tokens = std::min(e.cold_tokens, std::max(1.5, rate * Us(s.obligations.fall) / 4));
@@ -514,7 +507,7 @@
     const bool answered =
         !silent && in.outcome != Outcome::kConnectFailed && in.outcome != Outcome::kMoot;
     if (answered) e.silent_since = now;
-    if (silent) Observe(e, a, Us(in.took));
+    if (silent) Observe(e, a);
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
@@ -559,18 +552,14 @@
   }
 
   // ---- 6. Admission and fairness ------------------------------------------------------------
-  // Whether this request is beyond its tenant's part of the arrivals, or of the quotas if more.
+  // Whether this request is beyond its tenant's part of the arrivals here.
   bool BeyondShare(size_t tenant) {
     const double passed = Us(now - arrivals_at);
     arrivals_at = now;
     arrivals = arrivals * std::exp(-passed / kRateSpan) + 1;
     if (tenant >= s.tenants.size()) return false;
-    double quota = 0;
-    for (const Tenant& t : s.tenants) quota += t.quota_per_s / 1e6;
-    const double total = std::max(arrivals / kRateSpan, quota / s.instances);
     for (size_t i = 0; i < s.tenants.size(); ++i) {
-      const double rate =
-          kQuotaSlack * total * s.tenants[i].quota_per_s / 1e6 / std::max(quota, 1e-12);
+      const double rate = kQuotaSlack * arrivals / kRateSpan * s.tenants[i].share;
       tenant_tokens[i] = std::min(tenant_tokens[i] + rate * passed, 2 + rate * kQuotaBurst);
     }
     const bool beyond = tenant_tokens[tenant] < 1;
@@ -583,7 +572,7 @@
   [[nodiscard]] double Priority(const Request& r) const {
     double worth = r.cls->worth, mean_worth = 0;
     for (size_t i = 0; i < shares.size(); ++i) mean_worth += shares[i] * s.classes[i].worth;
-    if (served[r.in.cls] <= *std::min_element(served.begin(), served.end())) {
+    if (served[r.in.cls] <= std::ranges::min(served)) {
       const double whole = std::max(s.mix.whole + s.mix.worst_window, 0.1);
       worth += s.mix.worst_class / whole * mean_worth / std::max(shares[r.in.cls], kBlend);
     }
@@ -595,8 +584,7 @@
     const uint64_t seq = by_id[in.id] = next_seq++;
     const size_t cls = std::min(in.cls, s.classes.size() - 1);
     for (size_t i = 0; i < shares.size(); ++i) Blend(shares[i], i == cls ? 1 : 0, kBlend / 4);
-    open[seq] = Request{seq, &s.classes[cls], &times[cls], in,    now,   {},
-                        0,   false,           true,        false, false, false};
+    open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}};
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
     open[seq].in.cls = cls;
     open[seq].beyond = BeyondShare(in.tenant);
@@ -610,7 +598,7 @@
     if (waiting.empty()) return;
     std::vector<std::pair<double, uint64_t>> order;
     for (const uint64_t seq : waiting) order.emplace_back(-Priority(open.at(seq)), seq);
-    std::sort(order.begin(), order.end());
+    std::ranges::sort(order);
     waiting.clear();
     bool full = false;
     for (const auto& [priority, seq] : order) {
@@ -644,16 +632,13 @@
   // ---- 7. Events ----------------------------------------------------------------------------
   void Learn(size_t ep, const Report& report) {
     Endpoint& e = eps[ep];
-    const auto value = [&](size_t at) {
-      return at < report.size() ? std::max(0.0, report[at]) : -1;
-    };
+    const auto value = [&](size_t i) { return i < report.size() ? std::max(0.0, report[i]) : -1; };
     const double inflight = value(s.report.inflight), latency = value(s.report.latency_ms);
     if (inflight < 0) return;
     // The report is older than it looks: take off what was out here around then, not what is now.
     TrackOut(e);
-    const double fresh =
-        e.reported < Time(0) ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
-    Blend(e.others, std::max(0.0, inflight - e.out_mean), fresh);
+    const double w = e.reported < Time(0) ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
+    Blend(e.others, std::max(0.0, inflight - e.out_mean), w);
     e.reported = now;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
     const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
