--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -604,19 +604,19 @@
     for (const auto& [priority, seq] : order) {
       Request& r = open.at(seq);
       r.waiting = false;
-      const size_t ep = full || r.over ? kNone : Pick(r);
+      const bool repeat = !r.attempts.empty();
+      const size_t ep = (full && !repeat) || r.over ? kNone : Pick(r);
       if (r.over) {
         Forget(r);
       } else if (ep != kNone) {
         SendTo(r, ep);
-      } else if (now + 2 * kSweep >= r.in.deadline ||
+      } else if (repeat || now + 2 * kSweep >= r.in.deadline ||
                  Us(now - r.arrived) > kHoldShare * Us(r.cls->aim)) {
         // No timer comes early: a try that is given up soon gets its answer at this look.
         GiveUp(r);
         Forget(r);
       } else {
-        full = full || r.attempts.empty();  // a repeat may be bound to few endpoints
-        r.waiting = true;
+        full = r.waiting = true;
         waiting.push_back(seq);
       }
     }
--- a/tests/brain_law_test.cpp
+++ b/tests/brain_law_test.cpp
@@ -205,6 +205,7 @@
   Settings s = MakeSettings();
   s.allowed.parallel_tries = GetParam() % 2 == 0;
   s.allowed.cancel = GetParam() % 3 != 0;
+  if (GetParam() >= 6) s.allowed.send_cap = 2;
   World world(s, GetParam());
   world.Run(3000);
   EXPECT_GT(world.trace.size(), 500U);
