--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 #include <set>
 #include <stdexcept>
 
@@ -351,6 +353,73 @@
   EXPECT_LT(sent_in_a_rush(true), sent_in_a_rush(false));
 }
 
+// ---- Admission ------------------------------------------------------------------------------
+
+// The trouble: under overload the cheapest worth takes all, and a class that counts is starved.
+TEST(Admission, TheClassServedWorstGainsWhatTheResultMixAdds) {
+  const auto sent_of_lesser = [](double worst_class) {
+    Settings s = MakeSettings();
+    s.instances = 1;
+    s.classes = {s.classes[4], s.classes[4]};
+    s.classes[0].worth = 3;
+    s.classes[1].worth = 2;
+    s.mix.worst_class = worst_class;
+    Gateway g(s);
+    g.Endpoints(1);
+    std::map<std::string, Time> out;
+    size_t lesser = 0, seen = 0;
+    for (int i = 0; i < 400; ++i) {
+      g.Ask("a" + std::to_string(i), 0);
+      g.Ask("b" + std::to_string(i), 1);
+      g.Pass(Ms(20));
+      for (auto at = out.begin(); at != out.end();) {
+        if (g.now - at->second < Ms(120)) {
+          ++at;
+          continue;
+        }
+        g.End(at->first, 0, "e0", Outcome::kOk, Ms(120), true);
+        at = out.erase(at);
+      }
+      for (; seen < g.sends.size(); ++seen) {
+        out[g.sends[seen].id] = g.now;
+        if (i >= 100 && g.sends[seen].id[0] == 'b') ++lesser;
+      }
+    }
+    return lesser;
+  };
+  EXPECT_GT(sent_of_lesser(0.5), 2 * sent_of_lesser(0) + 10);
+}
+
+TEST(Admission, OnlyATenantsExcessLosesRank) {
+  Settings s = MakeSettings();
+  s.instances = 1;
+  s.tenants = {{100, 0.5}, {100, 0.5}};
+  s.over_share_worth = 0.01;
+  Gateway g(s);
+  g.Endpoints(1);
+  std::map<size_t, size_t> sent;
+  std::map<std::string, Time> out;
+  size_t seen = 0;
+  for (int i = 0; i < 600; ++i) {  // tenant 0 asks four times for each once of tenant 1
+    for (int k = 0; k < 4; ++k) {
+      g.Ask("0-" + std::to_string(i) + "-" + std::to_string(k), 4, Ms(1000), 0);
+    }
+    g.Ask("1-" + std::to_string(i), 4, Ms(1000), 1);
+    g.Pass(Ms(20));
+    for (auto at = out.begin(); at != out.end();) {
+      const bool done = g.now - at->second >= Ms(60);
+      if (done) g.End(at->first, 0, "e0", Outcome::kOk, Ms(60), true);
+      at = done ? out.erase(at) : std::next(at);
+    }
+    for (; seen < g.sends.size(); ++seen) {
+      out[g.sends[seen].id] = g.now;
+      if (i >= 300) ++sent[g.sends[seen].id[0] == '0' ? 0 : 1];
+    }
+  }
+  EXPECT_GT(sent[0], 30U);          // within its share it is served
+  EXPECT_GT(sent[1], sent[0] / 3);  // a quarter of the requests, more than a quarter of the sends
+}
+
 // ---- The legality gate ----------------------------------------------------------------------
 
 struct LegalCase {
