--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,7 +19,7 @@
 constexpr double kPoolShare = 0.8;       // of the endpoints; m < n keeps the reuse formula defined
 constexpr Duration kPoolAge{1'000'000};  // us; the design page's starting point
 constexpr double kColdRank = 0.5;        // of the pool's in-flight figures; median rank
-constexpr double kProbeSpend = 0.012;    // of the result; what probing may cost where it is priced
+constexpr double kProbeSpend = 0.008;    // of the result; what probing may cost where it is priced
 constexpr double kProbeLeast = 0.25;     // probes a request; keeps a pool over a small fleet filled
 constexpr double kProbeMost = 2;         // probes a request; more tells nothing new
 constexpr double kRemovePerProbe = 1.0 / 12;  // removals a probe; well inside the formula's domain
@@ -32,7 +32,6 @@
 constexpr double kSilence = 3;              // typical times without any answer: suspect
 constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
 constexpr double kHoldShare = 0.2;          // of the aim that a request may wait here
-constexpr double kHedgeAfter = 3;           // times a class's mean time before a second copy
 constexpr double kRetryEarn = 0.2;          // further attempts earned by each request
 constexpr double kRetryMost = 10;           // further attempts saved up
 constexpr double kColdSafety = 0.5;         // of the cold budget; sizes differ and work is random
@@ -536,14 +535,13 @@
       const Endpoint& e = eps[a.ep];
       const double elapsed = Us(now - a.sent), left = Us(r.arrived + r.cls->aim - now);
       const bool bad = Silent(e) || e.info.state == EndpointState::kRemoved;
-      if (left < *r.time / 2 || elapsed < *r.time) continue;
+      if (!bad || left < *r.time / 2 || elapsed < *r.time) continue;
       if (s.allowed.parallel_tries) {
-        if (!bad && elapsed < kHedgeAfter * *r.time) continue;
         const size_t ep = Pick(r);
         if (ep == kNone) continue;
         retry_tokens -= 1;
         SendTo(r, ep);
-      } else if (bad && s.allowed.cancel) {
+      } else if (s.allowed.cancel) {
         r.attempts.back().called_off = true;
         Do(Cancel{r.in.id, r.attempts.size() - 1});
       }
