--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -18,10 +18,10 @@
 constexpr size_t kPoolMost = 16;         // entries; the paper's pool
 constexpr double kPoolShare = 0.8;       // of the endpoints; m < n keeps the reuse formula defined
 constexpr Duration kPoolAge{1'000'000};  // us; the design page's starting point
-constexpr double kColdRank = 0.5;        // of the pool's in-flight figures; median rank
-constexpr double kProbeSpend = 0.008;    // of the result; what probing may cost where it is priced
-constexpr double kProbeLeast = 0.25;     // probes a request; keeps a pool over a small fleet filled
-constexpr double kProbeMost = 2;         // probes a request; more tells nothing new
+constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
+constexpr double kProbeSpend = 0.008;  // of the result; what probing may cost where it is priced
+constexpr double kProbeLeast = 0.25;   // probes a request; keeps a pool over a small fleet filled
+constexpr double kProbeMost = 2;       // probes a request; more tells nothing new
 constexpr double kRemovePerProbe = 1.0 / 12;  // removals a probe; well inside the formula's domain
 constexpr double kBlend = 0.1;                // weight of one new sample in a slow average
 constexpr double kErrBlend = 0.2;             // weight of one outcome in the error share
