--- a/tests/brain_law_test.cpp
+++ b/tests/brain_law_test.cpp
@@ -2,6 +2,7 @@
 // only what went in and came out counts. Outcomes are drawn, no server is modelled.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <set>
@@ -199,6 +200,50 @@
   int next_ = 0;
 };
 
+// The pick against a slow reference, on generated pools: the cut by sorting, then every entry that
+// no other allowed entry beats. What holds four or more is over the first limit, so not allowed.
+TEST(HotCold, AgreesWithASlowReferenceOnGeneratedPools) {
+  std::mt19937_64 rng(11);
+  const auto draw = [&](int n) { return static_cast<int>(rng() % static_cast<uint64_t>(n)); };
+  int cold = 0, hot = 0;
+  for (int round = 0; round < 400; ++round) {
+    testing::Gateway g(MakeSettings(), static_cast<uint64_t>(round));
+    g.Endpoints(30);
+    struct Entry {
+      std::string id;
+      int rif, latency;
+    };
+    std::vector<Entry> pool, allowed;
+    for (int i = 0, n = 2 + draw(14); i < n; ++i) {
+      pool.push_back({"e" + std::to_string(i), draw(round % 2 ? 4 : 9), 5 + draw(6)});
+      g.Probed(pool.back().id, pool.back().rif, pool.back().latency);
+    }
+    std::vector<int> rifs;
+    for (const Entry& e : pool) {
+      rifs.push_back(e.rif);
+      if (e.rif + 1 <= 4) allowed.push_back(e);
+    }
+    if (allowed.size() < 2) continue;
+    std::sort(rifs.begin(), rifs.end());
+    const int cut = rifs[(rifs.size() - 1) / 4];
+    std::set<std::string> best;
+    for (const Entry& e : allowed) {
+      bool beaten = false;
+      for (const Entry& o : allowed) {
+        const bool e_cold = e.rif <= cut, o_cold = o.rif <= cut;
+        beaten = beaten || (o_cold && !e_cold) || (o_cold && e_cold && o.latency < e.latency) ||
+                 (!o_cold && !e_cold && o.rif < e.rif);
+      }
+      if (!beaten) best.insert(e.id);
+    }
+    g.Ask("r", 4);
+    ASSERT_EQ(g.sends.size(), 1U);
+    EXPECT_TRUE(best.contains(g.sends[0].endpoint)) << "round " << round;
+    ++(g.brain.stats().last == Regime::kCold ? cold : hot);
+  }
+  EXPECT_GT(cold, 200);
+}
+
 class Rules : public ::testing::TestWithParam<uint64_t> {};
 
 TEST_P(Rules, HoldOverRandomLegalEvents) {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -502,6 +502,17 @@
   }
 }
 
+TEST(Gate, NoMoreAttemptsThanAllowed) {
+  Settings s = MakeSettings();
+  s.allowed.send_cap = 1;
+  Gateway g(s);
+  g.Endpoints(4);
+  g.Ask("r");
+  const auto then = g.End("r", 0, g.sends[0].endpoint, Outcome::kError, Ms(5));
+  EXPECT_TRUE(Gateway::All<Send>(then).empty());
+  EXPECT_EQ(Gateway::All<Refuse>(then).size(), 1U);
+}
+
 TEST(Gate, NeverTwoOutWhereThatIsNotAllowed) {
   Settings s = MakeSettings();
   s.allowed.parallel_tries = false;
