--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,6 +16,8 @@
 // ---- Constants: unit and reason for each ----------------------------------------------------
 constexpr Duration kSweep{10'000};       // us; a fraction of any useful aim, cheap to run
 constexpr size_t kPoolMost = 16;         // entries; the paper's pool
+constexpr double kSetLeast = 16;         // endpoints; as many as the pool can tell apart at once
+constexpr double kSetCover = 8;          // gateways that should use each endpoint, on average
 constexpr double kPoolShare = 0.8;       // of the endpoints; m < n keeps the reuse formula defined
 constexpr Duration kPoolAge{1'000'000};  // us; the design page's starting point
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
@@ -28,6 +30,7 @@
 constexpr double kErrEject = 0.3;             // error share: two failures in a row, or in three
 constexpr double kMaxEjected = 0.5;  // of the endpoints; past that they are no worse than peers
 constexpr Duration kEjectFirst{1'000'000};  // us; doubles with each failed trial
+constexpr Duration kAwayFirst{2'000'000};   // us; a place in the set is free for another so long
 constexpr int kEjectDoublings = 3;          // up to 8 s, the order of a short outage
 constexpr double kSilence = 3;              // typical times without any answer: suspect
 constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
@@ -55,6 +58,7 @@
   EndpointInfo info;
   int out = 0;  // own attempts out
   int probes_out = 0;
+  bool in_set = false;  // of the working set
   double others = 0;    // in flight there from elsewhere, by the last reports
   Time reported{-1};    // when a report last came; -1: never
   double out_mean = 0;  // own attempts out, averaged over kReportLag
@@ -62,6 +66,8 @@
   double link = 0;  // us; probe round trip, 0 unknown
   double err = 0;   // share of failed outcomes, recent
   Time ejected_until{0};
+  Time away_until{0};  // out of the working set till then
+  int lost = 0;        // connections that failed in a row
   int trips = 0;                  // ejections in a row
   Time silent_since{0};           // last answer, or the send that found none out
   double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
@@ -122,6 +128,7 @@
   std::unordered_map<std::string, uint64_t> by_id;   // look-up only
   std::vector<uint64_t> waiting;                     // held requests, unsorted
   std::vector<PoolEntry> pool;
+  std::vector<size_t> set;  // the endpoints that this gateway works with
   uint64_t next_seq = 0;
   bool started = false, remove_oldest = true;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
@@ -191,12 +198,13 @@
     for (const EndpointInfo& info : m.entries) {
       Endpoint& e = eps[Intern(info.id)];
       if (info.launched > e.info.launched) {  // a new process: nothing learned of the old one holds
-        const int out = e.out, probes_out = e.probes_out;
-        e = Endpoint{}, e.out = out, e.probes_out = probes_out;
+        const Endpoint was = std::exchange(e, Endpoint{});
+        e.out = was.out, e.probes_out = was.probes_out, e.in_set = was.in_set;
       }
       e.info = info;
     }
     up = static_cast<size_t>(std::ranges::count_if(eps, Up));
+    FillSet();
     if (!std::exchange(started, true)) {
       Do(SetTimer{kSweep, "sweep"});
       if (s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
@@ -204,6 +212,33 @@
     Dispatch();
   }
 
+  // Hundreds of gateways that each work with the whole of a large fleet see every endpoint too
+  // seldom to know it, and hold a connection to each. A random share of it, large enough that every
+  // endpoint has several gateways, is met often; who is sick or unreachable leaves his place.
+  [[nodiscard]] bool Usable(const Endpoint& e) const { return Up(e) && now >= e.away_until; }
+
+  void FillSet() {
+    std::erase_if(set, [&](size_t i) {
+      eps[i].in_set = Usable(eps[i]);
+      return !eps[i].in_set;
+    });
+    const double cover = kSetCover * static_cast<double>(up) / s.instances;
+    const auto want = static_cast<size_t>(std::max(kSetLeast, std::ceil(cover)));
+    std::vector<size_t> rest;
+    if (set.size() >= std::min(want, up)) return;
+    for (const bool away : {false, true}) {  // those away only where there are no others
+      rest.clear();
+      for (size_t i = 0; i < eps.size(); ++i) {
+        if (!eps[i].in_set && Up(eps[i]) && (away || Usable(eps[i]))) rest.push_back(i);
+      }
+      for (; set.size() < (away ? 2 : want) && !rest.empty(); rest.pop_back()) {
+        std::swap(rest[Below(rest.size())], rest.back());
+        set.push_back(rest.back());
+        eps[rest.back()].in_set = true;
+      }
+    }
+  }
+
   // ---- 2. Health and capacity ---------------------------------------------------------------
   [[nodiscard]] double Cost(const Request& r) const { return *r.time / mean_time; }
 
@@ -222,12 +257,21 @@
   void Failed(Endpoint& e, double weight) {
     Blend(e.err, 1, weight);
     if (e.err <= kErrEject || now < e.ejected_until) return;
-    const auto out_now = [](const Endpoint& o) { return Up(o) && o.trips > 0; };
-    const auto ejected = static_cast<double>(std::ranges::count_if(eps, out_now));
+    const auto out_now = [&](size_t i) { return eps[i].trips > 0; };
+    const auto ejected = static_cast<double>(std::ranges::count_if(set, out_now));
     // Where most fail alike, no endpoint is worse than its peers: keep a bounded share out.
-    if (e.trips == 0 && ejected >= kMaxEjected * static_cast<double>(up)) return;
+    if (e.trips == 0 && ejected >= kMaxEjected * static_cast<double>(set.size())) return;
     e.ejected_until = now + kEjectFirst * (1 << std::min(e.trips, kEjectDoublings));
     ++e.trips;
+    if (set.size() < up) Leave(e);
+  }
+
+  // Another takes the place of an endpoint that is sick or gave no connection (its table may be
+  // full, which no report shows); it may be drawn again later, and not by all gateways together.
+  void Leave(Endpoint& e) {
+    const double away = Us(kAwayFirst) * (1 << std::min(e.lost, kEjectDoublings));
+    e.away_until = now + Duration(std::llround(away * (0.5 + Uniform())));
+    FillSet();
   }
 
   void Answered(Endpoint& e, const Attempt& a, const Request& r, double took) {
@@ -304,7 +348,7 @@
 
   void Purge() {
     std::erase_if(pool, [&](const PoolEntry& p) {
-      return p.uses <= 0 || now - p.at > kPoolAge || !Up(eps[p.ep]);
+      return p.uses <= 0 || now - p.at > kPoolAge || !eps[p.ep].in_set || !Up(eps[p.ep]);
     });
   }
 
@@ -365,7 +409,7 @@
   void ProbeSome() {
     for (probe_due += ProbeRate(); probe_due >= 1; probe_due -= 1) {
       std::vector<size_t> to;
-      for (size_t i = 0; i < eps.size(); ++i) {
+      for (const size_t i : set) {
         if (Up(eps[i]) && eps[i].probes_out == 0) to.push_back(i);
       }
       if (to.empty()) continue;
@@ -394,9 +438,9 @@
   // The endpoint for a request, or kNone where none may take it now.
   size_t Pick(const Request& r) {
     Purge();
-    const auto fit = [&](const Endpoint& e) { return Up(e) && Healthy(e); };
+    const auto fit = [&](size_t i) { return Up(eps[i]) && Healthy(eps[i]); };
     for (const Strict level : {Strict::kAim, Strict::kCapacity, Strict::kHealth}) {
-      if (level == Strict::kHealth && std::ranges::any_of(eps, fit)) break;
+      if (level == Strict::kHealth && std::ranges::any_of(set, fit)) break;
       const auto allowed = [&](size_t ep) { return Eligible(r, ep, level); };
       const auto usable = std::ranges::count_if(pool, allowed, &PoolEntry::ep);
       if (usable >= 2) {
@@ -406,7 +450,7 @@
       }
       // Fallback without probes: two random choices by own attempts out.
       std::vector<size_t> to;
-      for (size_t i = 0; i < eps.size(); ++i) {
+      for (const size_t i : set) {
         if (allowed(i)) to.push_back(i);
       }
       if (to.empty()) continue;
@@ -510,7 +554,9 @@
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
-    if (in.outcome == Outcome::kConnectFailed || (silent && was_silent)) Failed(e, 2 * kErrBlend);
+    if (in.outcome == Outcome::kConnectFailed) ++e.lost, Leave(e);
+    if (answered) e.lost = 0;
+    if (silent && was_silent) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
       r.over = true;
     } else if (r.out == 0) {
