--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -17,9 +17,10 @@
 constexpr Duration kSweep{10'000};       // us; a fraction of any useful aim, cheap to run
 constexpr size_t kPoolMost = 16;         // entries; the paper's pool
 constexpr double kSetLeast = 16;         // endpoints; as many as the pool can tell apart at once
-constexpr double kSetCover = 8;          // gateways that should use each endpoint, on average
+constexpr double kSetPriced = 4;         // endpoints, where open connections are charged
+constexpr double kSetCover = 6;          // gateways that should use each endpoint, on average
 constexpr double kPoolShare = 0.8;       // of the endpoints; m < n keeps the reuse formula defined
-constexpr Duration kPoolAge{1'000'000};  // us; the design page's starting point
+constexpr Duration kPoolAge{4'000'000};  // us; the design page's starting point
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
 constexpr double kProbeSpend = 0.008;  // of the result; what probing may cost where it is priced
 constexpr double kProbeLeast = 0.25;   // probes a request; keeps a pool over a small fleet filled
@@ -33,7 +34,7 @@
 constexpr Duration kAwayFirst{2'000'000};   // us; a place in the set is free for another so long
 constexpr int kEjectDoublings = 3;          // up to 8 s, the order of a short outage
 constexpr double kSilence = 3;              // typical times without any answer: suspect
-constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
+constexpr double kAimShare = 0.35;           // of the aim that the predicted time may take
 constexpr double kHoldShare = 0.2;          // of the aim that a request may wait here
 constexpr double kRetryEarn = 0.2;          // further attempts earned by each request
 constexpr double kRetryMost = 10;           // further attempts saved up
@@ -223,7 +224,8 @@
       return !eps[i].in_set;
     });
     const double cover = kSetCover * static_cast<double>(up) / s.instances;
-    const auto want = static_cast<size_t>(std::max(kSetLeast, std::ceil(cover)));
+    const double least = s.charges.connection > 0 ? kSetPriced : kSetLeast;
+    const auto want = static_cast<size_t>(std::max(least, std::ceil(cover)));
     std::vector<size_t> rest;
     if (set.size() >= std::min(want, up)) return;
     for (const bool away : {false, true}) {  // those away only where there are no others
@@ -327,7 +329,7 @@
 
   // ---- 3. Probe pool and pick ---------------------------------------------------------------
   [[nodiscard]] size_t PoolBound() const {
-    const auto share = static_cast<size_t>(kPoolShare * static_cast<double>(up));
+    const auto share = static_cast<size_t>(kPoolShare * static_cast<double>(set.size()));
     return std::clamp<size_t>(share, 2, kPoolMost);
   }
 
@@ -357,7 +359,7 @@
 
   void AddToPool(size_t ep, double others, double latency) {
     std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
-    const int uses = static_cast<int>(ReuseBudget(static_cast<double>(up)) + Uniform());
+    const int uses = static_cast<int>(ReuseBudget(static_cast<double>(set.size())) + Uniform());
     if (pool.size() >= PoolBound()) pool.erase(pool.begin());  // the oldest
     pool.push_back({ep, others, latency, now, uses});
   }
