--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,7 +34,7 @@
 constexpr Duration kAwayFirst{2'000'000};   // us; a place in the set is free for another so long
 constexpr int kEjectDoublings = 3;          // up to 8 s, the order of a short outage
 constexpr double kSilence = 3;              // typical times without any answer: suspect
-constexpr double kAimShare = 0.35;           // of the aim that the predicted time may take
+constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
 constexpr double kHoldShare = 0.2;          // of the aim that a request may wait here
 constexpr double kRetryEarn = 0.2;          // further attempts earned by each request
 constexpr double kRetryMost = 10;           // further attempts saved up
@@ -59,7 +59,7 @@
   EndpointInfo info;
   int out = 0;  // own attempts out
   int probes_out = 0;
-  bool in_set = false;  // of the working set
+  bool in_set = false, was_up = false;  // of the working set; by the last list
   double others = 0;    // in flight there from elsewhere, by the last reports
   Time reported{-1};    // when a report last came; -1: never
   double out_mean = 0;  // own attempts out, averaged over kReportLag
@@ -196,15 +196,20 @@
     if (m.kind != ListKind::kDelta) {
       for (Endpoint& e : eps) e.info.state = EndpointState::kRemoved;  // absent means gone
     }
+    std::vector<size_t> fresh;
     for (const EndpointInfo& info : m.entries) {
-      Endpoint& e = eps[Intern(info.id)];
+      const size_t ep = Intern(info.id);
+      Endpoint& e = eps[ep];
+      if (info.state == EndpointState::kUp && !e.was_up) fresh.push_back(ep);
       if (info.launched > e.info.launched) {  // a new process: nothing learned of the old one holds
         const Endpoint was = std::exchange(e, Endpoint{});
-        e.out = was.out, e.probes_out = was.probes_out, e.in_set = was.in_set;
+        e.out = was.out, e.probes_out = was.probes_out, e.in_set = was.in_set, e.was_up = was.was_up;
       }
       e.info = info;
     }
+    for (Endpoint& e : eps) e.was_up = Up(e);
     up = static_cast<size_t>(std::ranges::count_if(eps, Up));
+    Mix(fresh);
     FillSet();
     if (!std::exchange(started, true)) {
       Do(SetTimer{kSweep, "sweep"});
@@ -218,6 +223,19 @@
   // endpoint has several gateways, is met often; who is sick or unreachable leaves his place.
   [[nodiscard]] bool Usable(const Endpoint& e) const { return Up(e) && now >= e.away_until; }
 
+  // Of the newly listed, each enters a full set by the chance that any endpoint has. Without it
+  // those that a release brings up would be in nobody's set.
+  void Mix(const std::vector<size_t>& fresh) {
+    for (const size_t ep : fresh) {
+      if (set.empty() || Uniform() * static_cast<double>(up) > static_cast<double>(set.size())) {
+        continue;
+      }
+      const size_t place = Below(set.size());
+      eps[std::exchange(set[place], ep)].in_set = false;
+      eps[ep].in_set = true;
+    }
+  }
+
   void FillSet() {
     std::erase_if(set, [&](size_t i) {
       eps[i].in_set = Usable(eps[i]);
@@ -498,8 +516,10 @@
     const double age = std::max(0.0, Us(now - e.info.launched) / Us(s.obligations.warm_within));
     const double share =
         s.obligations.cold_from + (1 - s.obligations.cold_from) * std::min(1.0, age);
-    const double mean_pace = pace / static_cast<double>(std::max<size_t>(up, 1));
+    const double mean_pace = pace / static_cast<double>(std::max<size_t>(set.size(), 1));
     const double rate = mean_pace * share * s.obligations.fall_multiple * kColdSafety;
+    // Each begins at a place of its own, or all gateways would have saved a whole request at once.
+    if (e.cold_filled < Time(0)) e.cold_tokens = -Uniform();
     if (e.cold_filled >= Time(0)) e.cold_tokens += rate * Us(now - e.cold_filled);
     e.cold_filled = now;
     e.cold_tokens = std::min(e.cold_tokens, std::max(1.5, rate * Us(s.obligations.fall) / 4));
