--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -48,6 +48,7 @@
 constexpr double kQuotaSlack = 1.3;  // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;  // us; of a tenant's rate that may come at once
 constexpr double kPeerFloor = 0.5;   // of the peers' mean limit: slow by nature is not crowded
+constexpr double kKindWeight = 4;    // answers; the evidence of its kind counts as so many
 constexpr double kFewSamples = 4;    // answers before an average is trusted
 
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
@@ -55,6 +56,19 @@
 double Us(Duration d) { return static_cast<double>(d.count()); }
 void Blend(double& mean, double sample, double weight) { mean += weight * (sample - mean); }
 
+// Requests in flight at send and the time that attempts spent, averaged alike.
+struct Pace {
+  double f = 0, busy = 0, done = 0;  // busy: us; done: attempts ended, decayed
+
+  void Count(double f_at_send, double weight) {
+    done = done * (1 - weight) + 1;
+    busy *= 1 - weight;
+    f += (f_at_send - f) / done;
+  }
+  [[nodiscard]] double Time() const { return done > 0 ? busy / done : 0; }
+  [[nodiscard]] double Tput() const { return busy > 0 ? f / Time() : 0; }  // Little's law
+};
+
 struct Endpoint {
   EndpointInfo info;
   int out = 0;  // own attempts out
@@ -71,8 +85,7 @@
   int lost = 0;        // connections that failed in a row
   int trips = 0;                  // ejections in a row
   Time silent_since{0};           // last answer, or the send that found none out
-  double f_mean = 0, t_mean = 0;  // in-flight at send and time taken, averaged alike
-  double busy = 0, done = 0;      // us spent by own attempts there, attempts ended
+  Pace own;
   double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
   double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
   Time cold_filled{-1};
@@ -128,6 +141,7 @@
   std::map<uint64_t, Request> open;                  // in order of arrival
   std::unordered_map<std::string, uint64_t> by_id;   // look-up only
   std::vector<uint64_t> waiting;                     // held requests, unsorted
+  std::vector<Pace> kinds;  // of each kind of machine
   std::vector<PoolEntry> pool;
   std::vector<size_t> set;  // the endpoints that this gateway works with
   uint64_t next_seq = 0;
@@ -309,21 +323,35 @@
 
   // What is out or ran out of time counts too: answers alone would flatter a crowded endpoint.
   void Observe(Endpoint& e, const Attempt& a) {
-    e.done = e.done * (1 - kBlend) + 1;
-    e.busy *= 1 - kBlend;
-    e.t_mean = e.busy / e.done;
-    Blend(e.f_mean, a.f_at_send, 1 / e.done);
-    // Little's law. With room to spare, a lower throughput says little of what it can do.
-    if (e.done < kFewSamples) return;
-    const double sample = e.f_mean / e.t_mean, crowded = std::min(1.0, e.t_mean / target);
+    Pace& kind = KindOf(e);
+    e.own.Count(a.f_at_send, kBlend);
+    kind.Count(a.f_at_send, kBlend / 10);
+    if (e.own.done < kFewSamples) return;
+    // With room to spare, a lower throughput says little of what it can do.
+    const double sample = e.own.Tput(), crowded = std::min(1.0, e.own.Time() / target);
     if (e.tput <= 0) e.tput = sample;
     Blend(limit_mean, Limit(e), kBlend / 4);
     Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
   }
 
-  void TrackOut(Endpoint& e) const {
+  Pace& KindOf(const Endpoint& e) {
+    const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
+    if (kind >= kinds.size()) kinds.resize(kind + 1);
+    return kinds[kind];
+  }
+
+  // Its own evidence beside that of its kind: in a large fleet each is met too seldom to wait for.
+  [[nodiscard]] double Tput(const Endpoint& e) const {
+    const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
+    const double like = kind < kinds.size() && kinds[kind].done >= kFewSamples ? kinds[kind].Tput() : 0;
+    if (e.tput <= 0 || like <= 0) return std::max(e.tput, like);
+    return like + (e.tput - like) * e.own.done / (e.own.done + kKindWeight);
+  }
+
+  void TrackOut(Endpoint& e) {
     e.out_mean += (1 - std::exp(-Us(now - e.out_at) / kReportLag)) * (e.out - e.out_mean);
-    e.busy += Us(now - e.out_at) * e.out;
+    e.own.busy += Us(now - e.out_at) * e.out;
+    KindOf(e).busy += Us(now - e.out_at) * e.out;
     e.out_at = now;
   }
 
@@ -336,13 +364,15 @@
   // Limit on all that an endpoint holds: what it can finish within the target. Past it, queueing
   // adds only delay, and some slow down when crowded and stay slow.
   [[nodiscard]] double Limit(const Endpoint& e) const {
-    if (e.tput <= 0) return kLimitAtFirst;
-    const double room = e.t_mean < target ? 1 : 0;  // one more, to learn whether it can do more
-    return std::max({2.0, kPeerFloor * limit_mean, room + e.tput * target});
+    const double tput = Tput(e);
+    if (tput <= 0) return kLimitAtFirst;
+    const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
+    return std::max({2.0, kPeerFloor * limit_mean, room + tput * target});
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, const Request& r) const {
-    return e.tput > 0 ? e.link + (Load(e) + std::min(Cost(r), 2.0)) / e.tput : 0;
+    const double tput = Tput(e);
+    return tput > 0 ? e.link + (Load(e) + std::min(Cost(r), 2.0)) / tput : 0;
   }
 
   // ---- 3. Probe pool and pick ---------------------------------------------------------------
