--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,6 +36,9 @@
 constexpr double kSilence = 3;              // typical times without any answer: suspect
 constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
 constexpr double kHoldShare = 0.2;          // of the aim that a request may wait here
+constexpr double kLevelUp = 0.04;           // of the arriving work; shed more for each without room
+constexpr double kLevelMost = 0.9;          // always asks whether there is room
+constexpr double kLevelDown = 0.006;        // and less for each with room: 5% meet none
 constexpr double kRetryEarn = 0.2;          // further attempts earned by each request
 constexpr double kRetryMost = 10;           // further attempts saved up
 constexpr double kColdSafety = 0.5;         // of the cold budget; sizes differ and work is random
@@ -156,6 +159,7 @@
   size_t up = 0;      // endpoints that may get work
   double pace = 0;    // own finished work of late, in mean requests per us
   Time paced{0};
+  double level = 0, beyond_part = 0;  // of the arriving work: shed, and beyond its tenant's share
   std::vector<double> tenant_tokens;  // requests still within each tenant's share
   double arrivals = 0;                // decayed over kRateSpan
   Time arrivals_at{0};
@@ -665,14 +669,29 @@
 
   // Worth for work. The class served worst here gains what the result mix adds for it, so that
   // under overload the cheapest worth does not starve a class.
-  [[nodiscard]] double Priority(const Request& r) const {
-    double worth = r.cls->worth, mean_worth = 0;
+  [[nodiscard]] double Priority(size_t cls, bool beyond) const {
+    double worth = s.classes[cls].worth, mean_worth = 0;
     for (size_t i = 0; i < shares.size(); ++i) mean_worth += shares[i] * s.classes[i].worth;
-    if (served[r.in.cls] <= std::ranges::min(served)) {
+    if (served[cls] <= std::ranges::min(served)) {
       const double whole = std::max(s.mix.whole + s.mix.worst_window, 0.1);
-      worth += s.mix.worst_class / whole * mean_worth / std::max(shares[r.in.cls], kBlend);
+      worth += s.mix.worst_class / whole * mean_worth / std::max(shares[cls], kBlend);
     }
-    return worth * (r.beyond ? s.over_share_worth : 1) / (s.worth_by_work ? 1 : *r.time);
+    return worth * (beyond ? s.over_share_worth : 1) / (s.worth_by_work ? 1 : times[cls]);
+  }
+
+  // Where this request stands in the arriving work, from the least worth (0) to the most (1). Few
+  // wait here at once in a large bank, so that sorting them sheds nothing: what has no room makes
+  // the gateway shed from the lower end.
+  [[nodiscard]] double Standing(const Request& r) {
+    double below = 0, all = 0;
+    for (size_t i = 0; i < shares.size(); ++i) {
+      const double work = shares[i] * times[i];
+      const double worth = Priority(i, false);
+      all += work;
+      below += work * (i == r.in.cls ? Uniform() : worth < Priority(r.in.cls, false) ? 1 : 0);
+    }
+    const double part = below / all;
+    return r.beyond ? beyond_part * part : beyond_part + (1 - beyond_part) * part;
   }
 
   void On(const Submit& in) {
@@ -683,7 +702,15 @@
     open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}};
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
     open[seq].in.cls = cls;
-    open[seq].beyond = BeyondShare(in.tenant);
+    Request& r = open[seq];
+    r.beyond = BeyondShare(in.tenant);
+    Blend(beyond_part, r.beyond ? 1 : 0, kBlend / 4);
+    if (Standing(r) < level) {
+      level = std::max(0.0, level - kLevelDown);
+      GiveUp(r);
+      r.waiting = false;
+      return Forget(r);
+    }
     ProbeSome();
     waiting.push_back(seq);
     Dispatch();
@@ -693,7 +720,10 @@
   void Dispatch() {
     if (waiting.empty()) return;
     std::vector<std::pair<double, uint64_t>> order;
-    for (const uint64_t seq : waiting) order.emplace_back(-Priority(open.at(seq)), seq);
+    for (const uint64_t seq : waiting) {
+      const Request& r = open.at(seq);
+      order.emplace_back(-Priority(r.in.cls, r.beyond), seq);
+    }
     std::ranges::sort(order);
     waiting.clear();
     bool full = false;
@@ -705,9 +735,11 @@
       if (r.over) {
         Forget(r);
       } else if (ep != kNone) {
+        if (!repeat) level = std::max(0.0, level - kLevelDown);
         SendTo(r, ep);
       } else if (repeat || now + 2 * kSweep >= r.in.deadline ||
                  Us(now - r.arrived) > kHoldShare * Us(r.cls->aim)) {
+        if (!repeat) level = std::min(kLevelMost, level + kLevelUp);
         // No timer comes early: a try that is given up soon gets its answer at this look.
         GiveUp(r);
         Forget(r);
