--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -87,6 +87,7 @@
   Time away_until{0};  // out of the working set till then
   int lost = 0;        // connections that failed in a row
   int trips = 0;                  // ejections in a row
+  bool answered = false;          // since it came; one at a time till then, it may be hung
   Time silent_since{0};           // last answer, or the send that found none out
   Pace own;
   double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
@@ -300,14 +301,14 @@
     // Where most fail alike, no endpoint is worse than its peers: keep a bounded share out.
     if (e.trips == 0 && ejected >= kMaxEjected * static_cast<double>(set.size())) return;
     e.ejected_until = now + kEjectFirst * (1 << std::min(e.trips, kEjectDoublings));
-    ++e.trips;
+    ++e.trips, e.answered = false;
     if (set.size() < up) Leave(e);
   }
 
   // Another takes the place of an endpoint that is sick or gave no connection (its table may be
   // full, which no report shows); it may be drawn again later, and not by all gateways together.
   void Leave(Endpoint& e) {
-    const double away = Us(kAwayFirst) * (1 << std::min(e.lost, kEjectDoublings));
+    const double away = Us(kAwayFirst) * (1 << std::min(e.lost + e.trips, kEjectDoublings));
     e.away_until = now + Duration(std::llround(away * (0.5 + Uniform())));
     FillSet();
   }
@@ -484,7 +485,7 @@
     }
     const bool risky = e.trips > 0 && r.cls->effect == Effect::kUnsafe;  // no trials with these
     if (level != Strict::kHealth && (risky || !Healthy(e))) return false;
-    if (Load(e) + 1 > Limit(e)) return false;
+    if (Load(e) + 1 > Limit(e) || (!e.answered && e.out > 0)) return false;
     if (level != Strict::kAim) return true;
     return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
@@ -611,7 +612,7 @@
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
     if (in.outcome == Outcome::kConnectFailed) ++e.lost, Leave(e);
-    if (answered) e.lost = 0;
+    if (answered) e.lost = 0, e.answered = true;
     if (silent && was_silent) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
       r.over = true;
