Limits stretch with a request's standing; kinds learn from reports; old reports fade

Cause: at full size a gateway's report of an endpoint is 10 to 30 s old. What looked full was never tried again, what was not reported looked idle, throughput by Little's law used the old figures and came out at half, and a kind found busy at the start was never learned (limit 4 against 17 held). Now: mean in-flight of a kind from its random reports, old reports fade to it in 3 s, an unlearned kind may be tried at what it holds. All or nothing at the limit made gateways shed everything or nothing: the limit now stretches by 0.3 with where a request stands in the arriving work.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,15 +36,14 @@
 constexpr double kSilence = 3;              // typical times without any answer: suspect
 constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
 constexpr double kHoldShare = 0.2;          // of the aim that a request may wait here
-constexpr double kLevelUp = 0.04;           // of the arriving work; shed more for each without room
-constexpr double kLevelMost = 0.9;          // always asks whether there is room
-constexpr double kLevelDown = 0.006;        // and less for each with room: 5% meet none
+constexpr double kStretch = 0.3;            // of the limit, less for the least worth, more for the most
 constexpr double kRetryEarn = 0.2;          // further attempts earned by each request
 constexpr double kRetryMost = 10;           // further attempts saved up
 constexpr double kColdSafety = 0.5;         // of the cold budget; sizes differ and work is random
 constexpr double kColdOverhead = 0.25;      // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;           // us; span over which an endpoint's pace is remembered
 constexpr double kReportLag = 1e5;  // us; about how old a report's figures are when they arrive
+constexpr double kReportFade = 3e6;  // us; queues turn over within some service times
 constexpr double kOthersSpan =
     1e6;  // us; averaged, since all gateways rush at once to what looks idle
 constexpr double kLimitAtFirst = 4;  // requests; small enough not to crowd before it is known
@@ -62,6 +61,7 @@
 // Requests in flight at send and the time that attempts spent, averaged alike.
 struct Pace {
   double f = 0, busy = 0, done = 0;  // busy: us; done: attempts ended, decayed
+  double reports = 0;
 
   void Count(double f_at_send, double weight) {
     done = done * (1 - weight) + 1;
@@ -118,6 +118,7 @@
   bool waiting = true;
   bool streaming = false;
   bool in_time = false;  // answered within its aim
+  double standing = 0;   // in the arriving work, from the least worth (0) to the most (1)
   bool beyond = false;   // beyond its tenant's share
 };
 
@@ -160,7 +161,7 @@
   size_t up = 0;      // endpoints that may get work
   double pace = 0;    // own finished work of late, in mean requests per us
   Time paced{0};
-  double level = 0, beyond_part = 0;  // of the arriving work: shed, and beyond its tenant's share
+  double beyond_part = 0;  // of the arrivals, beyond their tenant's share
   std::vector<double> tenant_tokens;  // requests still within each tenant's share
   double arrivals = 0;                // decayed over kRateSpan
   Time arrivals_at{0};
@@ -330,7 +331,7 @@
   void Observe(Endpoint& e, const Attempt& a) {
     Pace& kind = KindOf(e);
     e.own.Count(a.f_at_send, kBlend);
-    kind.Count(a.f_at_send, kBlend / 10);
+    kind.Count(kind.f, kBlend / 4);
     if (e.own.done < kFewSamples) return;
     // With room to spare, a lower throughput says little of what it can do.
     const double sample = e.own.Tput(), crowded = std::min(1.0, e.own.Time() / target);
@@ -360,9 +361,15 @@
     e.out_at = now;
   }
 
+  // An old report tells little of now: what it says fades towards the mean of its kind. Where
+  // nothing is known, the others are taken to have as much out on an endpoint as this gateway.
   [[nodiscard]] double Load(const Endpoint& e) const {
+    const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
+    const double age = e.reported < Time(0) ? kReportFade * 10 : Us(now - e.reported);
+    if (kind < kinds.size() && kinds[kind].reports > 0) {
+      return kinds[kind].f + (e.others - kinds[kind].f) * std::exp(-age / kReportFade) + e.out;
+    }
     if (e.reported >= Time(0)) return e.others + e.out;
-    // Unreported: the other gateways are taken to have as much out on an endpoint as this one.
     return e.out + static_cast<double>(out) / static_cast<double>(up + 1) * (s.instances - 1);
   }
 
@@ -370,7 +377,11 @@
   // adds only delay, and some slow down when crowded and stay slow.
   [[nodiscard]] double Limit(const Endpoint& e) const {
     const double tput = Tput(e);
-    if (tput <= 0) return kLimitAtFirst;
+    // Nothing learned yet: go along with what its kind holds, or a kind found busy at the start
+    // would never be tried.
+    const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
+    const double held = kind < kinds.size() ? kinds[kind].f + 2 : 0;
+    if (tput <= 0) return std::max(kLimitAtFirst, held);
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
     return std::max({2.0, kPeerFloor * limit_mean, room + tput * target});
   }
@@ -485,7 +496,8 @@
     }
     const bool risky = e.trips > 0 && r.cls->effect == Effect::kUnsafe;  // no trials with these
     if (level != Strict::kHealth && (risky || !Healthy(e))) return false;
-    if (Load(e) + 1 > Limit(e) || (!e.answered && e.out > 0)) return false;
+    const double stretch = 1 + kStretch * (2 * r.standing - 1);
+    if (Load(e) + 1 > Limit(e) * stretch || (!e.answered && e.out > 0)) return false;
     if (level != Strict::kAim) return true;
     return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
@@ -706,12 +718,7 @@
     Request& r = open[seq];
     r.beyond = BeyondShare(in.tenant);
     Blend(beyond_part, r.beyond ? 1 : 0, kBlend / 4);
-    if (Standing(r) < level) {
-      level = std::max(0.0, level - kLevelDown);
-      GiveUp(r);
-      r.waiting = false;
-      return Forget(r);
-    }
+    r.standing = Standing(r);
     ProbeSome();
     waiting.push_back(seq);
     Dispatch();
@@ -736,11 +743,9 @@
       if (r.over) {
         Forget(r);
       } else if (ep != kNone) {
-        if (!repeat) level = std::max(0.0, level - kLevelDown);
         SendTo(r, ep);
       } else if (repeat || now + 2 * kSweep >= r.in.deadline ||
                  Us(now - r.arrived) > kHoldShare * Us(r.cls->aim)) {
-        if (!repeat) level = std::min(kLevelMost, level + kLevelUp);
         // No timer comes early: a try that is given up soon gets its answer at this look.
         GiveUp(r);
         Forget(r);
@@ -768,6 +773,9 @@
     TrackOut(e);
     const double w = e.reported < Time(0) ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
     Blend(e.others, std::max(0.0, inflight - e.out_mean), w);
+    Pace& kind = KindOf(e);
+    kind.reports = kind.reports * (1 - kBlend / 2) + 1;
+    Blend(kind.f, inflight, 1 / kind.reports);
     e.reported = now;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
     const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
