--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -20,7 +20,7 @@
 constexpr double kSetPriced = 4;         // endpoints, where open connections are charged
 constexpr double kSetCover = 6;          // gateways that should use each endpoint, on average
 constexpr double kPoolShare = 0.8;       // of the endpoints; m < n keeps the reuse formula defined
-constexpr Duration kPoolAge{4'000'000};  // us; the design page's starting point
+constexpr double kPoolAge = 1e6;  // us; the design page's starting point
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
 constexpr double kProbeSpend = 0.008;  // of the result; what probing may cost where it is priced
 constexpr double kProbeLeast = 0.25;   // probes a request; keeps a pool over a small fleet filled
@@ -124,7 +124,6 @@
 
 struct PoolEntry {
   size_t ep = 0;
-  double others = 0;  // reported in flight less this gateway's own part
   double latency = 0;
   Time at{0};
   int uses = 1;
@@ -413,19 +412,27 @@
   }
 
   void Purge() {
+    const double age = PoolAge();
     std::erase_if(pool, [&](const PoolEntry& p) {
-      return p.uses <= 0 || now - p.at > kPoolAge || !eps[p.ep].in_set || !Up(eps[p.ep]);
+      return p.uses <= 0 || Us(now - p.at) > age || !eps[p.ep].in_set || !Up(eps[p.ep]);
     });
   }
 
   // An answer's in-flight figure as of now: each own send raises it, each own end lowers it.
-  [[nodiscard]] double Rif(const PoolEntry& p) const { return p.others + eps[p.ep].out; }
+  [[nodiscard]] double Rif(const PoolEntry& p) const { return Load(eps[p.ep]); }
 
-  void AddToPool(size_t ep, double others, double latency) {
+  // Answers serve for as long as the probes of that time fill the pool: where requests are few, an
+  // age of a second would leave it empty and the fallback to decide.
+  [[nodiscard]] double PoolAge() const {
+    const double probes = ProbeRate() * arrivals / kRateSpan;
+    return std::max(kPoolAge, static_cast<double>(PoolBound()) / std::max(probes, 1e-6));
+  }
+
+  void AddToPool(size_t ep, double latency) {
     std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
     const int uses = static_cast<int>(ReuseBudget(static_cast<double>(set.size())) + Uniform());
     if (pool.size() >= PoolBound()) pool.erase(pool.begin());  // the oldest
-    pool.push_back({ep, others, latency, now, uses});
+    pool.push_back({ep, latency, now, uses});
   }
 
   // Exact rank over the pool's in-flight figures.
@@ -779,7 +786,7 @@
     e.reported = now;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
     const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
-    AddToPool(ep, e.others, std::max(latency, 0.0) * 1000 + e.link + price);
+    AddToPool(ep, std::max(latency, 0.0) * 1000 + e.link + price);
   }
 
   void On(const ProbeResult& in) {
