--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -517,7 +517,7 @@
       if (level == Strict::kHealth && std::ranges::any_of(set, fit)) break;
       const auto allowed = [&](size_t ep) { return Eligible(r, ep, level); };
       const auto usable = std::ranges::count_if(pool, allowed, &PoolEntry::ep);
-      if (usable >= 2) {
+      if (usable > 0 && pool.size() >= 2) {
         PoolEntry& p = pool[HotCold(allowed)];
         --p.uses;
         return p.ep;
