Probes fill the set at the start; a kind is known after four reports

Cause: in the first ten seconds a gateway had seen two or three of its sixteen endpoints, took the first report for its kind's throughput, and all crowded the other kind.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -151,7 +151,7 @@
   uint64_t next_seq = 0;
   bool started = false, remove_oldest = true;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
-  int follow_failures = 0;
+  int follow_failures = 0, probed = 0;
   std::vector<double> served, shares;  // of each class: served in its aim, part of the arrivals
   std::vector<double> times;           // us; mean time of each class
   double limit_mean = 0, mean_time = 0,
@@ -348,7 +348,7 @@
   // Its own evidence beside that of its kind: in a large fleet each is met too seldom to wait for.
   [[nodiscard]] double Tput(const Endpoint& e) const {
     const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
-    const double like = kind < kinds.size() && kinds[kind].done >= kFewSamples ? kinds[kind].Tput() : 0;
+    const double like = kind < kinds.size() && std::min(kinds[kind].done, kinds[kind].reports) >= kFewSamples ? kinds[kind].Tput() : 0;
     if (e.tput <= 0 || like <= 0) return std::max(e.tput, like);
     return like + (e.tput - like) * e.own.done / (e.own.done + kKindWeight);
   }
@@ -369,7 +369,7 @@
       return kinds[kind].f + (e.others - kinds[kind].f) * std::exp(-age / kReportFade) + e.out;
     }
     if (e.reported >= Time(0)) return e.others + e.out;
-    return e.out + static_cast<double>(out) / static_cast<double>(up + 1) * (s.instances - 1);
+    return e.out;
   }
 
   // Limit on all that an endpoint holds: what it can finish within the target. Past it, queueing
@@ -379,7 +379,7 @@
     // Nothing learned yet: go along with what its kind holds, or a kind found busy at the start
     // would never be tried.
     const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
-    const double held = kind < kinds.size() ? kinds[kind].f + 2 : 0;
+    const double held = kind < kinds.size() ? kinds[kind].f + 1 : 0;
     if (tput <= 0) return std::max(kLimitAtFirst, held);
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
     return std::max({2.0, kPeerFloor * limit_mean, room + tput * target});
@@ -398,7 +398,8 @@
 
   [[nodiscard]] double ProbeRate() const {
     if (!s.allowed.probes) return 0;
-    if (s.charges.probe <= 0) return kProbeMost;
+    // At the start as many as the set has: a first view, before the first seconds crowd it.
+    if (s.charges.probe <= 0 || probed < static_cast<int>(set.size())) return kProbeMost;
     return std::clamp(kProbeSpend / s.charges.probe, kProbeLeast, kProbeMost);
   }
 
@@ -487,7 +488,7 @@
       }
       if (to.empty()) continue;
       Endpoint& e = eps[to[Below(to.size())]];
-      ++e.probes_out;
+      ++e.probes_out, ++probed;
       Do(Probe{e.info.id});
     }
   }
