--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -14,13 +14,14 @@
 namespace {
 
 // ---- Constants: unit and reason for each ----------------------------------------------------
-constexpr Duration kSweep{10'000};       // us; a fraction of any useful aim, cheap to run
-constexpr size_t kPoolMost = 16;         // entries; the paper's pool
-constexpr double kSetLeast = 16;         // endpoints; as many as the pool can tell apart at once
-constexpr double kSetPriced = 4;         // endpoints, where open connections are charged
-constexpr double kSetCover = 6;          // gateways that should use each endpoint, on average
-constexpr double kPoolShare = 0.8;       // of the endpoints; m < n keeps the reuse formula defined
-constexpr double kPoolAge = 1e6;  // us; the design page's starting point
+constexpr Duration kSweep{10'000};      // us; a fraction of any useful aim, cheap to run
+constexpr Duration kRefill{1'000'000};  // us; who was away is missed no longer than this
+constexpr size_t kPoolMost = 16;        // entries; the paper's pool
+constexpr double kSetLeast = 16;        // endpoints; as many as the pool can tell apart at once
+constexpr double kSetPriced = 4;        // endpoints, where open connections are charged
+constexpr double kSetCover = 6;         // gateways that should use each endpoint, on average
+constexpr double kPoolShare = 0.8;      // of the endpoints; m < n keeps the reuse formula defined
+constexpr double kPoolAge = 1e6;        // us; the design page's starting point
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
 constexpr double kProbeSpend = 0.008;  // of the result; what probing may cost where it is priced
 constexpr double kProbeLeast = 0.25;   // probes a request; keeps a pool over a small fleet filled
@@ -29,30 +30,27 @@
 constexpr double kBlend = 0.1;                // weight of one new sample in a slow average
 constexpr double kErrBlend = 0.2;             // weight of one outcome in the error share
 constexpr double kErrEject = 0.3;             // error share: two failures in a row, or in three
-constexpr double kMaxEjected = 0.5;  // of the endpoints; past that they are no worse than peers
-constexpr Duration kEjectFirst{1'000'000};  // us; doubles with each failed trial
-constexpr Duration kAwayFirst{2'000'000};   // us; a place in the set is free for another so long
-constexpr int kEjectDoublings = 3;          // up to 8 s, the order of a short outage
-constexpr double kSilence = 3;              // typical times without any answer: suspect
-constexpr double kAimShare = 0.4;           // of the aim that the predicted time may take
-constexpr double kHoldShare = 0.2;          // of the aim that a request may wait here
-constexpr double kStretch = 0.3;            // of the limit, less for the least worth, more for the most
-constexpr double kRetryEarn = 0.2;          // further attempts earned by each request
-constexpr double kRetryMost = 10;           // further attempts saved up
-constexpr double kColdSafety = 0.5;         // of the cold budget; sizes differ and work is random
-constexpr double kColdOverhead = 0.25;      // requests; a handshake on top of each send
-constexpr double kRateSpan = 5e6;           // us; span over which an endpoint's pace is remembered
-constexpr double kReportLag = 1e5;  // us; about how old a report's figures are when they arrive
-constexpr double kReportFade = 3e6;  // us; queues turn over within some service times
+constexpr Duration kAwayFirst{1'000'000};     // us; doubles with each failed trial or connect
+constexpr int kAwayDoublings = 4;             // up to 16 s, the order of a short outage
+constexpr double kSilence = 3;                // typical times without any answer: suspect
+constexpr double kAimShare = 0.4;             // of the aim that the predicted time may take
+constexpr double kHoldShare = 0.2;            // of the aim that a request may wait here
+constexpr double kStretch = 0.3;        // of the limit, less for the least worth, more for the most
+constexpr double kRetryEarn = 0.2;      // further attempts earned by each request
+constexpr double kRetryMost = 10;       // further attempts saved up
+constexpr double kColdSafety = 0.5;     // of the cold budget; sizes differ and work is random
+constexpr double kColdOverhead = 0.25;  // requests; a handshake on top of each send
+constexpr double kRateSpan = 5e6;       // us; span over which an endpoint's pace is remembered
+constexpr double kReportFade = 3e6;     // us; queues turn over within some service times
 constexpr double kOthersSpan =
     1e6;  // us; averaged, since all gateways rush at once to what looks idle
 constexpr double kLimitAtFirst = 4;  // requests; small enough not to crowd before it is known
 constexpr double kQuotaSlack = 1.3;  // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;  // us; of a tenant's rate that may come at once
-constexpr double kPeerFloor = 0.5;   // of the peers' mean limit: slow by nature is not crowded
 constexpr double kKindWeight = 4;    // answers; the evidence of its kind counts as so many
 constexpr double kFewSamples = 4;    // answers before an average is trusted
 
+constexpr size_t kKindsMost = 64;                  // kinds told apart; a fleet has a handful
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
@@ -77,18 +75,15 @@
   int out = 0;  // own attempts out
   int probes_out = 0;
   bool in_set = false, was_up = false;  // of the working set; by the last list
-  double others = 0;    // in flight there from elsewhere, by the last reports
-  Time reported{-1};    // when a report last came; -1: never
-  double out_mean = 0;  // own attempts out, averaged over kReportLag
+  double others = 0;                    // in flight there from elsewhere, by the last reports
+  Time reported{-1};                    // when a report last came; -1: never
   Time out_at{0};
-  double link = 0;  // us; probe round trip, 0 unknown
-  double err = 0;   // share of failed outcomes, recent
-  Time ejected_until{0};
-  Time away_until{0};  // out of the working set till then
-  int lost = 0;        // connections that failed in a row
-  int trips = 0;                  // ejections in a row
-  bool answered = false;          // since it came; one at a time till then, it may be hung
-  Time silent_since{0};           // last answer, or the send that found none out
+  double link = 0;       // us; probe round trip, 0 unknown
+  double err = 0;        // share of failed outcomes, recent
+  Time away_until{0};    // out of the working set till then
+  int lost = 0;          // connections that failed in a row
+  int trips = 0;         // ejections in a row
+  Time silent_since{0};  // last answer, or the send that found none out
   Pace own;
   double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
   double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
@@ -137,7 +132,7 @@
   Settings s;
   std::mt19937_64 rng;
   Stats stats;
-  Time now{0};
+  Time now{0}, refill_at{0};
   std::vector<Action>* act = nullptr;
 
   std::vector<Endpoint> eps;
@@ -145,7 +140,7 @@
   std::map<uint64_t, Request> open;                  // in order of arrival
   std::unordered_map<std::string, uint64_t> by_id;   // look-up only
   std::vector<uint64_t> waiting;                     // held requests, unsorted
-  std::vector<Pace> kinds;  // of each kind of machine
+  std::vector<Pace> kinds;                           // of each kind of machine
   std::vector<PoolEntry> pool;
   std::vector<size_t> set;  // the endpoints that this gateway works with
   uint64_t next_seq = 0;
@@ -154,13 +149,12 @@
   int follow_failures = 0, probed = 0;
   std::vector<double> served, shares;  // of each class: served in its aim, part of the arrivals
   std::vector<double> times;           // us; mean time of each class
-  double limit_mean = 0, mean_time = 0,
-         target = 0;  // us; of a request over all classes, and aimed at
-  int out = 0;        // own attempts out, anywhere
-  size_t up = 0;      // endpoints that may get work
-  double pace = 0;    // own finished work of late, in mean requests per us
+  double mean_time = 0, target = 0;    // us; of a request over all classes, and aimed at
+  int out = 0;                         // own attempts out, anywhere
+  size_t up = 0;                       // endpoints that may get work
+  double pace = 0;                     // own finished work of late, in mean requests per us
   Time paced{0};
-  double beyond_part = 0;  // of the arrivals, beyond their tenant's share
+  double beyond_part = 0;             // of the arrivals, beyond their tenant's share
   std::vector<double> tenant_tokens;  // requests still within each tenant's share
   double arrivals = 0;                // decayed over kRateSpan
   Time arrivals_at{0};
@@ -222,9 +216,12 @@
       if (info.state == EndpointState::kUp && !e.was_up) fresh.push_back(ep);
       if (info.launched > e.info.launched) {  // a new process: nothing learned of the old one holds
         const Endpoint was = std::exchange(e, Endpoint{});
-        e.out = was.out, e.probes_out = was.probes_out, e.in_set = was.in_set, e.was_up = was.was_up;
+        e.out = was.out, e.probes_out = was.probes_out, e.in_set = was.in_set,
+        e.was_up = was.was_up;
       }
       e.info = info;
+      e.info.kind = std::min(info.kind, kKindsMost);
+      kinds.resize(std::max(kinds.size(), e.info.kind + 1));
     }
     for (Endpoint& e : eps) e.was_up = Up(e);
     up = static_cast<size_t>(std::ranges::count_if(eps, Up));
@@ -265,12 +262,14 @@
     const auto want = static_cast<size_t>(std::max(least, std::ceil(cover)));
     std::vector<size_t> rest;
     if (set.size() >= std::min(want, up)) return;
-    for (const bool away : {false, true}) {  // those away only where there are no others
+    // Those away only up to half: where most fail alike, none is worse than its peers.
+    for (const bool away : {false, true}) {
+      const size_t most = away ? (std::min(want, up) + 1) / 2 : want;
       rest.clear();
       for (size_t i = 0; i < eps.size(); ++i) {
         if (!eps[i].in_set && Up(eps[i]) && (away || Usable(eps[i]))) rest.push_back(i);
       }
-      for (; set.size() < (away ? 2 : want) && !rest.empty(); rest.pop_back()) {
+      for (; set.size() < most && !rest.empty(); rest.pop_back()) {
         std::swap(rest[Below(rest.size())], rest.back());
         set.push_back(rest.back());
         eps[rest.back()].in_set = true;
@@ -289,33 +288,27 @@
   }
 
   [[nodiscard]] bool Healthy(const Endpoint& e) const {
-    if (e.trips > 0 && (now < e.ejected_until || e.out > 0)) return false;  // one trial at a time
-    return !Silent(e);
+    return !Silent(e) && (e.trips == 0 || e.out == 0);  // one trial at a time
   }
 
   void Failed(Endpoint& e, double weight) {
     Blend(e.err, 1, weight);
-    if (e.err <= kErrEject || now < e.ejected_until) return;
-    const auto out_now = [&](size_t i) { return eps[i].trips > 0; };
-    const auto ejected = static_cast<double>(std::ranges::count_if(set, out_now));
-    // Where most fail alike, no endpoint is worse than its peers: keep a bounded share out.
-    if (e.trips == 0 && ejected >= kMaxEjected * static_cast<double>(set.size())) return;
-    e.ejected_until = now + kEjectFirst * (1 << std::min(e.trips, kEjectDoublings));
-    ++e.trips, e.answered = false;
-    if (set.size() < up) Leave(e);
+    if (e.err <= kErrEject || !e.in_set) return;
+    ++e.trips;
+    Leave(e);
   }
 
   // Another takes the place of an endpoint that is sick or gave no connection (its table may be
   // full, which no report shows); it may be drawn again later, and not by all gateways together.
   void Leave(Endpoint& e) {
-    const double away = Us(kAwayFirst) * (1 << std::min(e.lost + e.trips, kEjectDoublings));
+    const double away = Us(kAwayFirst) * (1 << std::min(e.lost + e.trips, kAwayDoublings));
     e.away_until = now + Duration(std::llround(away * (0.5 + Uniform())));
     FillSet();
   }
 
   void Answered(Endpoint& e, const Attempt& a, const Request& r, double took) {
     Blend(e.err, 0, kErrBlend);
-    if (e.trips > 0 && a.sent >= e.ejected_until) {
+    if (e.trips > 0 && e.in_set) {
       e.trips = 0;  // the trial succeeded
       e.err = std::min(e.err, kErrEject * 0.7);
     }
@@ -335,26 +328,19 @@
     // With room to spare, a lower throughput says little of what it can do.
     const double sample = e.own.Tput(), crowded = std::min(1.0, e.own.Time() / target);
     if (e.tput <= 0) e.tput = sample;
-    Blend(limit_mean, Limit(e), kBlend / 4);
     Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
   }
 
-  Pace& KindOf(const Endpoint& e) {
-    const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
-    if (kind >= kinds.size()) kinds.resize(kind + 1);
-    return kinds[kind];
-  }
-
+  [[nodiscard]] Pace& KindOf(const Endpoint& e) { return kinds[e.info.kind]; }
   // Its own evidence beside that of its kind: in a large fleet each is met too seldom to wait for.
   [[nodiscard]] double Tput(const Endpoint& e) const {
-    const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
-    const double like = kind < kinds.size() && std::min(kinds[kind].done, kinds[kind].reports) >= kFewSamples ? kinds[kind].Tput() : 0;
+    const Pace& kind = kinds[e.info.kind];
+    const double like = std::min(kind.done, kind.reports) >= kFewSamples ? kind.Tput() : 0;
     if (e.tput <= 0 || like <= 0) return std::max(e.tput, like);
     return like + (e.tput - like) * e.own.done / (e.own.done + kKindWeight);
   }
 
   void TrackOut(Endpoint& e) {
-    e.out_mean += (1 - std::exp(-Us(now - e.out_at) / kReportLag)) * (e.out - e.out_mean);
     e.own.busy += Us(now - e.out_at) * e.out;
     KindOf(e).busy += Us(now - e.out_at) * e.out;
     e.out_at = now;
@@ -363,11 +349,10 @@
   // An old report tells little of now: what it says fades towards the mean of its kind. Where
   // nothing is known, the others are taken to have as much out on an endpoint as this gateway.
   [[nodiscard]] double Load(const Endpoint& e) const {
-    const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
+    const Pace& kind = kinds[e.info.kind];
     const double age = e.reported < Time(0) ? kReportFade * 10 : Us(now - e.reported);
-    if (kind < kinds.size() && kinds[kind].reports > 0) {
-      return kinds[kind].f + (e.others - kinds[kind].f) * std::exp(-age / kReportFade) + e.out;
-    }
+    if (kind.reports > 0)
+      return kind.f + (e.others - kind.f) * std::exp(-age / kReportFade) + e.out;
     if (e.reported >= Time(0)) return e.others + e.out;
     return e.out;
   }
@@ -378,11 +363,9 @@
     const double tput = Tput(e);
     // Nothing learned yet: go along with what its kind holds, or a kind found busy at the start
     // would never be tried.
-    const auto kind = static_cast<size_t>(std::max(e.info.kind, 0));
-    const double held = kind < kinds.size() ? kinds[kind].f + 1 : 0;
-    if (tput <= 0) return std::max(kLimitAtFirst, held);
+    if (tput <= 0) return std::max(kLimitAtFirst, kinds[e.info.kind].f + 1);
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
-    return std::max({2.0, kPeerFloor * limit_mean, room + tput * target});
+    return std::max({2.0, room + tput * target});
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, const Request& r) const {
@@ -505,7 +488,7 @@
     const bool risky = e.trips > 0 && r.cls->effect == Effect::kUnsafe;  // no trials with these
     if (level != Strict::kHealth && (risky || !Healthy(e))) return false;
     const double stretch = 1 + kStretch * (2 * r.standing - 1);
-    if (Load(e) + 1 > Limit(e) * stretch || (!e.answered && e.out > 0)) return false;
+    if (Load(e) + 1 > Limit(e) * stretch) return false;
     if (level != Strict::kAim) return true;
     return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
@@ -632,7 +615,7 @@
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
     if (in.outcome == Outcome::kConnectFailed) ++e.lost, Leave(e);
-    if (answered) e.lost = 0, e.answered = true;
+    if (answered) e.lost = 0;
     if (silent && was_silent) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
       r.over = true;
@@ -648,26 +631,12 @@
     Dispatch();
   }
 
-  // Looks over what is out: moves requests off endpoints gone silent, adds second copies.
+  // Looks again at what waits; a place in the set that nobody could fill is tried each second.
   void Sweep() {
     Do(SetTimer{kSweep, "sweep"});
-    for (auto& [seq, r] : open) {
-      if (r.over || r.streaming || r.out != 1) continue;
-      const Attempt& a = r.attempts.back();
-      if (!a.out || a.called_off || r.cls->effect == Effect::kUnsafe || retry_tokens < 1) continue;
-      const Endpoint& e = eps[a.ep];
-      const double elapsed = Us(now - a.sent), left = Us(r.arrived + r.cls->aim - now);
-      const bool bad = Silent(e) || e.info.state == EndpointState::kRemoved;
-      if (!bad || left < *r.time / 2 || elapsed < *r.time) continue;
-      if (s.allowed.parallel_tries) {
-        const size_t ep = Pick(r);
-        if (ep == kNone) continue;
-        retry_tokens -= 1;
-        SendTo(r, ep);
-      } else if (s.allowed.cancel) {
-        r.attempts.back().called_off = true;
-        Do(Cancel{r.in.id, r.attempts.size() - 1});
-      }
+    if (now >= refill_at) {
+      refill_at = now + kRefill;
+      FillSet();
     }
     Dispatch();
   }
@@ -777,10 +746,8 @@
     const auto value = [&](size_t i) { return i < report.size() ? std::max(0.0, report[i]) : -1; };
     const double inflight = value(s.report.inflight), latency = value(s.report.latency_ms);
     if (inflight < 0) return;
-    // The report is older than it looks: take off what was out here around then, not what is now.
-    TrackOut(e);
     const double w = e.reported < Time(0) ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
-    Blend(e.others, std::max(0.0, inflight - e.out_mean), w);
+    Blend(e.others, std::max(0.0, inflight - e.out), w);
     Pace& kind = KindOf(e);
     kind.reports = kind.reports * (1 - kBlend / 2) + 1;
     Blend(kind.f, inflight, 1 / kind.reports);
--- a/src/brain.h
+++ b/src/brain.h
@@ -99,7 +99,7 @@
   std::string id;
   Time launched{0};  // 0: long past
   int zone = 0;
-  int kind = 0;
+  size_t kind = 0;
   int cell = 0;
   double weight = 1;
   EndpointState state = EndpointState::kUp;
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -141,7 +141,7 @@
   info.launched = Absent(parts[1]) ? Time(0) : ToTime("Launched", parts[1]);
   info.id = ToWord("Host", parts[2]);
   if (!Absent(parts[3])) info.zone = static_cast<int>(ToIndex("FailureDomain", parts[3]));
-  if (!Absent(parts[4])) info.kind = static_cast<int>(ToIndex("Hw", parts[4]));
+  if (!Absent(parts[4])) info.kind = ToIndex("Hw", parts[4]);
   info.weight = Absent(parts[5]) ? 1 : ToNumber("PowerHint", parts[5]);
   if (!Absent(parts[6])) info.cell = static_cast<int>(ToIndex("Group", parts[6]));
   if (parts[7] == "up") {
--- a/tests/wire/wire_test.cpp
+++ b/tests/wire/wire_test.cpp
@@ -115,7 +115,7 @@
   EXPECT_EQ(b.id, "b");
   EXPECT_EQ(b.launched, Time(6100500));
   EXPECT_EQ(b.zone, 1);
-  EXPECT_EQ(b.kind, 2);
+  EXPECT_EQ(b.kind, 2u);
   EXPECT_DOUBLE_EQ(b.weight, 1.5);
   EXPECT_EQ(b.cell, 3);
   EXPECT_EQ(b.state, EndpointState::kDraining);
