--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,13 +42,12 @@
 constexpr double kColdOverhead = 0.25;  // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;       // us; span over which an endpoint's pace is remembered
 constexpr double kReportFade = 3e6;     // us; queues turn over within some service times
-constexpr double kOthersSpan =
-    1e6;  // us; averaged, since all gateways rush at once to what looks idle
-constexpr double kLimitAtFirst = 4;  // requests; small enough not to crowd before it is known
-constexpr double kQuotaSlack = 1.3;  // tenants are not spread alike over the gateways
-constexpr double kQuotaBurst = 1e6;  // us; of a tenant's rate that may come at once
-constexpr double kKindWeight = 4;    // answers; the evidence of its kind counts as so many
-constexpr double kFewSamples = 4;    // answers before an average is trusted
+constexpr double kOthersSpan = 1e6;     // us; all gateways rush at once to what looks idle now
+constexpr double kLimitAtFirst = 4;     // requests; small enough not to crowd before it is known
+constexpr double kQuotaSlack = 1.3;     // tenants are not spread alike over the gateways
+constexpr double kQuotaBurst = 1e6;     // us; of a tenant's rate that may come at once
+constexpr double kKindWeight = 4;       // answers; the evidence of its kind counts as so many
+constexpr double kFewSamples = 4;       // answers before an average is trusted
 
 constexpr size_t kKindsMost = 64;                  // kinds told apart; a fleet has a handful
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
@@ -85,7 +84,6 @@
   int trips = 0;         // ejections in a row
   Time silent_since{0};  // last answer, or the send that found none out
   Pace own;
-  double tput = 0;         // finished requests per us that it can do, from everyone; 0 unknown
   double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
   Time cold_filled{-1};
 };
@@ -97,7 +95,6 @@
   Time sent{0};
   bool out = true;
   bool may_have_run = true;  // until an outcome proves otherwise
-  bool called_off = false;
   double f_at_send = 0;
 };
 
@@ -111,7 +108,6 @@
   int out = 0;
   bool over = false;
   bool waiting = true;
-  bool streaming = false;
   bool in_time = false;  // answered within its aim
   double standing = 0;   // in the arriving work, from the least worth (0) to the most (1)
   bool beyond = false;   // beyond its tenant's share
@@ -150,7 +146,6 @@
   std::vector<double> served, shares;  // of each class: served in its aim, part of the arrivals
   std::vector<double> times;           // us; mean time of each class
   double mean_time = 0, target = 0;    // us; of a request over all classes, and aimed at
-  int out = 0;                         // own attempts out, anywhere
   size_t up = 0;                       // endpoints that may get work
   double pace = 0;                     // own finished work of late, in mean requests per us
   Time paced{0};
@@ -282,9 +277,7 @@
 
   // A hung endpoint keeps answering probes: what shows is that nothing of ours comes back.
   [[nodiscard]] bool Silent(const Endpoint& e) const {
-    if (e.out == 0) return false;
-    const double patience = kSilence * (e.out == 1 ? 1.5 : 1) * (e.trips > 0 ? 0.5 : 1);
-    return Us(now - e.silent_since) > patience * mean_time;
+    return e.out > 0 && Us(now - e.silent_since) > kSilence * mean_time;
   }
 
   [[nodiscard]] bool Healthy(const Endpoint& e) const {
@@ -321,40 +314,32 @@
 
   // What is out or ran out of time counts too: answers alone would flatter a crowded endpoint.
   void Observe(Endpoint& e, const Attempt& a) {
-    Pace& kind = KindOf(e);
+    Pace& kind = kinds[e.info.kind];
     e.own.Count(a.f_at_send, kBlend);
     kind.Count(kind.f, kBlend / 4);
-    if (e.own.done < kFewSamples) return;
-    // With room to spare, a lower throughput says little of what it can do.
-    const double sample = e.own.Tput(), crowded = std::min(1.0, e.own.Time() / target);
-    if (e.tput <= 0) e.tput = sample;
-    Blend(e.tput, sample, sample > e.tput ? 3 * kBlend : kBlend * crowded * crowded);
   }
 
-  [[nodiscard]] Pace& KindOf(const Endpoint& e) { return kinds[e.info.kind]; }
-  // Its own evidence beside that of its kind: in a large fleet each is met too seldom to wait for.
+  // Throughput, 0 while unknown: an endpoint's own evidence beside that of its kind, since in a
+  // large fleet each is met too seldom to wait for.
   [[nodiscard]] double Tput(const Endpoint& e) const {
     const Pace& kind = kinds[e.info.kind];
     const double like = std::min(kind.done, kind.reports) >= kFewSamples ? kind.Tput() : 0;
-    if (e.tput <= 0 || like <= 0) return std::max(e.tput, like);
-    return like + (e.tput - like) * e.own.done / (e.own.done + kKindWeight);
+    const double own = e.own.done >= kFewSamples ? e.own.Tput() : 0;
+    if (own <= 0 || like <= 0) return std::max(own, like);
+    return like + (own - like) * e.own.done / (e.own.done + kKindWeight);
   }
 
   void TrackOut(Endpoint& e) {
     e.own.busy += Us(now - e.out_at) * e.out;
-    KindOf(e).busy += Us(now - e.out_at) * e.out;
+    kinds[e.info.kind].busy += Us(now - e.out_at) * e.out;
     e.out_at = now;
   }
 
-  // An old report tells little of now: what it says fades towards the mean of its kind. Where
-  // nothing is known, the others are taken to have as much out on an endpoint as this gateway.
+  // An old report tells little of now: what it says fades towards the mean of its kind.
   [[nodiscard]] double Load(const Endpoint& e) const {
     const Pace& kind = kinds[e.info.kind];
     const double age = e.reported < Time(0) ? kReportFade * 10 : Us(now - e.reported);
-    if (kind.reports > 0)
-      return kind.f + (e.others - kind.f) * std::exp(-age / kReportFade) + e.out;
-    if (e.reported >= Time(0)) return e.others + e.out;
-    return e.out;
+    return kind.f + (e.others - kind.f) * std::exp(-age / kReportFade) + e.out;
   }
 
   // Limit on all that an endpoint holds: what it can finish within the target. Past it, queueing
@@ -476,32 +461,23 @@
     }
   }
 
-  // How strictly a pick filters its candidates; each level lets go of one wish.
-  enum class Strict { kAim, kCapacity, kHealth };
-
-  bool Eligible(const Request& r, size_t ep, Strict level) {
+  bool Eligible(const Request& r, size_t ep, bool in_time) {
     Endpoint& e = eps[ep];
-    if (!MaySend(r, e)) return false;
-    for (const Attempt& a : r.attempts) {
-      if (a.ep == ep && (a.out || level != Strict::kHealth)) return false;
-    }
-    const bool risky = e.trips > 0 && r.cls->effect == Effect::kUnsafe;  // no trials with these
-    if (level != Strict::kHealth && (risky || !Healthy(e))) return false;
+    if (!MaySend(r, e) || !Healthy(e)) return false;
+    if (e.trips > 0 && r.cls->effect == Effect::kUnsafe) return false;  // no trials with these
+    if (std::ranges::count(r.attempts, ep, &Attempt::ep) > 0) return false;
     const double stretch = 1 + kStretch * (2 * r.standing - 1);
     if (Load(e) + 1 > Limit(e) * stretch) return false;
-    if (level != Strict::kAim) return true;
-    return Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
+    return !in_time || Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
 
-  // The endpoint for a request, or kNone where none may take it now.
+  // The endpoint for a request, or kNone where none may take it now. One that is predicted to
+  // answer well in time, if there is any.
   size_t Pick(const Request& r) {
     Purge();
-    const auto fit = [&](size_t i) { return Up(eps[i]) && Healthy(eps[i]); };
-    for (const Strict level : {Strict::kAim, Strict::kCapacity, Strict::kHealth}) {
-      if (level == Strict::kHealth && std::ranges::any_of(set, fit)) break;
-      const auto allowed = [&](size_t ep) { return Eligible(r, ep, level); };
-      const auto usable = std::ranges::count_if(pool, allowed, &PoolEntry::ep);
-      if (usable > 0 && pool.size() >= 2) {
+    for (const bool in_time : {true, false}) {
+      const auto allowed = [&](size_t ep) { return Eligible(r, ep, in_time); };
+      if (pool.size() >= 2 && std::ranges::any_of(pool, allowed, &PoolEntry::ep)) {
         PoolEntry& p = pool[HotCold(allowed)];
         --p.uses;
         return p.ep;
@@ -569,7 +545,6 @@
     if (!MaySend(r, e)) throw std::logic_error("a send that the rules forbid");
     e.cold_tokens -= Cost(r) + kColdOverhead;
     TrackOut(e);
-    ++out;
     if (e.out++ == 0) e.silent_since = now;
     r.attempts.push_back({.ep = ep, .sent = now, .f_at_send = Load(e)});
     ++r.out;
@@ -604,7 +579,7 @@
     Endpoint& e = eps[a.ep];
     const bool was_silent = Silent(e);
     TrackOut(e);
-    --e.out, --out;
+    --e.out;
     if (in.report) Learn(a.ep, *in.report);
     const bool silent = in.outcome == Outcome::kTimeout || in.outcome == Outcome::kCancelled;
     const bool answered =
@@ -659,26 +634,26 @@
 
   // Worth for work. The class served worst here gains what the result mix adds for it, so that
   // under overload the cheapest worth does not starve a class.
-  [[nodiscard]] double Priority(size_t cls, bool beyond) const {
+  [[nodiscard]] double Priority(size_t cls) const {
     double worth = s.classes[cls].worth, mean_worth = 0;
     for (size_t i = 0; i < shares.size(); ++i) mean_worth += shares[i] * s.classes[i].worth;
     if (served[cls] <= std::ranges::min(served)) {
       const double whole = std::max(s.mix.whole + s.mix.worst_window, 0.1);
       worth += s.mix.worst_class / whole * mean_worth / std::max(shares[cls], kBlend);
     }
-    return worth * (beyond ? s.over_share_worth : 1) / (s.worth_by_work ? 1 : times[cls]);
+    return worth / (s.worth_by_work ? 1 : times[cls]);
   }
 
-  // Where this request stands in the arriving work, from the least worth (0) to the most (1). Few
-  // wait here at once in a large bank, so that sorting them sheds nothing: what has no room makes
-  // the gateway shed from the lower end.
+  // Where a request stands in the arriving work, from the least worth (0) to the most (1), what is
+  // beyond its tenant's share under all else. It orders what waits and stretches the limits: few
+  // wait at once at a gateway of a large bank, and a limit alike for all sheds all or nothing.
   [[nodiscard]] double Standing(const Request& r) {
     double below = 0, all = 0;
     for (size_t i = 0; i < shares.size(); ++i) {
       const double work = shares[i] * times[i];
-      const double worth = Priority(i, false);
       all += work;
-      below += work * (i == r.in.cls ? Uniform() : worth < Priority(r.in.cls, false) ? 1 : 0);
+      if (i == r.in.cls) below += work * Uniform();
+      if (Priority(i) < Priority(r.in.cls)) below += work;
     }
     const double part = below / all;
     return r.beyond ? beyond_part * part : beyond_part + (1 - beyond_part) * part;
@@ -701,14 +676,11 @@
     Dispatch();
   }
 
-  // Sends what waits, the most worth for its work first; gives up at once on what cannot make it.
+  // Sends what waits, the highest standing first; gives up at once on what cannot make it.
   void Dispatch() {
     if (waiting.empty()) return;
     std::vector<std::pair<double, uint64_t>> order;
-    for (const uint64_t seq : waiting) {
-      const Request& r = open.at(seq);
-      order.emplace_back(-Priority(r.in.cls, r.beyond), seq);
-    }
+    for (const uint64_t seq : waiting) order.emplace_back(-open.at(seq).standing, seq);
     std::ranges::sort(order);
     waiting.clear();
     bool full = false;
@@ -748,7 +720,7 @@
     if (inflight < 0) return;
     const double w = e.reported < Time(0) ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
     Blend(e.others, std::max(0.0, inflight - e.out), w);
-    Pace& kind = KindOf(e);
+    Pace& kind = kinds[e.info.kind];
     kind.reports = kind.reports * (1 - kBlend / 2) + 1;
     Blend(kind.f, inflight, 1 / kind.reports);
     e.reported = now;
@@ -777,9 +749,7 @@
     if (in.token == "follow" && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
   }
 
-  void On(const Established& in) {
-    if (Request* const r = Find(in.id)) r->streaming = true;
-  }
+  void On(const Established&) {}  // the attempt is its client's from here; nothing is moved
 
   void On(const ClientLeft& in) {
     Request* const r = Find(in.id);
