--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -10,6 +10,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "brain_state.h"
+
 namespace paddlestile {
 namespace {
 
@@ -54,76 +56,23 @@
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
 void Blend(double& mean, double sample, double weight) { mean += weight * (sample - mean); }
-
-// Requests in flight at send and the time that attempts spent, averaged alike.
-struct Pace {
-  double f = 0, busy = 0, done = 0;  // busy: us; done: attempts ended, decayed
-  double reports = 0;
-
-  void Count(double f_at_send, double weight) {
-    done = done * (1 - weight) + 1;
-    busy *= 1 - weight;
-    f += (f_at_send - f) / done;
-  }
-  [[nodiscard]] double Time() const { return done > 0 ? busy / done : 0; }
-  [[nodiscard]] double Tput() const { return busy > 0 ? f / Time() : 0; }  // Little's law
-};
-
-struct Endpoint {
-  EndpointInfo info;
-  int out = 0;  // own attempts out
-  int probes_out = 0;
-  bool in_set = false, was_up = false;  // of the working set; by the last list
-  double others = 0;                    // in flight there from elsewhere, by the last reports
-  Time reported{-1};                    // when a report last came; -1: never
-  Time out_at{0};
-  double link = 0;       // us; probe round trip, 0 unknown
-  double err = 0;        // share of failed outcomes, recent
-  Time away_until{0};    // out of the working set till then
-  int lost = 0;          // connections that failed in a row
-  int trips = 0;         // ejections in a row
-  Time silent_since{0};  // last answer, or the send that found none out
-  Pace own;
-  double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
-  Time cold_filled{-1};
-};
-
 bool Up(const Endpoint& e) { return e.info.state == EndpointState::kUp; }
 
-struct Attempt {
-  size_t ep = 0;
-  Time sent{0};
-  bool out = true;
-  bool may_have_run = true;  // until an outcome proves otherwise
-  double f_at_send = 0;
-};
-
-struct Request {
-  uint64_t seq = 0;
-  const RequestClass* cls = nullptr;
-  double* time = nullptr;  // us; mean of its class here
-  Submit in;
-  Time arrived{0};
-  std::vector<Attempt> attempts;
-  int out = 0;
-  bool over = false;
-  bool waiting = true;
-  bool in_time = false;  // answered within its aim
-  double standing = 0;   // in the arriving work, from the least worth (0) to the most (1)
-  bool beyond = false;   // beyond its tenant's share
-};
-
-struct PoolEntry {
-  size_t ep = 0;
-  double latency = 0;
-  Time at{0};
-  int uses = 1;
-};
-
 }  // namespace
 
 struct Brain::Impl {
-  Impl(const Settings& settings, uint64_t seed) : s(settings), rng(seed) { Validate(); }
+  Impl(const Settings& settings, uint64_t seed) : s(settings), rng(seed) {
+    CheckSettings(s);
+    target = Us(s.classes[0].aim);
+    for (const RequestClass& c : s.classes) {
+      times.push_back(Us(c.aim) / 4);
+      target = std::min(target, Us(c.aim));
+    }
+    mean_time = target *= kAimShare;
+    served.assign(s.classes.size(), 1);
+    shares.assign(s.classes.size(), 1.0 / static_cast<double>(s.classes.size()));
+    tenant_tokens.assign(s.tenants.size(), 1);
+  }
 
   Settings s;
   std::mt19937_64 rng;
@@ -154,30 +103,6 @@
   double arrivals = 0;                // decayed over kRateSpan
   Time arrivals_at{0};
 
-  void Validate() {
-    const auto need = [](bool ok, const char* name) {
-      if (!ok) throw std::invalid_argument(std::string("setting out of range: ") + name);
-    };
-    need(s.instances >= 1, "NInstances");
-    need(!s.classes.empty(), "Classes");
-    for (const RequestClass& c : s.classes) {
-      need(c.aim > Duration(0), "Classes[].Slo");
-      need(c.deadline > Duration(0), "Classes[].Deadline");
-      need(c.worth >= 0, "Classes[].Worth");
-    }
-    need(s.allowed.send_cap >= 1, "Allowed.SendCap");
-    need(s.obligations.cold_from >= 0 && s.obligations.cold_from <= 1, "Obligations.ColdFrom");
-    target = kAimShare * Us(s.classes[0].aim);
-    for (const RequestClass& c : s.classes) {
-      times.push_back(Us(c.aim) / 4);
-      target = std::min(target, kAimShare * Us(c.aim));
-    }
-    served.assign(s.classes.size(), 1);
-    shares.assign(s.classes.size(), 1.0 / static_cast<double>(s.classes.size()));
-    tenant_tokens.assign(s.tenants.size(), 1);
-    mean_time = target;
-  }
-
   void SetRegime(Regime r) { stats.last = r, ++stats.picks[static_cast<size_t>(r)]; }
   double Uniform() { return std::uniform_real_distribution<double>(0, 1)(rng); }
   size_t Below(size_t n) { return static_cast<size_t>(Uniform() * static_cast<double>(n)) % n; }
@@ -287,14 +212,13 @@
   void Failed(Endpoint& e, double weight) {
     Blend(e.err, 1, weight);
     if (e.err <= kErrEject || !e.in_set) return;
-    ++e.trips;
     Leave(e);
   }
 
   // Another takes the place of an endpoint that is sick or gave no connection (its table may be
   // full, which no report shows); it may be drawn again later, and not by all gateways together.
   void Leave(Endpoint& e) {
-    const double away = Us(kAwayFirst) * (1 << std::min(e.lost + e.trips, kAwayDoublings));
+    const double away = Us(kAwayFirst) * (1 << std::min(e.trips++, kAwayDoublings));
     e.away_until = now + Duration(std::llround(away * (0.5 + Uniform())));
     FillSet();
   }
@@ -528,13 +452,11 @@
   bool WithinColdBudget(Endpoint& e, double cost) {
     if (!Cold(e)) return true;
     const double age = std::max(0.0, Us(now - e.info.launched) / Us(s.obligations.warm_within));
-    const double share =
-        s.obligations.cold_from + (1 - s.obligations.cold_from) * std::min(1.0, age);
+    const double from = s.obligations.cold_from, share = from + (1 - from) * std::min(1.0, age);
     const double mean_pace = pace / static_cast<double>(std::max<size_t>(set.size(), 1));
     const double rate = mean_pace * share * s.obligations.fall_multiple * kColdSafety;
     // Each begins at a place of its own, or all gateways would have saved a whole request at once.
-    if (e.cold_filled < Time(0)) e.cold_tokens = -Uniform();
-    if (e.cold_filled >= Time(0)) e.cold_tokens += rate * Us(now - e.cold_filled);
+    e.cold_tokens += e.cold_filled < Time(0) ? -Uniform() : rate * Us(now - e.cold_filled);
     e.cold_filled = now;
     e.cold_tokens = std::min(e.cold_tokens, std::max(1.5, rate * Us(s.obligations.fall) / 4));
     return e.cold_tokens >= cost + kColdOverhead;
@@ -589,8 +511,7 @@
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
-    if (in.outcome == Outcome::kConnectFailed) ++e.lost, Leave(e);
-    if (answered) e.lost = 0;
+    if (in.outcome == Outcome::kConnectFailed) Leave(e);
     if (silent && was_silent) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
       r.over = true;
@@ -664,10 +585,9 @@
     const uint64_t seq = by_id[in.id] = next_seq++;
     const size_t cls = std::min(in.cls, s.classes.size() - 1);
     for (size_t i = 0; i < shares.size(); ++i) Blend(shares[i], i == cls ? 1 : 0, kBlend / 4);
-    open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}};
+    Request& r = open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}};
+    r.in.cls = cls;
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
-    open[seq].in.cls = cls;
-    Request& r = open[seq];
     r.beyond = BeyondShare(in.tenant);
     Blend(beyond_part, r.beyond ? 1 : 0, kBlend / 4);
     r.standing = Standing(r);
--- /dev/null
+++ b/src/brain_state.h
@@ -0,0 +1,81 @@
+// The records that the decision module keeps of endpoints, requests and probe answers, and the
+// check of its settings. No decision stands here: those are all in brain.cpp.
+#ifndef PADDLESTILE_BRAIN_STATE_H_
+#define PADDLESTILE_BRAIN_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "brain.h"
+
+namespace paddlestile {
+
+// Throws std::invalid_argument, naming the setting, where the settings make no sense.
+void CheckSettings(const Settings& s);
+
+// Requests in flight at send and the time that attempts spent, averaged alike.
+struct Pace {
+  double f = 0, busy = 0, done = 0;  // busy: us; done: attempts ended, decayed
+  double reports = 0;
+
+  void Count(double f_at_send, double weight) {
+    done = done * (1 - weight) + 1;
+    busy *= 1 - weight;
+    f += (f_at_send - f) / done;
+  }
+  [[nodiscard]] double Time() const { return done > 0 ? busy / done : 0; }
+  [[nodiscard]] double Tput() const { return busy > 0 ? f / Time() : 0; }  // Little's law
+};
+
+struct Endpoint {
+  EndpointInfo info;
+  int out = 0;  // own attempts out
+  int probes_out = 0;
+  bool in_set = false, was_up = false;  // of the working set; by the last list
+  double others = 0;                    // in flight there from elsewhere, by the last reports
+  Time reported{-1};                    // when a report last came; -1: never
+  Time out_at{0};
+  double link = 0;       // us; probe round trip, 0 unknown
+  double err = 0;        // share of failed outcomes, recent
+  Time away_until{0};    // out of the working set till then
+  int trips = 0;         // ejections in a row
+  Time silent_since{0};  // last answer, or the send that found none out
+  Pace own;
+  double cold_tokens = 0;  // this gateway's part of the cold budget, in mean requests
+  Time cold_filled{-1};
+};
+
+struct Attempt {
+  size_t ep = 0;
+  Time sent{0};
+  bool out = true;
+  bool may_have_run = true;  // until an outcome proves otherwise
+  double f_at_send = 0;
+};
+
+struct Request {
+  uint64_t seq = 0;
+  const RequestClass* cls = nullptr;
+  double* time = nullptr;  // us; mean of its class here
+  Submit in;
+  Time arrived{0};
+  std::vector<Attempt> attempts;
+  int out = 0;
+  bool over = false;
+  bool waiting = true;
+  bool in_time = false;  // answered within its aim
+  double standing = 0;   // in the arriving work, from the least worth (0) to the most (1)
+  bool beyond = false;   // beyond its tenant's share
+};
+
+struct PoolEntry {
+  size_t ep = 0;
+  double latency = 0;
+  Time at{0};
+  int uses = 1;
+};
+
+}  // namespace paddlestile
+
+#endif  // PADDLESTILE_BRAIN_STATE_H_
