--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -240,7 +240,7 @@
   void Observe(Endpoint& e, const Attempt& a) {
     Pace& kind = kinds[e.info.kind];
     e.own.Count(a.f_at_send, kBlend);
-    kind.Count(kind.f, kBlend / 4);
+    kind.Count(kind.held, kBlend / 4);
   }
 
   // Throughput, 0 while unknown: an endpoint's own evidence beside that of its kind, since in a
@@ -263,7 +263,7 @@
   [[nodiscard]] double Load(const Endpoint& e) const {
     const Pace& kind = kinds[e.info.kind];
     const double age = e.reported < Time(0) ? kReportFade * 10 : Us(now - e.reported);
-    return kind.f + (e.others - kind.f) * std::exp(-age / kReportFade) + e.out;
+    return kind.held + (e.others - kind.held) * std::exp(-age / kReportFade) + e.out;
   }
 
   // Limit on all that an endpoint holds: what it can finish within the target. Past it, queueing
@@ -272,7 +272,7 @@
     const double tput = Tput(e);
     // Nothing learned yet: go along with what its kind holds, or a kind found busy at the start
     // would never be tried.
-    if (tput <= 0) return std::max(kLimitAtFirst, kinds[e.info.kind].f + 1);
+    if (tput <= 0) return std::max(kLimitAtFirst, kinds[e.info.kind].held + 1);
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
     return std::max({2.0, room + tput * target});
   }
@@ -388,7 +388,7 @@
   bool Eligible(const Request& r, size_t ep, bool in_time) {
     Endpoint& e = eps[ep];
     if (!MaySend(r, e) || !Healthy(e)) return false;
-    if (e.trips > 0 && r.cls->effect == Effect::kUnsafe) return false;  // no trials with these
+    if (in_time && e.trips > 0 && r.cls->effect == Effect::kUnsafe) return false;  // no trials
     if (std::ranges::count(r.attempts, ep, &Attempt::ep) > 0) return false;
     const double stretch = 1 + kStretch * (2 * r.standing - 1);
     if (Load(e) + 1 > Limit(e) * stretch) return false;
@@ -642,7 +642,7 @@
     Blend(e.others, std::max(0.0, inflight - e.out), w);
     Pace& kind = kinds[e.info.kind];
     kind.reports = kind.reports * (1 - kBlend / 2) + 1;
-    Blend(kind.f, inflight, 1 / kind.reports);
+    Blend(kind.held, inflight, 1 / kind.reports);
     e.reported = now;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
     const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -17,7 +17,7 @@
 // Requests in flight at send and the time that attempts spent, averaged alike.
 struct Pace {
   double f = 0, busy = 0, done = 0;  // busy: us; done: attempts ended, decayed
-  double reports = 0;
+  double held = 0, reports = 0;      // mean in flight by the reports, of a kind; reports, decayed
 
   void Count(double f_at_send, double weight) {
     done = done * (1 - weight) + 1;
