--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -46,6 +46,7 @@
 constexpr double kReportFade = 3e6;     // us; queues turn over within some service times
 constexpr double kOthersSpan = 1e6;     // us; all gateways rush at once to what looks idle now
 constexpr double kLimitAtFirst = 4;     // requests; small enough not to crowd before it is known
+constexpr double kHeldShare = 0.5;      // of what its kind holds, before anything is known
 constexpr double kQuotaSlack = 1.3;     // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;     // us; of a tenant's rate that may come at once
 constexpr double kKindWeight = 4;       // answers; the evidence of its kind counts as so many
@@ -154,9 +155,9 @@
     Dispatch();
   }
 
-  // Hundreds of gateways that each work with the whole of a large fleet see every endpoint too
-  // seldom to know it, and hold a connection to each. A random share of it, large enough that every
-  // endpoint has several gateways, is met often; who is sick or unreachable leaves his place.
+  // Hundreds of gateways that each work with a whole large fleet meet every endpoint too seldom to
+  // know it, and hold a connection to each. A random share is met often; the sick leave their
+  // place.
   [[nodiscard]] bool Usable(const Endpoint& e) const { return Up(e) && now >= e.away_until; }
 
   // Of the newly listed, each enters a full set by the chance that any endpoint has. Without it
@@ -270,9 +271,9 @@
   // adds only delay, and some slow down when crowded and stay slow.
   [[nodiscard]] double Limit(const Endpoint& e) const {
     const double tput = Tput(e);
-    // Nothing learned yet: go along with what its kind holds, or a kind found busy at the start
-    // would never be tried.
-    if (tput <= 0) return std::max(kLimitAtFirst, kinds[e.info.kind].held + 1);
+    // Nothing learned yet: at half of what its kind holds. At all of it, hundreds of newcomers keep
+    // an overload up; at a fixed few, a kind found busy at the start would never be tried.
+    if (tput <= 0) return std::max(kLimitAtFirst, kinds[e.info.kind].held * kHeldShare);
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
     return std::max({2.0, room + tput * target});
   }
@@ -641,7 +642,7 @@
     const double w = e.reported < Time(0) ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
     Blend(e.others, std::max(0.0, inflight - e.out), w);
     Pace& kind = kinds[e.info.kind];
-    kind.reports = kind.reports * (1 - kBlend / 2) + 1;
+    kind.reports = kind.reports * (1 - kBlend) + 1;
     Blend(kind.held, inflight, 1 / kind.reports);
     e.reported = now;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
