--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -239,9 +239,8 @@
 
   // What is out or ran out of time counts too: answers alone would flatter a crowded endpoint.
   void Observe(Endpoint& e, const Attempt& a) {
-    Pace& kind = kinds[e.info.kind];
     e.own.Count(a.f_at_send, kBlend);
-    kind.Count(kind.held, kBlend / 4);
+    kinds[e.info.kind].Count(kinds[e.info.kind].held, kBlend / 4);
   }
 
   // Throughput, 0 while unknown: an endpoint's own evidence beside that of its kind, since in a
