--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -36,7 +36,8 @@
 constexpr int kAwayDoublings = 4;             // up to 16 s, the order of a short outage
 constexpr double kSilence = 3;                // typical times without any answer: suspect
 constexpr double kAimShare = 0.4;             // of the aim that the predicted time may take
-constexpr double kHoldShare = 0.2;            // of the aim that a request may wait here
+constexpr int kAwayPart = 16;                 // a refused client comes back after the aim over this
+constexpr double kHoldShare = 0.1;            // of the aim that a request may wait here
 constexpr double kStretch = 0.3;        // of the limit, less for the least worth, more for the most
 constexpr double kRetryEarn = 0.2;      // further attempts earned by each request
 constexpr double kRetryMost = 10;       // further attempts saved up
@@ -155,9 +156,8 @@
     Dispatch();
   }
 
-  // Hundreds of gateways that each work with a whole large fleet meet every endpoint too seldom to
-  // know it, and hold a connection to each. A random share is met often; the sick leave their
-  // place.
+  // Hundreds of gateways that each work with a whole large fleet meet an endpoint too seldom to
+  // know it, and hold a connection to each. A share is met often; the sick leave their place in it.
   [[nodiscard]] bool Usable(const Endpoint& e) const { return Up(e) && now >= e.away_until; }
 
   // Of the newly listed, each enters a full set by the chance that any endpoint has. Without it
@@ -295,8 +295,8 @@
     return std::clamp(kProbeSpend / s.charges.probe, kProbeLeast, kProbeMost);
   }
 
-  // Uses of one answer, by the paper's formula. Outside its domain no budget keeps the pool filled:
-  // an answer serves once, and the fallback shows in the regime.
+  // Uses of one answer, by the paper's formula. Outside its domain an answer serves once, and the
+  // fallback shows in the regime.
   double ReuseBudget(double n) const {
     const double m = static_cast<double>(PoolBound());
     const double net = (1 - m / n) * ProbeRate() - ProbeRate() * kRemovePerProbe;
@@ -395,8 +395,7 @@
     return !in_time || Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
 
-  // The endpoint for a request, or kNone where none may take it now. One that is predicted to
-  // answer well in time, if there is any.
+  // The endpoint for a request: one predicted well in time, else any; or kNone where none may.
   size_t Pick(const Request& r) {
     Purge();
     for (const bool in_time : {true, false}) {
@@ -474,12 +473,13 @@
     Degrade();
   }
 
-  // The final answer of a request that is given up: a refusal while that is lawful.
+  // A refusal while that is lawful. A client told to stay away for long comes back too late.
   void GiveUp(Request& r) {
     if (r.over) return;
     r.over = true;
     if (!MayRefuse(r)) return Do(Fail{r.in.id});
-    Do(Refuse{r.in.id, s.allowed.retry_after ? s.allowed.max_retry_after : Duration(0)});
+    const Duration away = std::min(s.allowed.max_retry_after, r.cls->aim / kAwayPart);
+    Do(Refuse{r.in.id, s.allowed.retry_after ? away : Duration(0)});
   }
 
   // ---- 5. Attempts --------------------------------------------------------------------------
@@ -565,9 +565,9 @@
     return worth / (s.worth_by_work ? 1 : times[cls]);
   }
 
-  // Where a request stands in the arriving work, from the least worth (0) to the most (1), what is
-  // beyond its tenant's share under all else. It orders what waits and stretches the limits: few
-  // wait at once at a gateway of a large bank, and a limit alike for all sheds all or nothing.
+  // Where a request stands in the arriving work, from the least worth (0) to the most (1), with the
+  // excess of tenants below. Orders what waits and stretches the limits: few wait at once at a
+  // gateway of a large bank, and a limit alike for all sheds all or nothing.
   [[nodiscard]] double Standing(const Request& r) {
     double below = 0, all = 0;
     for (size_t i = 0; i < shares.size(); ++i) {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -844,6 +844,22 @@
   EXPECT_LT(sent[0], 50);
 }
 
+// The trouble: refused clients were told to stay away for longer than their aim, so that whatever
+// they asked again was late.
+TEST(Admission, ARefusedClientIsToldToComeBackWithinItsAim) {
+  Settings s = MakeSettings();
+  s.allowed.retry_after = true;
+  s.allowed.max_retry_after = Ms(3000);
+  Gateway g(s);
+  g.Give(Members{});  // no endpoint at all
+  g.Ask("r");
+  g.Pass(Ms(300));
+  const auto refused = Gateway::All<Refuse>(g.log);
+  ASSERT_EQ(refused.size(), 1U);
+  EXPECT_GT(refused[0].stay_away, Duration(0));
+  EXPECT_LT(refused[0].stay_away, Ms(100));  // a quarter of the aim
+}
+
 // ---- Odd events -----------------------------------------------------------------------------
 
 TEST(Odd, EventsForWhatIsUnknownOrOverAreIgnored) {
