--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,14 +16,14 @@
 namespace {
 
 // ---- Constants: unit and reason for each ----------------------------------------------------
-constexpr Duration kSweep{10'000};      // us; a fraction of any useful aim, cheap to run
-constexpr Duration kRefill{1'000'000};  // us; who was away is missed no longer than this
-constexpr size_t kPoolMost = 16;        // entries; the paper's pool
-constexpr double kSetLeast = 16;        // endpoints; as many as the pool can tell apart at once
-constexpr double kSetPriced = 4;        // endpoints, where open connections are charged
-constexpr double kSetCover = 6;         // gateways that should use each endpoint, on average
-constexpr double kPoolShare = 0.8;      // of the endpoints; m < n keeps the reuse formula defined
-constexpr double kPoolAge = 1e6;        // us; the design page's starting point
+constexpr Duration kSweep{10'000};  // us; a fraction of any useful aim, cheap to run
+constexpr size_t kPoolMost = 16;    // entries; the paper's pool
+constexpr double kSetLeast = 16;    // endpoints; as many as the pool can tell apart at once
+constexpr double kSetPriced = 4;    // endpoints, where open connections are charged
+constexpr double kSetCover = 6;     // gateways that should use each endpoint, on average
+constexpr int kNearer = 2;          // further draws for an endpoint of the own zone
+constexpr double kPoolShare = 0.8;  // of the endpoints; m < n keeps the reuse formula defined
+constexpr double kPoolAge = 1e6;    // us; the design page's starting point
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
 constexpr double kProbeSpend = 0.008;  // of the result; what probing may cost where it is priced
 constexpr double kProbeLeast = 0.25;   // probes a request; keeps a pool over a small fleet filled
@@ -100,9 +100,8 @@
   size_t up = 0;                       // endpoints that may get work
   double pace = 0;                     // own finished work of late, in mean requests per us
   Time paced{0};
-  double beyond_part = 0;             // of the arrivals, beyond their tenant's share
-  std::vector<double> tenant_tokens;  // requests still within each tenant's share
-  double arrivals = 0;                // decayed over kRateSpan
+  std::vector<double> tenant_tokens;     // requests still within each tenant's share
+  double arrivals = 0, beyond_part = 0;  // decayed over kRateSpan; beyond their tenant's share
   Time arrivals_at{0};
 
   void SetRegime(Regime r) { stats.last = r, ++stats.picks[static_cast<size_t>(r)]; }
@@ -191,7 +190,10 @@
         if (!eps[i].in_set && Up(eps[i]) && (away || Usable(eps[i]))) rest.push_back(i);
       }
       for (; set.size() < most && !rest.empty(); rest.pop_back()) {
-        std::swap(rest[Below(rest.size())], rest.back());
+        size_t pick = Below(rest.size());
+        for (int more = 0; more < kNearer && eps[rest[pick]].info.zone != s.zone; ++more)
+          pick = Below(rest.size());  // crossing costs; by chance, so that zones still spill over
+        std::swap(rest[pick], rest.back());
         set.push_back(rest.back());
         eps[rest.back()].in_set = true;
       }
@@ -442,18 +444,15 @@
     return std::ranges::none_of(r.attempts, &Attempt::may_have_run);
   }
 
-  [[nodiscard]] bool Cold(const Endpoint& e) const {
-    return e.info.launched > Time(0) && now - e.info.launched < s.obligations.warm_within * 1.1;
-  }
-
   // A cold endpoint falls over if all gateways together send too much. If each gateway keeps to
   // this multiple of its own mean pace on an endpoint, the sum keeps to it as well.
   bool WithinColdBudget(Endpoint& e, double cost) {
-    if (!Cold(e)) return true;
-    const double age = std::max(0.0, Us(now - e.info.launched) / Us(s.obligations.warm_within));
+    const Time started_at = e.info.launched, warm = s.obligations.warm_within;
+    if (started_at <= Time(0) || now - started_at >= warm * 1.1) return true;
+    const double age = std::max(0.0, Us(now - started_at) / Us(warm));
     const double from = s.obligations.cold_from, share = from + (1 - from) * std::min(1.0, age);
-    const double mean_pace = pace / static_cast<double>(std::max<size_t>(set.size(), 1));
-    const double rate = mean_pace * share * s.obligations.fall_multiple * kColdSafety;
+    const double rate = pace / static_cast<double>(std::max<size_t>(set.size(), 1)) * share *
+                        s.obligations.fall_multiple * kColdSafety;
     // Each begins at a place of its own, or all gateways would have saved a whole request at once.
     e.cold_tokens += e.cold_filled < Time(0) ? -Uniform() : rate * Us(now - e.cold_filled);
     e.cold_filled = now;
@@ -527,11 +526,11 @@
     Dispatch();
   }
 
-  // Looks again at what waits; a place in the set that nobody could fill is tried each second.
+  // Looks again at what waits, and each second at places in the set that nobody could fill.
   void Sweep() {
     Do(SetTimer{kSweep, "sweep"});
     if (now >= refill_at) {
-      refill_at = now + kRefill;
+      refill_at = now + kAwayFirst;
       FillSet();
     }
     Dispatch();
@@ -591,7 +590,7 @@
     r.beyond = BeyondShare(in.tenant);
     Blend(beyond_part, r.beyond ? 1 : 0, kBlend / 4);
     r.standing = Standing(r);
-    ProbeSome();
+    if (!in.again) ProbeSome();  // the first try has paid for what this one needs
     waiting.push_back(seq);
     Dispatch();
   }
