--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -719,6 +719,7 @@
     s.charges.connection = priced;
     std::set<std::string> by_all;
     for (uint64_t seed = 1; seed <= 200; ++seed) {
+      s.zone = static_cast<int>(seed % 2);
       Gateway g(s, seed);
       g.Endpoints(120);
       g.WarmUp(100);
