--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -20,7 +20,7 @@
 constexpr size_t kPoolMost = 16;    // entries; the paper's pool
 constexpr double kSetLeast = 16;    // endpoints; as many as the pool can tell apart at once
 constexpr double kSetPriced = 4;    // endpoints, where open connections are charged
-constexpr double kSetCover = 6;     // gateways that should use each endpoint, on average
+constexpr double kSetCover = 4;     // gateways that should use each endpoint, on average
 constexpr int kNearer = 2;          // further draws for an endpoint of the own zone
 constexpr double kPoolShare = 0.8;  // of the endpoints; m < n keeps the reuse formula defined
 constexpr double kPoolAge = 1e6;    // us; the design page's starting point
