--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -861,6 +861,46 @@
   EXPECT_LT(refused[0].stay_away, Ms(100));  // a quarter of the aim
 }
 
+// The trouble: two thirds of the picks of a small set crossed zones, at a price.
+TEST(Set, PrefersTheOwnZoneButNotOnly) {
+  Settings s = MakeSettings();
+  s.instances = 200;
+  int own = 0, all = 0;
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    Gateway g(s, seed);
+    g.Endpoints(120);  // even ones in zone 0, this gateway's
+    g.WarmUp(100);
+    std::set<std::string> met;
+    for (const Send& send : g.sends) met.insert(send.endpoint);
+    for (const std::string& id : met) own += (id.back() - '0') % 2 == 0;
+    all += static_cast<int>(met.size());
+  }
+  EXPECT_GT(own, all * 3 / 4);
+  EXPECT_LT(own, all);
+}
+
+TEST(Odd, AKindOutOfAnyBoundAndAClusterOfHundreds) {
+  Settings s = MakeSettings();
+  s.instances = 4000;  // far more than endpoints, and than are there
+  Gateway g(s);
+  Members m;
+  m.kind = ListKind::kCached;
+  for (int i = 0; i < 300; ++i) {
+    EndpointInfo info;
+    info.id = "e" + std::to_string(i);
+    info.zone = i;  // one endpoint a zone
+    info.kind = i % 2 ? SIZE_MAX : 0;
+    m.entries.push_back(info);
+  }
+  g.Give(m);
+  for (int i = 0; i < 50; ++i) {
+    const auto actions = g.Ask("r" + std::to_string(i));
+    EXPECT_LE(actions.size(), 3U);  // a send and two probes: bounded work whatever the fleet
+    g.End("r" + std::to_string(i), 0, g.sends.back().endpoint, Outcome::kOk, Ms(5), true);
+  }
+  EXPECT_EQ(g.sends.size(), 50U);
+}
+
 // ---- Odd events -----------------------------------------------------------------------------
 
 TEST(Odd, EventsForWhatIsUnknownOrOverAreIgnored) {
