--- /dev/null
+++ b/src/net/clients.cpp
@@ -0,0 +1,440 @@
+#include "net/clients.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cmath>
+#include <system_error>
+#include <utility>
+
+#include "net/counters.h"
+#include "net/log.h"
+
+namespace paddlestile::net {
+namespace {
+
+constexpr Duration kRequestTime{10'000'000};  // us; for a request once begun, and to take an answer
+constexpr Duration kLinger{1'000'000};        // us; for a client to read its last answer
+constexpr Duration kAcceptAgain{5'000};       // us; while descriptors are short
+constexpr Duration kDrainStep{20'000};        // us
+// New connections go on coming for up to 0.4 s after SIGTERM; what comes on old ones from 0.7 s on
+// may find no time to be answered, so that idle ones are closed in between.
+constexpr Duration kDrainIdleAfter{450'000};  // us
+constexpr Duration kDrainQuiet{150'000};      // us; without a new connection
+constexpr int kBacklog = 4096;
+constexpr size_t kIdMost = 64;
+constexpr uint64_t kBudgetMost = 600'000;  // ms
+
+std::string_view Reason(int status) {
+  switch (status) {
+    case 200: return "OK";
+    case 400: return "Bad Request";
+    case 403: return "Forbidden";
+    case 404: return "Not Found";
+    case 405: return "Method Not Allowed";
+    case 408: return "Request Timeout";
+    case 409: return "Conflict";
+    case 413: return "Content Too Large";
+    case 431: return "Request Header Fields Too Large";
+    case 501: return "Not Implemented";
+    case 502: return "Bad Gateway";
+    case 503: return "Service Unavailable";
+    case 505: return "HTTP Version Not Supported";
+    default: return "Error";
+  }
+}
+
+// Further figures of a request, as name=value with commas between, by the wire's names.
+void ReadInfo(std::string_view info, Submit& submit) {
+  while (!info.empty()) {
+    const size_t comma = info.find(',');
+    const std::string_view pair = Trim(info.substr(0, comma));
+    info.remove_prefix(comma == std::string_view::npos ? info.size() : comma + 1);
+    const size_t eq = pair.find('=');
+    if (eq == std::string_view::npos) continue;
+    const std::string_view name = pair.substr(0, eq), value = pair.substr(eq + 1);
+    if (SameName(name, "Subject") && !value.empty()) submit.key = std::string(value);
+    if (SameName(name, "IsWrite")) submit.is_write = value == "1" || value == "true";
+    double ms = 0;
+    const auto read = std::from_chars(value.data(), value.data() + value.size(), ms);
+    const bool number = read.ec == std::errc() && read.ptr == value.data() + value.size();
+    if (SameName(name, "Expected") && number && ms >= 0 && ms < 1e9) {
+      submit.expected = Duration(std::llround(ms * 1000));
+    }
+  }
+}
+
+std::string_view FirstOfPath(std::string_view target) {
+  target.remove_prefix(1);
+  return target.substr(0, target.find_first_of("/?"));
+}
+
+}  // namespace
+
+std::string HeadForClient(const Answer& answer, bool keep_alive) {
+  std::string head = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, Reason(answer.status));
+  if (answer.from) {
+    const Message& m = answer.from->message;
+    const std::string_view base = answer.from->bytes.view();
+    for (const auto& [key, value] : m.headers) {
+      const std::string_view name = key.In(base);
+      if (HopByHop(m, base, name) || SameName(name, "Content-Length")) continue;
+      if (SameName(name, "X-Load-Report")) continue;  // between the hosts and us
+      head += fmt::format("{}: {}\r\n", name, value.In(base));
+    }
+  }
+  if (answer.retry_after > Duration(0)) {
+    head += fmt::format("Retry-After: {:.3f}\r\n",
+                        static_cast<double>(answer.retry_after.count()) / 1e6);
+  }
+  const size_t size = answer.from ? answer.from->message.body.size : 0;
+  head += fmt::format("Content-Length: {}\r\n", size);
+  if (!keep_alive) head += "Connection: close\r\n";
+  return head + "\r\n";
+}
+
+Understood Understand(const Held& request, const Names& names, const Settings& settings, Time now) {
+  const Message& m = request.message;
+  const std::string_view base = request.bytes.view();
+  const auto bad = [](int status, std::string why) {
+    return Understood{{}, status, std::move(why)};
+  };
+  static constexpr std::string_view kMethods[] = {"GET", "POST", "PUT", "PATCH", "DELETE"};
+  if (std::ranges::find(kMethods, m.method.In(base)) == std::end(kMethods)) {
+    return bad(405, "method");
+  }
+  // A header that decides and stands there twice could be read differently further on.
+  for (const std::string_view name :
+       {"X-Call-Id", "X-Budget-Ms", "X-Caller", "X-Again", "Idempotency-Key"}) {
+    if (m.CountOf(base, name) > 1) return bad(400, fmt::format("{} twice", name));
+  }
+  Understood out;
+  Submit& submit = out.submit;
+  const auto id = m.Find(base, "X-Call-Id");
+  if (!id || id->empty() || id->size() > kIdMost ||
+      !std::ranges::all_of(*id, [](unsigned char c) { return c > 0x20 && c < 0x7f; })) {
+    return bad(400, "X-Call-Id");
+  }
+  submit.id = *id;
+  const auto budget = ToWhole(m.Find(base, "X-Budget-Ms").value_or(""));
+  if (!budget || *budget == 0 || *budget > kBudgetMost) return bad(400, "X-Budget-Ms");
+  submit.deadline = now + Duration(static_cast<int64_t>(*budget) * 1000);
+  submit.cls = names.classes.Find(FirstOfPath(m.target.In(base)));
+  if (submit.cls >= settings.classes.size()) return bad(404, "unknown class");
+  if (settings.classes[submit.cls].effect == Effect::kKeyed &&
+      m.Find(base, "Idempotency-Key").value_or("").empty()) {
+    return bad(400, "Idempotency-Key");  // without it a repeat would be new work
+  }
+  if (names.tenants.size() > 0) {
+    const auto caller = m.Find(base, "X-Caller");
+    if (!caller) return bad(400, "X-Caller");
+    submit.tenant = names.tenants.Find(*caller);
+    if (submit.tenant >= names.tenants.size()) return bad(403, "unknown X-Caller");
+  }
+  submit.again = settings.callers_mark_retry && m.Find(base, "X-Again").value_or("") == "1";
+  if (const auto info = m.Find(base, "X-Call-Info")) ReadInfo(*info, submit);
+  return out;
+}
+
+// ---- Listening ------------------------------------------------------------------------------
+
+class Clients::Listening final : public EventLoop::Handler {
+ public:
+  Listening(Clients& clients, const Address& listen) : clients_(clients) {
+    fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const int on = 1;
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(listen.port);
+    address.sin_addr.s_addr = htonl(listen.host);
+    const auto* const name = reinterpret_cast<const sockaddr*>(&address);
+    if (!fd_ || setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+        bind(fd_.get(), name, sizeof(address)) != 0 || ::listen(fd_.get(), kBacklog) != 0 ||
+        !clients_.loop_.Watch(fd_.get(), this, token_)) {
+      throw std::system_error(errno, std::generic_category(), "listen on " + ToText(listen));
+    }
+  }
+  Listening(const Listening&) = delete;
+  Listening& operator=(const Listening&) = delete;
+  virtual ~Listening() { clients_.loop_.Unwatch(fd_.get(), token_); }
+
+  [[nodiscard]] int fd() const { return fd_.get(); }
+  void OnEvents(uint32_t) override { clients_.Accept(); }
+
+ private:
+  Clients& clients_;
+  Fd fd_;
+  uint64_t token_ = 0;
+};
+
+// ---- Connections ----------------------------------------------------------------------------
+
+class Clients::Connection final : public Stream::Owner {
+ public:
+  Connection(Clients& clients, Socket socket)
+      : clients_(clients), stream_(clients.loop_, std::move(socket), this, false) {
+    stream_.set_most_unread(kMaxHead + kMaxBody);
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  virtual ~Connection() { clients_.loop_.Cancel(timer_); }
+
+  bool Start() {
+    if (!stream_.Start()) return false;
+    BecomeIdle();
+    return true;
+  }
+
+  Stream& stream() { return stream_; }
+  [[nodiscard]] bool idle() const { return idle_; }
+
+  // Before it goes: whoever works for it must not answer it any more.
+  void Leave() {
+    clients_.loop_.Cancel(timer_);
+    StopIdling();
+    if (const auto exchange = std::exchange(exchange_, nullptr); exchange && !exchange->over()) {
+      exchange->Abandon();
+      clients_.listener_->OnClientLeft(exchange);
+    }
+    stream_.Close();
+  }
+
+  std::list<std::shared_ptr<Connection>>::iterator place;
+
+ private:
+  enum class State { kReading, kWaiting, kWriting, kLingering };
+
+  void OnRead() override {
+    if (state_ == State::kReading) Read();
+    if (stream_.closed()) return;
+    if (state_ == State::kLingering) stream_.in().Consume(stream_.in().size());
+    // The end of what the client sends is taken for its leaving: it closes when it has gone.
+    if (stream_.ended() && state_ != State::kReading) clients_.Drop(*this);
+  }
+
+  void Read() {
+    if (stream_.in().empty()) {
+      if (stream_.ended()) clients_.Drop(*this);
+      return;
+    }
+    StopIdling();
+    if (!parser_.begun()) SetTimer(kRequestTime, [this] { Refuse(408, "request too slow"); });
+    const Progress progress = parser_.Feed(stream_.in());
+    if (progress == Progress::kBad) return Refuse(parser_.status_for_bad(), "malformed request");
+    if (progress == Progress::kDone) return Take();
+    if (stream_.ended()) return clients_.Drop(*this);  // it broke off in the middle
+    Continue();
+  }
+
+  // A client may wait to be asked for the body.
+  void Continue() {
+    const Message& m = parser_.message();
+    if (asked_ || m.body.at == 0) return;
+    asked_ = true;
+    if (SameName(m.Find(stream_.in().view(), "Expect").value_or(""), "100-continue")) {
+      stream_.Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+  }
+
+  void Take() {
+    clients_.loop_.Cancel(timer_);
+    Held request;
+    request.message = parser_.message();
+    request.bytes = stream_.in().TakeFront(request.message.size);
+    parser_.Reset();
+    asked_ = false;
+    keep_alive_ = request.message.keep_alive;
+    state_ = State::kWaiting;
+    const std::string_view base = request.bytes.view();
+    if (request.message.target.In(base) == "/_health") {
+      ++Count().health_checks;
+      return Reply({clients_.draining_ ? 503 : 200, nullptr, {}});
+    }
+    Taken taken = clients_.listener_->OnRequest(std::move(request),
+                                                [this](const Answer& answer) { Reply(answer); });
+    if (taken.exchange) {
+      exchange_ = std::move(taken.exchange);
+      return;
+    }
+    ++Count().requests_malformed;
+    Log(Level::kInfo, "request answered {}: {}", taken.bad_status, taken.why);
+    Reply({taken.bad_status, nullptr, {}});
+  }
+
+  // Where the framing is lost nothing more can be understood on this connection.
+  void Refuse(int status, std::string_view why) {
+    ++Count().requests_malformed;
+    Log(Level::kInfo, "request answered {}: {}", status, why);
+    state_ = State::kWaiting;
+    keep_alive_ = false;
+    stream_.in().Consume(stream_.in().size());
+    Reply({status, nullptr, {}});
+  }
+
+  void Reply(const Answer& answer) {
+    exchange_ = nullptr;
+    if (!PADDLESTILE_CHECK(state_ == State::kWaiting)) return;
+    state_ = State::kWriting;
+    keep_alive_ = keep_alive_ && !clients_.draining_;
+    SetTimer(kRequestTime, [this] { clients_.Drop(*this); });  // it never reads
+    stream_.Write(HeadForClient(answer, keep_alive_), answer.from,
+                  answer.from ? answer.from->body() : std::string_view());
+  }
+
+  void OnFlushed() override {
+    if (state_ != State::kWriting) return;  // that was "100 Continue"
+    if (keep_alive_) {
+      clients_.loop_.Cancel(timer_);
+      state_ = State::kReading;
+      // Not within the call that answers: a request that waits in the buffer is a call of its own.
+      clients_.loop_.Defer([self = shared_()] { self->Next(); });
+      return;
+    }
+    // Closed with something unread, the kernel would reset the connection and with it the answer.
+    state_ = State::kLingering;
+    stream_.ShutWrite();
+    stream_.in().Consume(stream_.in().size());
+    SetTimer(kLinger, [this] { clients_.Drop(*this); });
+    clients_.loop_.Defer([self = shared_()] { self->stream_.Resume(); });
+  }
+
+  void Next() {
+    if (stream_.closed() || state_ != State::kReading) return;
+    if (stream_.in().empty() && !stream_.ended()) {
+      BecomeIdle();
+    } else {
+      Read();
+    }
+    stream_.Resume();
+  }
+
+  void OnBroken() override { clients_.Drop(*this); }
+
+  void BecomeIdle() {
+    if (idle_) return;
+    idle_ = true;
+    idle_place_ = clients_.idle_.insert(clients_.idle_.end(), this);
+  }
+  void StopIdling() {
+    if (idle_) clients_.idle_.erase(idle_place_);
+    idle_ = false;
+  }
+
+  void SetTimer(Duration after, std::function<void()> then) {
+    clients_.loop_.Cancel(timer_);
+    timer_ = clients_.loop_.After(after, [this, then = std::move(then)] {
+      timer_ = {};
+      then();
+    });
+  }
+
+  std::shared_ptr<Connection> shared_() { return *place; }
+
+  Clients& clients_;
+  Stream stream_;
+  MessageParser parser_{MessageParser::Kind::kRequest};
+  State state_ = State::kReading;
+  bool keep_alive_ = true, idle_ = false, asked_ = false;
+  std::list<Connection*>::iterator idle_place_;
+  std::shared_ptr<Exchange> exchange_;
+  EventLoop::TimerId timer_;
+};
+
+// ---- Clients --------------------------------------------------------------------------------
+
+Clients::Clients(EventLoop& loop, Descriptors& budget, const Address& listen, Listener* listener)
+    : loop_(loop), budget_(budget), listener_(listener), address_(listen) {
+  listening_ = std::make_unique<Listening>(*this, listen);
+}
+
+Clients::~Clients() {
+  loop_.Cancel(accept_timer_);
+  loop_.Cancel(drain_timer_);
+  // No events to the listener any more: the module goes with this gateway.
+  for (const auto& connection : connections_) connection->stream().Close();
+}
+
+void Clients::Accept() {
+  while (listening_) {
+    if (!budget_.Take() && !(listener_->OnShort() && budget_.Take())) return AcceptLater();
+    Socket socket(Fd(accept4(listening_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)),
+                  &budget_);
+    if (socket.get() < 0) {
+      if (errno == EINTR || errno == ECONNABORTED) continue;
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      // The table is full all the same: with the edge consumed, only the timer looks again.
+      return AcceptLater();
+    }
+    const int on = 1;
+    setsockopt(socket.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    ++Count().clients_accepted;
+    last_accept_ = loop_.Now();
+    connections_.push_back(std::make_shared<Connection>(*this, std::move(socket)));
+    Connection& connection = *connections_.back();
+    connection.place = std::prev(connections_.end());
+    if (!connection.Start()) Drop(connection);
+  }
+}
+
+void Clients::AcceptLater() {
+  ++Count().accept_waits;
+  if (accept_timer_.number != 0) return;
+  accept_timer_ = loop_.After(kAcceptAgain, [this] {
+    accept_timer_ = {};
+    Accept();
+  });
+}
+
+void Clients::Drop(Connection& connection) {
+  if (connection.stream().closed()) return;
+  connection.Leave();
+  ++Count().clients_closed;
+  // It may be the one whose handler is at work: its memory goes once that has returned.
+  loop_.Defer([kept = *connection.place] {});
+  connections_.erase(connection.place);
+}
+
+bool Clients::CloseOneIdle() {
+  for (Connection* const connection : idle_) {
+    // One with a request on its way that was not read yet stays: that request is taken.
+    if (!connection->stream().Quiet()) continue;
+    ++Count().clients_reclaimed;
+    Drop(*connection);
+    return true;
+  }
+  return false;
+}
+
+void Clients::Drain(Duration at_most, std::function<void()> done) {
+  draining_ = true;
+  drain_since_ = loop_.Now();
+  drain_until_ = drain_since_ + at_most;
+  drained_ = std::move(done);
+  DrainStep();
+}
+
+void Clients::DrainStep() {
+  Accept();
+  const Time now = loop_.Now();
+  const bool quiet = now - drain_since_ >= kDrainIdleAfter && now - last_accept_ >= kDrainQuiet;
+  if (now - drain_since_ >= kDrainIdleAfter) {
+    for (auto at = idle_.begin(); at != idle_.end();) {
+      Connection* const connection = *at++;
+      if (connection->stream().Quiet()) Drop(*connection);
+    }
+  }
+  if ((quiet && connections_.empty()) || now >= drain_until_) {
+    listening_.reset();
+    drained_();
+    return;
+  }
+  drain_timer_ = loop_.After(kDrainStep, [this] { DrainStep(); });
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/clients.h
@@ -0,0 +1,91 @@
+// The side towards the clients: the listener, their connections, and the answers on them.
+#ifndef PADDLESTILE_NET_CLIENTS_H_
+#define PADDLESTILE_NET_CLIENTS_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "brain.h"
+#include "net/config.h"
+#include "net/event_loop.h"
+#include "net/exchange.h"
+#include "net/http.h"
+#include "net/stream.h"
+
+namespace paddlestile::net {
+
+// The head that an answer goes to a client with.
+std::string HeadForClient(const Answer& answer, bool keep_alive);
+
+// What a request says of itself for the module; or the status to answer and why.
+struct Understood {
+  Submit submit;
+  int bad_status = 0;  // 0: understood
+  std::string why;
+};
+Understood Understand(const Held& request, const Names& names, const Settings& settings, Time now);
+
+// What became of a request: in hand, or answered with `bad_status` at once.
+struct Taken {
+  std::shared_ptr<Exchange> exchange;
+  int bad_status = 0;
+  std::string why;
+};
+
+class Clients {
+ public:
+  class Listener {
+   public:
+    virtual Taken OnRequest(Held request, Exchange::Reply reply) = 0;
+    virtual void OnClientLeft(const std::shared_ptr<Exchange>& exchange) = 0;
+    // Descriptors are short; true where one was set free.
+    virtual bool OnShort() = 0;
+
+   protected:
+    ~Listener() = default;
+  };
+
+  // Listens at once; throws std::system_error.
+  Clients(EventLoop& loop, Descriptors& budget, const Address& listen, Listener* listener);
+  ~Clients();
+  Clients(const Clients&) = delete;
+  Clients& operator=(const Clients&) = delete;
+
+  // From now on each connection closes after its answer, and those between requests close too, a
+  // while after no new one has come. `done` runs when none is left, or after `at_most`.
+  void Drain(Duration at_most, std::function<void()> done);
+
+  // Closes the connection that has been between requests for longest; false where there is none.
+  bool CloseOneIdle();
+
+  [[nodiscard]] size_t connections() const { return connections_.size(); }
+  [[nodiscard]] const Address& address() const { return address_; }
+
+ private:
+  class Connection;
+  class Listening;
+
+  void Accept();
+  void AcceptLater();
+  void Drop(Connection& connection);
+  void DrainStep();
+
+  EventLoop& loop_;
+  Descriptors& budget_;
+  Listener* listener_;
+  Address address_;
+  std::unique_ptr<Listening> listening_;
+  std::list<std::shared_ptr<Connection>> connections_;
+  std::list<Connection*> idle_;  // between requests, the longest first
+  EventLoop::TimerId accept_timer_, drain_timer_;
+  bool draining_ = false;
+  Time last_accept_{0}, drain_since_{0}, drain_until_{0};
+  std::function<void()> drained_;
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_CLIENTS_H_
--- /dev/null
+++ b/src/net/config.cpp
@@ -0,0 +1,224 @@
+#include "net/config.h"
+
+#include <arpa/inet.h>
+#include <fmt/format.h>
+
+#include <charconv>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <utility>
+
+#include "net/http.h"
+#include "wire/wire.h"
+
+namespace paddlestile::net {
+namespace {
+
+// What separates values on the wire stands as '_' within one there.
+std::string Plain(std::string_view text) {
+  std::string out(text);
+  for (char& c : out) {
+    if (c == ' ' || c == ',') c = '_';
+  }
+  return out;
+}
+
+std::string Scalar(const Json& value) {
+  switch (value.type()) {
+    case Json::Type::kBool: return value.boolean() ? "true" : "false";
+    case Json::Type::kNumber: return value.text();
+    case Json::Type::kString: return Plain(value.text());
+    default: return "-";
+  }
+}
+
+void Flatten(const std::string& path, const Json& value, std::string& out) {
+  const auto add = [&](std::string_view name, std::string_view text) {
+    if (!out.empty()) out += ' ';
+    out += fmt::format("{}={}", name, text);
+  };
+  if (value.type() == Json::Type::kObject) {
+    for (const auto& [name, field] : value.fields()) {
+      // A name that would read as something else on the wire is none that the settings know.
+      if (name.empty() || name.find_first_of(" =.") != std::string::npos) continue;
+      Flatten(path.empty() ? name : path + "." + name, field, out);
+    }
+    return;
+  }
+  if (value.type() != Json::Type::kArray) return add(path, Scalar(value));
+  const auto& items = value.items();
+  const bool objects = !items.empty() && items[0].type() == Json::Type::kObject;
+  if (!objects) {
+    std::string list;
+    for (const Json& item : items) list += (list.empty() ? "" : ",") + Scalar(item);
+    return add(path, list);
+  }
+  add(path + ".count", std::to_string(items.size()));
+  for (size_t i = 0; i < items.size(); ++i) Flatten(fmt::format("{}.{}", path, i), items[i], out);
+}
+
+// The names in a list of words or of objects with a Name.
+void AddNames(const Json& settings, std::string_view list, NameTable& table) {
+  const Json* const found = settings.Find(list);
+  if (found == nullptr) return;
+  for (const Json& item : found->items()) {
+    const bool word = item.type() == Json::Type::kString;
+    table.Add(word ? item.text() : item.Need("Name", Json::Type::kString).text());
+  }
+}
+
+const char* NeedVariable(const std::function<const char*(const char*)>& env, const char* name) {
+  const char* const value = env(name);
+  if (value == nullptr || *value == '\0') throw ConfigError(fmt::format("{} is not set", name));
+  return value;
+}
+
+Address AddressVariable(const std::function<const char*(const char*)>& env, const char* name) {
+  try {
+    return ParseAddress(NeedVariable(env, name));
+  } catch (const ConfigError& error) {
+    throw ConfigError(fmt::format("{}: {}", name, error.what()));
+  }
+}
+
+// A name or, on some platforms, a place.
+size_t PlaceOf(const Json* value, const NameTable& names) {
+  if (value == nullptr || value->type() == Json::Type::kNull) return 0;
+  if (value->type() == Json::Type::kString) return names.Find(value->text());
+  const double place = value->number();
+  return place >= 0 && place < static_cast<double>(names.size()) ? static_cast<size_t>(place)
+                                                                 : names.size();
+}
+
+HostEntry ParseHost(const Json& json, const Names& names,
+                    const std::function<Time(double)>& from_wall) {
+  HostEntry entry;
+  entry.info.id = json.Need("id", Json::Type::kString).text();
+  if (entry.info.id.empty()) throw JsonError("an empty 'id'");
+  const std::string& phase = json.Need("phase", Json::Type::kString).text();
+  // A phase that is not known is none that asks for work.
+  entry.info.state = phase == "active" ? EndpointState::kUp
+                     : phase == "left" ? EndpointState::kRemoved
+                                       : EndpointState::kDraining;
+  const Json* const address = json.Find("host_port");
+  if (address != nullptr && address->type() == Json::Type::kString) {
+    entry.address = ParseAddress(address->text());
+  } else if (entry.info.state != EndpointState::kRemoved) {
+    throw JsonError(fmt::format("no 'host_port' for {}", entry.info.id));
+  }
+  entry.info.zone = static_cast<int>(PlaceOf(json.Find("locality"), names.zones));
+  entry.info.kind = PlaceOf(json.Find("flavor"), names.kinds);
+  if (const Json* const cell = json.Find("cell")) {
+    // NOLINTNEXTLINE(bugprone-narrowing-conversions): bounded here
+    entry.info.cell = static_cast<int>(std::fmin(std::fmax(cell->number(), 0), 1e9));
+  }
+  if (const Json* const size = json.Find("size"); size && size->type() == Json::Type::kNumber) {
+    entry.info.weight = size->number();
+  }
+  if (const Json* const since = json.Find("up_since_ms")) {
+    entry.info.launched = from_wall(since->number());
+  }
+  return entry;
+}
+
+Config ParseConfig(const Json& json, const std::function<Time(double)>& from_wall) {
+  Config config;
+  const std::string& seed = json.Need("seed", Json::Type::kString).text();
+  const auto read = std::from_chars(seed.data(), seed.data() + seed.size(), config.seed, 16);
+  if (read.ec != std::errc() || read.ptr != seed.data() + seed.size()) {
+    throw ConfigError(fmt::format("'seed' is no hexadecimal number: '{}'", seed));
+  }
+  if (const Json* const limits = json.Find("limits")) {
+    if (const Json* const sockets = limits->Find("sockets")) {
+      constexpr double kLeast = 64, kMost = 1e6;
+      if (!(sockets->number() >= kLeast && sockets->number() <= kMost)) {
+        throw ConfigError(fmt::format("'limits.sockets' is out of range: {}", sockets->text()));
+      }
+      config.sockets = static_cast<size_t>(sockets->number());
+    }
+  }
+  const Json& settings = json.Need("settings", Json::Type::kObject);
+  config.settings = wire::ParseSettings(FlattenSettings(settings));
+  AddNames(settings, "Classes", config.names.classes);
+  AddNames(settings, "Tenants", config.names.tenants);
+  AddNames(settings, "FailureDomains", config.names.zones);
+  AddNames(settings, "Kinds", config.names.kinds);
+  if (const Json* const stats = settings.Find("Stats")) {
+    if (const Json* const fields = stats->Find("Fields")) {
+      for (const Json& field : fields->items()) config.names.report_fields.push_back(field.text());
+    }
+  }
+  if (const Json* const allowed = settings.Find("Allowed")) {
+    if (const Json* const idle = allowed->Find("IdleClose"); idle && idle->number() > 0) {
+      config.idle_close = Duration(std::llround(std::fmin(idle->number(), 1e9) * 1000));
+    }
+  }
+  config.known = ParseHostList(json.Need("known", Json::Type::kObject), config.names, from_wall);
+  return config;
+}
+
+}  // namespace
+
+Address ParseAddress(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  const auto bad = [&] { return ConfigError(fmt::format("no address and port: '{}'", text)); };
+  if (colon == std::string_view::npos) throw bad();
+  in_addr host{};
+  const std::string ip(text.substr(0, colon));
+  const auto port = ToWhole(text.substr(colon + 1));
+  if (inet_pton(AF_INET, ip.c_str(), &host) != 1 || !port || *port == 0 || *port > 65535) {
+    throw bad();
+  }
+  return {ntohl(host.s_addr), static_cast<uint16_t>(*port)};
+}
+
+std::string ToText(const Address& address) {
+  return fmt::format("{}.{}.{}.{}:{}", address.host >> 24, address.host >> 16 & 255,
+                     address.host >> 8 & 255, address.host & 255, address.port);
+}
+
+size_t NameTable::Find(std::string_view name) const {
+  const auto at = places_.find(name);
+  return at == places_.end() ? places_.size() : at->second;
+}
+
+HostList ParseHostList(const Json& json, const Names& names,
+                       const std::function<Time(double)>& from_wall) {
+  HostList list;
+  list.revision = json.Need("revision", Json::Type::kNumber).number();
+  const Json* const complete = json.Find("complete");
+  list.complete = complete != nullptr && complete->boolean();
+  for (const Json& member : json.Need("members", Json::Type::kArray).items()) {
+    list.members.push_back(ParseHost(member, names, from_wall));
+  }
+  return list;
+}
+
+std::string FlattenSettings(const Json& settings) {
+  std::string out;
+  Flatten("", settings, out);
+  return out;
+}
+
+Config ReadConfig(const std::function<const char*(const char*)>& env,
+                  const std::function<Time(double)>& from_wall) {
+  const std::string name = NeedVariable(env, "LB_NAME");
+  const Address listen = AddressVariable(env, "LB_LISTEN");
+  const Address discovery = AddressVariable(env, "LB_DISCOVERY");
+  const std::string path = NeedVariable(env, "LB_CONFIG");
+  std::ifstream file(path, std::ios::binary);
+  std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  if (!file && text.empty()) throw ConfigError("LB_CONFIG: cannot read the file it names");
+  try {
+    Config config = ParseConfig(Json::Parse(text), from_wall);
+    config.name = name;
+    config.listen = listen;
+    config.discovery = discovery;
+    return config;
+  } catch (const std::exception& error) {
+    throw ConfigError(fmt::format("LB_CONFIG: {}", error.what()));
+  }
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/config.h
@@ -0,0 +1,85 @@
+// What a gateway is told at its start: the LB_* variables and the file that LB_CONFIG names.
+#ifndef PADDLESTILE_NET_CONFIG_H_
+#define PADDLESTILE_NET_CONFIG_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "brain.h"
+#include "net/json.h"
+
+namespace paddlestile::net {
+
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Address {
+  uint32_t host = 0;  // IPv4, in host order
+  uint16_t port = 0;
+  bool operator==(const Address&) const = default;
+};
+
+// "10.0.0.4:5000"; throws ConfigError. There is no DNS.
+Address ParseAddress(std::string_view text);
+std::string ToText(const Address& address);
+
+// The names that the sockets use, with their places in the settings' lists.
+class NameTable {
+ public:
+  void Add(std::string name) { places_.emplace(std::move(name), places_.size()); }
+  // The place of a name, or size() for one that is not there.
+  [[nodiscard]] size_t Find(std::string_view name) const;
+  [[nodiscard]] size_t size() const { return places_.size(); }
+
+ private:
+  std::map<std::string, size_t, std::less<>> places_;
+};
+
+struct Names {
+  NameTable classes, tenants, zones, kinds;
+  std::vector<std::string> report_fields;
+};
+
+// A list of hosts in discovery's form.
+struct HostEntry {
+  EndpointInfo info;
+  Address address;
+};
+struct HostList {
+  double revision = 0;
+  bool complete = false;
+  std::vector<HostEntry> members;
+};
+
+struct Config {
+  std::string name;
+  Address listen, discovery;
+  uint64_t seed = 0;
+  size_t sockets = 1024;
+  Settings settings;
+  Duration idle_close{0};  // hosts close idle connections after this; 0: not known
+  Names names;
+  HostList known;
+};
+
+// Reads a list; throws JsonError or ConfigError. `from_wall` turns Unix milliseconds into a Time.
+HostList ParseHostList(const Json& json, const Names& names,
+                       const std::function<Time(double)>& from_wall);
+
+// The settings, nested, as the path=value pairs of the wire, which owns the mapping of names.
+std::string FlattenSettings(const Json& settings);
+
+// `env` gives a variable or null. Throws ConfigError with one line that names what is wrong.
+Config ReadConfig(const std::function<const char*(const char*)>& env,
+                  const std::function<Time(double)>& from_wall);
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_CONFIG_H_
--- /dev/null
+++ b/src/net/counters.cpp
@@ -0,0 +1,35 @@
+#include "net/counters.h"
+
+#include <fmt/format.h>
+
+#include "net/log.h"
+
+namespace paddlestile::net {
+
+std::string Counters::Text() const {
+  std::string text;
+  const auto add = [&](const char* name, uint64_t value) {
+    if (value == 0) return;
+    if (!text.empty()) text += ' ';
+    text += fmt::format("{}={}", name, value);
+  };
+#define PADDLESTILE_ADD(name) add(#name, name);
+  PADDLESTILE_COUNTERS(PADDLESTILE_ADD)
+#undef PADDLESTILE_ADD
+  return text;
+}
+
+Counters& Count() {
+  static Counters counters;
+  return counters;
+}
+
+bool CheckFailed(const char* what, const char* file, int line) {
+  constexpr uint64_t kLogged = 20;
+  if (++Count().checks_failed <= kLogged) {
+    Log(Level::kError, "check failed: {} at {}:{}", what, file, line);
+  }
+  return false;
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/event_loop.cpp
@@ -0,0 +1,134 @@
+#include "net/event_loop.h"
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cmath>
+#include <system_error>
+
+#include "net/counters.h"
+
+namespace paddlestile::net {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+constexpr int64_t kBefore = 24LL * 3600 * 1'000'000;  // us; hosts that started before are warm
+constexpr Duration kLag{20'000};                      // us; a round that long delays others
+
+int64_t Mono() {
+  return duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+int64_t Wall() {
+  return duration_cast<microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+void Fd::Reset() {
+  // Not repeated on EINTR: on Linux the descriptor is free by then.
+  if (fd_ >= 0) close(fd_);
+  fd_ = -1;
+}
+
+Clock::Clock() : mono_zero_us_(Mono() - kBefore), wall_zero_us_(Wall() - kBefore) {}
+
+Time Clock::Now() const { return Time(Mono() - mono_zero_us_); }
+
+Time Clock::FromWall(double unix_ms) const {
+  constexpr double kMost = 1e15;  // ms; far inside 64 bits of microseconds
+  if (!(unix_ms > 0) || unix_ms > kMost) return Time(0);
+  return Time(std::max<int64_t>(0, std::llround(unix_ms * 1000) - wall_zero_us_));
+}
+
+EventLoop::EventLoop() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+bool EventLoop::Watch(int fd, Handler* handler, uint64_t& token) {
+  if (free_.empty()) {
+    free_.push_back(static_cast<uint32_t>(slots_.size()));
+    slots_.emplace_back();
+  }
+  const uint32_t place = free_.back();
+  token = (static_cast<uint64_t>(slots_[place].generation) << 32) | place;
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.u64 = token;
+  if (epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0) return false;
+  slots_[place].handler = handler;
+  free_.pop_back();
+  return true;
+}
+
+void EventLoop::Unwatch(int fd, uint64_t token) {
+  const auto place = static_cast<uint32_t>(token);
+  if (!PADDLESTILE_CHECK(place < slots_.size() && slots_[place].generation == token >> 32)) return;
+  epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+  slots_[place].handler = nullptr;
+  ++slots_[place].generation;
+  free_.push_back(place);
+}
+
+EventLoop::TimerId EventLoop::After(Duration delay, std::function<void()> then) {
+  const TimerId id{Now() + std::max(delay, Duration(0)), next_timer_++};
+  timers_.emplace(std::pair(id.due, id.number), std::move(then));
+  return id;
+}
+
+void EventLoop::Cancel(TimerId& timer) {
+  if (timer.number != 0) timers_.erase({timer.due, timer.number});
+  timer = {};
+}
+
+void EventLoop::RunDeferred() {
+  while (!deferred_.empty()) {
+    std::vector<std::function<void()>> now;
+    now.swap(deferred_);
+    for (const auto& then : now) then();
+  }
+}
+
+void EventLoop::RunTimers() {
+  // Only those due at the beginning: one that sets itself anew must not starve the sockets.
+  const Time now = Now();
+  while (!timers_.empty() && timers_.begin()->first.first <= now) {
+    auto node = timers_.extract(timers_.begin());
+    node.mapped()();
+    RunDeferred();
+  }
+}
+
+void EventLoop::RunOnce(Duration at_most) {
+  RunDeferred();
+  Duration wait = std::max(at_most, Duration(0));
+  if (!timers_.empty()) {
+    wait = std::clamp(timers_.begin()->first.first - Now(), Duration(0), wait);
+  }
+  // Rounded up, or the last part of a millisecond would be spent spinning.
+  const auto ms = static_cast<int>(std::min<int64_t>((wait.count() + 999) / 1000, 60'000));
+  std::array<epoll_event, 256> events;
+  const int n = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), ms);
+  const Time began = Now();
+  // A timer that sets itself anew at once would be due for ever within this call: each runs once.
+  RunTimers();
+  for (int i = 0; i < n; ++i) {
+    const uint64_t token = events[static_cast<size_t>(i)].data.u64;
+    const Slot& slot = slots_[static_cast<uint32_t>(token)];
+    if (slot.handler == nullptr || slot.generation != token >> 32) continue;  // closed meanwhile
+    slot.handler->OnEvents(events[static_cast<size_t>(i)].events);
+    RunDeferred();
+  }
+  if (Now() - began > kLag) ++Count().loop_lagged;
+}
+
+void EventLoop::Run() {
+  while (!stopped_) RunOnce(std::chrono::seconds(60));
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/event_loop.h
@@ -0,0 +1,111 @@
+// One thread's events: sockets by plain edge-triggered epoll, timers by the monotonic clock, and
+// work put off until the present handler has returned.
+#ifndef PADDLESTILE_NET_EVENT_LOOP_H_
+#define PADDLESTILE_NET_EVENT_LOOP_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "brain.h"
+
+namespace paddlestile::net {
+
+// Owns a descriptor.
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    if (this != &other) {
+      Reset();
+      fd_ = std::exchange(other.fd_, -1);
+    }
+    return *this;
+  }
+  Fd(const Fd&) = delete;
+  Fd& operator=(const Fd&) = delete;
+  ~Fd() { Reset(); }
+  [[nodiscard]] int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+  void Reset();
+
+ private:
+  int fd_ = -1;
+};
+
+// Both clocks, tied together once at the start: a host's start, told in wall time, must come out
+// the same each time it is told, or it would look like another start.
+class Clock {
+ public:
+  Clock();
+  [[nodiscard]] Time Now() const;  // monotonic; begins an arbitrary while ago
+  // Unix time in milliseconds to the clock of Now(). What is 0 or before its beginning is 0.
+  [[nodiscard]] Time FromWall(double unix_ms) const;
+
+ private:
+  int64_t mono_zero_us_ = 0;  // the steady clock's reading at Time(0)
+  int64_t wall_zero_us_ = 0;  // the wall clock's at that moment
+};
+
+class EventLoop {
+ public:
+  class Handler {
+   public:
+    virtual void OnEvents(uint32_t events) = 0;
+
+   protected:
+    ~Handler() = default;
+  };
+  struct TimerId {
+    Time due{0};
+    uint64_t number = 0;  // 0: none
+  };
+
+  EventLoop();  // throws std::system_error
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  // Reports all edges of a descriptor until Unwatch. False where the kernel refuses.
+  bool Watch(int fd, Handler* handler, uint64_t& token);
+  void Unwatch(int fd, uint64_t token);
+
+  TimerId After(Duration delay, std::function<void()> then);
+  void Cancel(TimerId& timer);
+
+  // Runs after the handler now at work has returned and before any other.
+  void Defer(std::function<void()> then) { deferred_.push_back(std::move(then)); }
+
+  // One wait, until something is due, and what it brought.
+  void RunOnce(Duration at_most);
+  void Run();
+  void Stop() { stopped_ = true; }
+  [[nodiscard]] bool stopped() const { return stopped_; }
+
+  [[nodiscard]] const Clock& clock() const { return clock_; }
+  [[nodiscard]] Time Now() const { return clock_.Now(); }
+
+ private:
+  struct Slot {
+    Handler* handler = nullptr;
+    uint32_t generation = 0;  // tells a stale event of a closed descriptor from one of its heir
+  };
+  void RunDeferred();
+  void RunTimers();
+
+  Clock clock_;
+  Fd epoll_;
+  std::vector<Slot> slots_;
+  std::vector<uint32_t> free_;
+  std::map<std::pair<Time, uint64_t>, std::function<void()>> timers_;
+  uint64_t next_timer_ = 1;
+  std::vector<std::function<void()>> deferred_;
+  bool stopped_ = false;
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_EVENT_LOOP_H_
--- /dev/null
+++ b/src/net/exchange.h
@@ -0,0 +1,87 @@
+// The one thing that the client side and the server side share: a request, its attempts and its
+// one answer.
+#ifndef PADDLESTILE_NET_EXCHANGE_H_
+#define PADDLESTILE_NET_EXCHANGE_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "brain.h"
+#include "net/buffer.h"
+#include "net/http.h"
+
+namespace paddlestile::net {
+
+// A message together with the memory that it lies in.
+struct Held {
+  Buffer bytes;
+  Message message;
+  [[nodiscard]] std::string_view body() const { return message.body.In(bytes.view()); }
+};
+
+struct Answer {
+  int status = 0;
+  std::shared_ptr<const Held> from;  // a host's answer to pass on, or none
+  Duration retry_after{0};           // of a refusal
+};
+
+class Exchange {
+ public:
+  using Reply = std::function<void(const Answer&)>;
+
+  Exchange(std::string id, Held request, Time deadline, const RequestClass* cls, Reply reply)
+      : id_(std::move(id)),
+        request_(std::move(request)),
+        deadline_(deadline),
+        cls_(cls),
+        reply_(std::move(reply)) {}
+
+  [[nodiscard]] const std::string& id() const { return id_; }
+  [[nodiscard]] const Held& request() const { return request_; }
+  [[nodiscard]] Time deadline() const { return deadline_; }
+  [[nodiscard]] const RequestClass& cls() const { return *cls_; }
+
+  // Whether it has had its one answer, or nobody waits for it any more.
+  [[nodiscard]] bool over() const { return over_; }
+
+  // Gives the one answer; false where there is no more to give one to.
+  bool Finish(const Answer& answer) {
+    if (over_) return false;
+    over_ = true;
+    const Reply reply = std::exchange(reply_, nullptr);
+    reply(answer);
+    return true;
+  }
+  // The client has gone.
+  void Abandon() {
+    over_ = true;
+    reply_ = nullptr;
+  }
+
+  // Attempts are numbered from 0 in the order of their sends.
+  size_t NextAttempt() {
+    ++out_;
+    return attempts_++;
+  }
+  void AttemptEnded() { --out_; }
+  [[nodiscard]] size_t attempts() const { return attempts_; }
+  [[nodiscard]] int out() const { return out_; }
+
+ private:
+  std::string id_;
+  Held request_;
+  Time deadline_;
+  const RequestClass* cls_;
+  Reply reply_;
+  size_t attempts_ = 0;
+  int out_ = 0;
+  bool over_ = false;
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_EXCHANGE_H_
--- /dev/null
+++ b/src/net/gateway.cpp
@@ -0,0 +1,268 @@
+#include "net/gateway.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <exception>
+#include <unordered_set>
+#include <utility>
+#include <variant>
+
+#include "net/counters.h"
+#include "net/log.h"
+
+namespace paddlestile::net {
+namespace {
+
+constexpr Duration kDrainSpare{600'000};  // us; beyond the longest deadline, after SIGTERM
+
+void CountOutcome(Outcome outcome) {
+  Counters& count = Count();
+  switch (outcome) {
+    case Outcome::kOk: ++count.settled_ok; break;
+    case Outcome::kError: ++count.settled_error; break;
+    case Outcome::kFull: ++count.settled_full; break;
+    case Outcome::kTimeout: ++count.settled_timeout; break;
+    case Outcome::kConnectFailed: ++count.settled_connect_failed; break;
+    case Outcome::kReset: ++count.settled_reset; break;
+    case Outcome::kCancelled: ++count.settled_cancelled; break;
+    case Outcome::kMoot: ++count.settled_moot; break;
+  }
+}
+
+Servers::Options ServerOptions(const Config& config) {
+  Servers::Options options;
+  options.connect_timeout = config.settings.allowed.connect_timeout;
+  options.idle_close = config.idle_close;
+  options.report_fields = config.names.report_fields;
+  options.reports_in_answers = config.settings.report.source == ReportSource::kAnswers;
+  options.reports_in_probes = config.settings.report.source != ReportSource::kNone;
+  return options;
+}
+
+}  // namespace
+
+Gateway::Gateway(EventLoop& loop, Config config)
+    : loop_(loop),
+      config_(std::move(config)),
+      budget_(config_.sockets),
+      brain_(config_.settings, config_.seed) {
+  servers_ = std::make_unique<Servers>(loop_, budget_, ServerOptions(config_), this);
+  const bool own_watch = config_.settings.discovery == DiscoveryMode::kPush;
+  list_ = std::make_unique<List>(loop_, budget_, config_.discovery, config_.names,
+                                 config_.known.revision, own_watch, this);
+  TakeList(std::move(config_.known), ListKind::kCached);
+  list_->Start();
+  // Last: a client that is let in finds all the rest at work.
+  clients_ = std::make_unique<Clients>(loop_, budget_, config_.listen, this);
+}
+
+void Gateway::Drain(std::function<void()> done) {
+  Duration longest{0};
+  for (const RequestClass& c : config_.settings.classes) longest = std::max(longest, c.deadline);
+  clients_->Drain(longest + kDrainSpare, std::move(done));
+}
+
+std::string Gateway::StateText() const {
+  const Stats& stats = brain_.stats();
+  return fmt::format(
+      "clients={} hosts_connected={} hosts_idle={} descriptors={} in_hand={} held={} "
+      "revision={:.0f} "
+      "picks_cold={} picks_hot={} picks_fallback={} {}",
+      clients_->connections(), servers_->connections(), servers_->idle(), budget_.used(),
+      exchanges_.size(), held_, list_->revision(), stats.picks[static_cast<size_t>(Regime::kCold)],
+      stats.picks[static_cast<size_t>(Regime::kHot)],
+      stats.picks[static_cast<size_t>(Regime::kFallback)], Count().Text());
+}
+
+// ---- What happens ---------------------------------------------------------------------------
+
+Taken Gateway::OnRequest(Held request, Exchange::Reply reply) {
+  const Time now = loop_.Now();
+  Understood understood = Understand(request, config_.names, config_.settings, now);
+  if (understood.bad_status != 0) return {nullptr, understood.bad_status, understood.why};
+  Submit& submit = understood.submit;
+  // The same id again while it is in hand would run under the first one's answer.
+  if (exchanges_.contains(submit.id)) return {nullptr, 409, "X-Call-Id in hand"};
+  const int most = config_.settings.allowed.most_held;
+  if (most > 0 && held_ >= static_cast<size_t>(most)) {
+    ++Count().requests_beyond;
+    return {nullptr, 503, "too many requests held"};
+  }
+  ++Count().requests_taken;
+  ++held_;
+  auto exchange =
+      std::make_shared<Exchange>(submit.id, std::move(request), submit.deadline,
+                                 &config_.settings.classes[submit.cls], std::move(reply));
+  exchanges_.emplace(submit.id, exchange);
+  Post(std::move(submit));
+  return {std::move(exchange), 0, {}};
+}
+
+void Gateway::OnClientLeft(const std::shared_ptr<Exchange>& exchange) {
+  ++Count().clients_left;
+  --held_;
+  Post(ClientLeft{exchange->id()});
+  MaybeForget(exchange);
+}
+
+bool Gateway::OnShort() {
+  return servers_->CloseOneIdle() || (clients_ && clients_->CloseOneIdle());
+}
+
+void Gateway::OnSettled(const std::shared_ptr<Exchange>& exchange, size_t attempt,
+                        const std::string& endpoint, Outcome outcome, Duration took,
+                        std::optional<Report> report, std::shared_ptr<const Held> from) {
+  CountOutcome(outcome);
+  exchange->AttemptEnded();
+  if (outcome == Outcome::kOk && exchange->Finish({200, std::move(from), {}})) {
+    ++Count().answers_served;
+    --held_;
+  }
+  Post(Settled{exchange->id(), attempt, endpoint, outcome, took, exchange->over(),
+               std::move(report)});
+  MaybeForget(exchange);
+}
+
+void Gateway::OnEstablished(const std::shared_ptr<Exchange>& exchange, size_t attempt,
+                            const std::string& endpoint, Duration took) {
+  Post(Established{exchange->id(), attempt, endpoint, took});
+}
+
+void Gateway::OnProbed(const std::string& endpoint, Outcome outcome, Duration took,
+                       std::optional<Report> report) {
+  Post(ProbeResult{endpoint, outcome, took, std::move(report)});
+}
+
+void Gateway::OnList(HostList list) {
+  const ListKind kind = list.complete ? ListKind::kFull : ListKind::kDelta;
+  TakeList(std::move(list), kind);
+}
+
+void Gateway::OnListFailed() { Post(Members{ListKind::kFailed, {}}); }
+
+void Gateway::TakeList(HostList list, ListKind kind) {
+  if (kind != ListKind::kDelta) {
+    std::unordered_set<std::string> present;
+    for (const HostEntry& entry : list.members) present.insert(entry.info.id);
+    for (const auto& [id, address] : listed_) {
+      if (!present.contains(id)) servers_->Left(id);
+    }
+    listed_.clear();
+  }
+  Members members{kind, {}};
+  for (HostEntry& entry : list.members) {
+    if (entry.info.state == EndpointState::kRemoved) {
+      servers_->Left(entry.info.id);
+      listed_.erase(entry.info.id);
+    } else {
+      servers_->SetAddress(entry.info.id, entry.address);
+      listed_[entry.info.id] = entry.address;
+    }
+    members.entries.push_back(std::move(entry.info));
+  }
+  Post(std::move(members));
+}
+
+// ---- The module -----------------------------------------------------------------------------
+
+void Gateway::Post(Event event) {
+  events_.push_back(std::move(event));
+  if (std::exchange(pumping_, true)) return;
+  // After the handler at work: what the module wants done must not happen within it.
+  loop_.Defer([this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) Pump();
+  });
+}
+
+void Gateway::Pump() {
+  while (!events_.empty()) {
+    const Event event = std::move(events_.front());
+    events_.pop_front();
+    actions_.clear();
+    ++Count().module_events;
+    try {
+      brain_.Handle(loop_.Now(), event, actions_);
+    } catch (const std::exception& error) {
+      // What it had decided until then is still carried out.
+      ++Count().module_faults;
+      net::Log(Level::kError, "module: {}", error.what());
+    }
+    for (const Action& action : actions_) Apply(action);
+  }
+  pumping_ = false;
+}
+
+void Gateway::Apply(const Action& action) {
+  std::visit([this](const auto& a) { Apply(a); }, action);
+}
+
+std::shared_ptr<Exchange> Gateway::FindExchange(const std::string& id) {
+  const auto at = exchanges_.find(id);
+  return at == exchanges_.end() ? nullptr : at->second;
+}
+
+// Late outcomes still have to find it, so that it stays until its last attempt has ended.
+void Gateway::MaybeForget(const std::shared_ptr<Exchange>& exchange) {
+  if (!exchange->over() || exchange->out() > 0) return;
+  const auto at = exchanges_.find(exchange->id());
+  if (at != exchanges_.end() && at->second == exchange) exchanges_.erase(at);
+}
+
+void Gateway::Apply(const Send& send) {
+  ++Count().sends;
+  const auto exchange = FindExchange(send.id);
+  if (!exchange) {
+    // It ended while the module decided: as with one over, nothing is transmitted.
+    CountOutcome(Outcome::kMoot);
+    return Post(Settled{send.id, 0, send.endpoint, Outcome::kMoot, Duration(0), true, {}});
+  }
+  const size_t attempt = exchange->NextAttempt();
+  const int cap = config_.settings.allowed.send_cap;
+  if (exchange->over() || static_cast<int>(attempt) >= cap) {
+    return OnSettled(exchange, attempt, send.endpoint, Outcome::kMoot, Duration(0), {}, nullptr);
+  }
+  const Time now = loop_.Now();
+  const Time until = send.timeout == Duration(0)
+                         ? exchange->deadline()
+                         : std::min(exchange->deadline(), now + send.timeout);
+  servers_->Send(exchange, attempt, send.endpoint, until);
+}
+
+void Gateway::Apply(const Refuse& refuse) {
+  const auto exchange = FindExchange(refuse.id);
+  if (!exchange || !exchange->Finish({503, nullptr, refuse.stay_away})) return;
+  ++Count().answers_refused;
+  --held_;
+  MaybeForget(exchange);
+}
+
+void Gateway::Apply(const Fail& fail) {
+  const auto exchange = FindExchange(fail.id);
+  if (!exchange || !exchange->Finish({502, nullptr, {}})) return;
+  ++Count().answers_failed;
+  --held_;
+  MaybeForget(exchange);
+}
+
+void Gateway::Apply(const Cancel& cancel) {
+  const auto exchange = FindExchange(cancel.id);
+  if (exchange) servers_->Cancel(*exchange, cancel.attempt);
+}
+
+void Gateway::Apply(const SetTimer& timer) {
+  loop_.After(timer.after, [this, token = timer.token, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) Post(TimerFired{token});
+  });
+}
+
+void Gateway::Apply(const Probe& probe) {
+  ++Count().probes;
+  servers_->Probe(probe.endpoint);
+}
+
+void Gateway::Apply(const Follow& follow) { list_->Follow(follow.on); }
+void Gateway::Apply(const FetchList&) { list_->Fetch(); }
+void Gateway::Apply(const paddlestile::Log& log) { net::Log(Level::kInfo, "module: {}", log.text); }
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/gateway.h
@@ -0,0 +1,89 @@
+// Drives the module: what happens on sockets becomes its events, one after another, and its
+// actions are carried out. Nothing is decided here.
+#ifndef PADDLESTILE_NET_GATEWAY_H_
+#define PADDLESTILE_NET_GATEWAY_H_
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "brain.h"
+#include "net/clients.h"
+#include "net/config.h"
+#include "net/event_loop.h"
+#include "net/exchange.h"
+#include "net/list.h"
+#include "net/servers.h"
+#include "net/stream.h"
+
+namespace paddlestile::net {
+
+class Gateway final : public Clients::Listener, public Servers::Listener, public List::Listener {
+ public:
+  // Listens at once; throws std::system_error, or std::invalid_argument for bad settings.
+  Gateway(EventLoop& loop, Config config);
+  Gateway(const Gateway&) = delete;
+  Gateway& operator=(const Gateway&) = delete;
+  virtual ~Gateway() = default;
+
+  // Takes no longer part after this: serves what still comes, then calls `done`.
+  void Drain(std::function<void()> done);
+
+  // Counters and the present state, one line.
+  [[nodiscard]] std::string StateText() const;
+
+  [[nodiscard]] const Stats& stats() const { return brain_.stats(); }
+
+ private:
+  Taken OnRequest(Held request, Exchange::Reply reply) override;
+  void OnClientLeft(const std::shared_ptr<Exchange>& exchange) override;
+  bool OnShort() override;
+  void OnSettled(const std::shared_ptr<Exchange>& exchange, size_t attempt,
+                 const std::string& endpoint, Outcome outcome, Duration took,
+                 std::optional<Report> report, std::shared_ptr<const Held> from) override;
+  void OnEstablished(const std::shared_ptr<Exchange>& exchange, size_t attempt,
+                     const std::string& endpoint, Duration took) override;
+  void OnProbed(const std::string& endpoint, Outcome outcome, Duration took,
+                std::optional<Report> report) override;
+  void OnList(HostList list) override;
+  void OnListFailed() override;
+
+  void TakeList(HostList list, ListKind kind);
+  void Post(Event event);
+  void Pump();
+  void Apply(const Action& action);
+  void Apply(const Send& send);
+  void Apply(const Refuse& refuse);
+  void Apply(const Fail& fail);
+  void Apply(const Cancel& cancel);
+  void Apply(const SetTimer& timer);
+  void Apply(const Probe& probe);
+  void Apply(const Follow& follow);
+  void Apply(const FetchList& fetch);
+  void Apply(const paddlestile::Log& log);
+  std::shared_ptr<Exchange> FindExchange(const std::string& id);
+  void MaybeForget(const std::shared_ptr<Exchange>& exchange);
+
+  EventLoop& loop_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
+  Config config_;
+  Descriptors budget_;
+  Brain brain_;
+  std::unordered_map<std::string, std::shared_ptr<Exchange>> exchanges_;
+  size_t held_ = 0;  // exchanges without their answer
+  std::deque<Event> events_;
+  bool pumping_ = false;
+  std::vector<Action> actions_;
+  std::unordered_map<std::string, Address> listed_;  // to tell who has left a whole list
+  std::unique_ptr<Servers> servers_;
+  std::unique_ptr<List> list_;
+  std::unique_ptr<Clients> clients_;
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_GATEWAY_H_
--- /dev/null
+++ b/src/net/http.h
@@ -0,0 +1,98 @@
+// HTTP/1.1 messages, parsed a byte at a time if need be, as places in the buffer they lie in.
+#ifndef PADDLESTILE_NET_HTTP_H_
+#define PADDLESTILE_NET_HTTP_H_
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "net/buffer.h"
+
+namespace paddlestile::net {
+
+constexpr size_t kMaxHead = 16 * 1024;
+constexpr size_t kMaxBody = 64 * 1024;
+constexpr size_t kMaxHeaders = 100;
+
+enum class Progress { kMore, kDone, kBad };
+
+bool SameName(std::string_view a, std::string_view b);  // letters in any case
+std::string_view Trim(std::string_view text);           // spaces and tabs at both ends
+// A whole number of digits alone.
+std::optional<uint64_t> ToWhole(std::string_view text);
+
+// Undoes the chunked framing in place.
+class ChunkDecoder {
+ public:
+  // Reads `in`, which lies at or behind `out`, and writes the content to `out`; adds to `read` and
+  // `written` how many bytes that were. kDone once the last chunk and its trailer are over.
+  Progress Decode(std::string_view in, char* out, size_t& read, size_t& written);
+
+ private:
+  enum class State { kSize, kExtension, kSizeEnd, kData, kDataCr, kDataLf, kTrailer, kDone };
+  State state_ = State::kSize;
+  size_t left_ = 0;
+  int digits_ = 0;
+  size_t trailer_ = 0, line_ = 0;  // bytes of the trailer; of its present line
+  char last_ = 0;
+};
+
+struct Message {
+  Range method, target;  // of a request
+  int status = 0;        // of an answer
+  std::vector<std::pair<Range, Range>> headers;
+  Range body;
+  size_t size = 0;  // all its bytes in the buffer
+  bool keep_alive = true;
+  bool chunked = false;
+
+  // The value of a header that stands there once; nothing where it is absent.
+  [[nodiscard]] std::optional<std::string_view> Find(std::string_view base,
+                                                     std::string_view name) const;
+  [[nodiscard]] size_t CountOf(std::string_view base, std::string_view name) const;
+};
+
+// True for headers that concern one connection only and are not passed on.
+bool HopByHop(const Message& message, std::string_view base, std::string_view name);
+
+class MessageParser {
+ public:
+  enum class Kind { kRequest, kAnswer };
+  explicit MessageParser(Kind kind, size_t max_body = kMaxBody)
+      : kind_(kind), max_body_(max_body) {}
+
+  // Goes on with what is unread in `in`. Undoes chunks in place. kBad is final.
+  Progress Feed(Buffer& in);
+  // The same, but done once the head is: for a body without end.
+  Progress FeedHead(Buffer& in);
+
+  [[nodiscard]] const Message& message() const { return message_; }
+  [[nodiscard]] int status_for_bad() const { return bad_; }  // what to answer where kBad
+  [[nodiscard]] bool begun() const { return at_ > 0; }
+  void Reset();
+
+ private:
+  enum class State { kStart, kHeaders, kLength, kChunks, kDone };
+  Progress Bad(int status);
+  Progress Lines(std::string_view all);
+  Progress StartLine(std::string_view all, Range line);
+  Progress Header(std::string_view all, Range line);
+  Progress EndOfHead(std::string_view all);
+
+  Kind kind_;
+  size_t max_body_;
+  State state_ = State::kStart;
+  Message message_;
+  size_t at_ = 0;    // bytes looked at
+  size_t line_ = 0;  // where the present line begins
+  size_t length_ = 0;
+  ChunkDecoder chunks_;
+  int bad_ = 0;
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_HTTP_H_
--- /dev/null
+++ b/src/net/list.cpp
@@ -0,0 +1,231 @@
+#include "net/list.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "net/counters.h"
+#include "net/log.h"
+
+namespace paddlestile::net {
+namespace {
+
+// An empty line is due every 2 s: after two and a half of them in silence a watch is dead.
+constexpr Duration kSilence{5'000'000};   // us
+constexpr Duration kCallTime{2'000'000};  // us; to connect, and for a whole list
+constexpr Duration kAgainFirst{100'000};  // us; doubles up to kAgainDoublings times
+constexpr int kAgainDoublings = 4;
+constexpr size_t kMostLine = 4 << 20;  // bytes; a list of tens of thousands of hosts
+
+}  // namespace
+
+class List::Call final : public Stream::Owner {
+ public:
+  Call(List& list, Socket socket, bool watch)
+      : list_(list), watch_(watch), stream_(list.loop_, std::move(socket), this, true) {
+    stream_.set_most_unread(kMostLine + kMaxHead);
+  }
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+  virtual ~Call() { list_.loop_.Cancel(timer_); }
+
+  bool Start() {
+    if (!stream_.Start()) return false;
+    SetTimer(kCallTime);
+    return true;
+  }
+  void Stop() {
+    list_.loop_.Cancel(timer_);
+    stream_.Close();
+  }
+  [[nodiscard]] bool watch() const { return watch_; }
+
+ private:
+  void OnConnected() override {
+    const std::string query =
+        watch_ ? fmt::format("?follow=1&since={:.0f}", list_.revision_) : std::string();
+    stream_.Write(fmt::format("GET /catalog/members{} HTTP/1.1\r\nHost: {}\r\n\r\n", query,
+                              ToText(list_.discovery_)));
+    SetTimer(watch_ ? kSilence : kCallTime);
+  }
+
+  void OnBroken() override { list_.Failed(*this, "connection broken"); }
+
+  void OnRead() override {
+    if (watch_) {
+      if (!in_body_ && !ReadHead()) return;
+      ReadLines();
+    } else {
+      ReadWhole();
+    }
+    if (!stream_.closed() && stream_.ended()) list_.Failed(*this, "connection ended");
+  }
+
+  void ReadWhole() {
+    const Progress progress = whole_.Feed(stream_.in());
+    if (progress == Progress::kMore) return;
+    const Message& m = whole_.message();
+    if (progress == Progress::kBad || m.status != 200) {
+      return list_.Failed(*this, "malformed answer");
+    }
+    if (!list_.Take(m.body.In(stream_.in().view()), true)) {
+      return list_.Failed(*this, "malformed list");
+    }
+    list_.Close(list_.fetch_);
+  }
+
+  // True once the lines begin.
+  bool ReadHead() {
+    const Progress progress = head_.FeedHead(stream_.in());
+    if (progress == Progress::kMore) return false;
+    if (progress == Progress::kBad || head_.message().status != 200 || !head_.message().chunked) {
+      list_.Failed(*this, "malformed answer");
+      return false;
+    }
+    stream_.in().Consume(head_.message().size);
+    in_body_ = true;
+    return true;
+  }
+
+  void ReadLines() {
+    Buffer& in = stream_.in();
+    if (in.empty()) return;
+    // Lines are split by chunks anywhere; the chunks by reads.
+    size_t read = 0, written = 0;
+    const Progress progress = chunks_.Decode(in.view(), in.data(), read, written);
+    lines_.Append(in.view().substr(0, written));
+    in.Consume(in.size());
+    if (written > 0) SetTimer(kSilence);
+    for (size_t end = 0; (end = lines_.view().find('\n', looked_)) != std::string_view::npos;) {
+      const std::string_view line = Trim(lines_.view().substr(0, end));
+      const bool good = line.empty() || line == "\r" || list_.Take(line, false);
+      if (!good) return list_.Failed(*this, "malformed line");
+      if (stream_.closed()) return;
+      list_.failures_ = 0;
+      lines_.Consume(end + 1);
+      looked_ = 0;
+    }
+    looked_ = lines_.size();
+    if (progress == Progress::kBad || lines_.size() > kMostLine) {
+      return list_.Failed(*this, "malformed framing");
+    }
+    if (progress == Progress::kDone) list_.Failed(*this, "watch ended");
+  }
+
+  void SetTimer(Duration after) {
+    list_.loop_.Cancel(timer_);
+    timer_ = list_.loop_.After(after, [this] {
+      timer_ = {};
+      list_.Failed(*this, "silent");
+    });
+  }
+
+  List& list_;
+  bool watch_;
+  Stream stream_;
+  MessageParser head_{MessageParser::Kind::kAnswer};
+  MessageParser whole_{MessageParser::Kind::kAnswer, kMostLine};
+  bool in_body_ = false;
+  ChunkDecoder chunks_;
+  Buffer lines_;
+  size_t looked_ = 0;  // of the present line
+  EventLoop::TimerId timer_;
+};
+
+List::List(EventLoop& loop, Descriptors& budget, const Address& discovery, const Names& names,
+           double revision, bool own_watch, Listener* listener)
+    : loop_(loop),
+      budget_(budget),
+      discovery_(discovery),
+      names_(names),
+      revision_(revision),
+      own_watch_(own_watch),
+      listener_(listener) {}
+
+List::~List() {
+  loop_.Cancel(again_);
+  if (watch_) watch_->Stop();
+  if (fetch_) fetch_->Stop();
+}
+
+void List::Start() {
+  if (own_watch_) Open(watch_, true);
+}
+
+void List::Follow(bool on) {
+  if (own_watch_) return;  // it is on already, whatever is asked
+  loop_.Cancel(again_);
+  if (on) {
+    Open(watch_, true);
+  } else {
+    Close(watch_);
+  }
+}
+
+void List::Fetch() { Open(fetch_, false); }
+
+void List::Open(std::unique_ptr<Call>& call, bool watch) {
+  Close(call);
+  if (watch) ++Count().list_watches;
+  bool refused = false;
+  std::optional<Socket> socket = Connect(discovery_, budget_, refused);
+  if (socket) {
+    call = std::make_unique<Call>(*this, std::move(*socket), watch);
+    if (call->Start()) return;
+    Close(call);
+  }
+  ++Count().list_failures;
+  listener_->OnListFailed();
+  if (watch && own_watch_) Again();
+}
+
+void List::Close(std::unique_ptr<Call>& call) {
+  if (!call) return;
+  call->Stop();
+  // It may be the one whose handler is at work.
+  loop_.Defer([kept = std::shared_ptr<Call>(std::move(call))] {});
+}
+
+void List::Failed(Call& call, std::string_view why) {
+  const bool watch = call.watch();
+  Log(Level::kWarning, "discovery {}: {}", watch ? "watch" : "call", why);
+  ++Count().list_failures;
+  Close(watch ? watch_ : fetch_);
+  listener_->OnListFailed();
+  if (watch && own_watch_) Again();
+}
+
+void List::Again() {
+  if (again_.number != 0) return;
+  const Duration wait = kAgainFirst * (1 << std::min(failures_++, kAgainDoublings));
+  again_ = loop_.After(wait, [this] {
+    again_ = {};
+    Open(watch_, true);
+  });
+}
+
+bool List::Take(std::string_view json, bool must_be_whole) {
+  try {
+    const Clock& clock = loop_.clock();
+    HostList list =
+        ParseHostList(Json::Parse(json), names_, [&](double ms) { return clock.FromWall(ms); });
+    if (must_be_whole && !list.complete) throw JsonError("not the whole list");
+    // An older list would bring back hosts that have gone; the one held stays.
+    if (list.revision < revision_) {
+      ++Count().list_old;
+      Log(Level::kWarning, "discovery: revision {:.0f} after {:.0f}", list.revision, revision_);
+      return false;
+    }
+    revision_ = list.revision;
+    ++Count().list_updates;
+    listener_->OnList(std::move(list));
+    return true;
+  } catch (const std::exception& error) {
+    ++Count().list_malformed;
+    Log(Level::kWarning, "discovery: {}", error.what());
+    return false;
+  }
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/list.h
@@ -0,0 +1,64 @@
+// Discovery: the whole list, the watch, and connecting again.
+#ifndef PADDLESTILE_NET_LIST_H_
+#define PADDLESTILE_NET_LIST_H_
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/config.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "net/stream.h"
+
+namespace paddlestile::net {
+
+class List {
+ public:
+  class Listener {
+   public:
+    virtual void OnList(HostList list) = 0;
+    // A watch or a call failed; the list held before stays in effect.
+    virtual void OnListFailed() = 0;
+
+   protected:
+    ~Listener() = default;
+  };
+
+  // `own_watch`: watch from the start and by itself again after each failure, as where changes are
+  // delivered unprompted. Else only Follow and Fetch ask.
+  List(EventLoop& loop, Descriptors& budget, const Address& discovery, const Names& names,
+       double revision, bool own_watch, Listener* listener);
+  ~List();
+  List(const List&) = delete;
+  List& operator=(const List&) = delete;
+
+  void Start();  // the own watch, if so
+  void Follow(bool on);
+  void Fetch();
+
+  [[nodiscard]] double revision() const { return revision_; }
+
+ private:
+  class Call;
+  void Open(std::unique_ptr<Call>& call, bool watch);
+  void Close(std::unique_ptr<Call>& call);
+  bool Take(std::string_view json, bool must_be_whole);
+  void Failed(Call& call, std::string_view why);
+  void Again();
+
+  EventLoop& loop_;
+  Descriptors& budget_;
+  Address discovery_;
+  const Names& names_;
+  double revision_;
+  bool own_watch_;
+  Listener* listener_;
+  std::unique_ptr<Call> watch_, fetch_;
+  int failures_ = 0;  // of the watch, in a row
+  EventLoop::TimerId again_;
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_LIST_H_
--- /dev/null
+++ b/src/net/servers.cpp
@@ -0,0 +1,422 @@
+#include "net/servers.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+#include "net/counters.h"
+#include "net/log.h"
+
+namespace paddlestile::net {
+namespace {
+
+constexpr Duration kTidy{1'000'000};  // us; how often idle connections are looked over
+// Of the hosts' idle time; a request that crosses their close would end as a reset.
+constexpr double kIdleShare = 0.8;
+constexpr Duration kIdleUnknown{10'000'000};  // us; where the settings name no idle time
+// A probe is given up after so many connect time-outs: one to connect, one to be answered.
+constexpr int kProbeTimeouts = 2;
+
+double Ms(Duration d) { return static_cast<double>(d.count()) / 1000; }
+
+}  // namespace
+
+// ---- Words ----------------------------------------------------------------------------------
+
+std::optional<Report> ParseReport(std::string_view text, const std::vector<std::string>& fields) {
+  Report report(fields.size(), 0);
+  std::vector<bool> found(fields.size(), false);
+  text = Trim(text);
+  while (!text.empty()) {
+    const size_t comma = text.find(',');
+    const std::string_view pair = text.substr(0, comma);
+    text.remove_prefix(comma == std::string_view::npos ? text.size() : comma + 1);
+    const size_t eq = pair.find('=');
+    if (eq == std::string_view::npos) return std::nullopt;
+    const auto at = std::ranges::find(fields, Trim(pair.substr(0, eq)));
+    if (at == fields.end()) continue;
+    const std::string_view digits = Trim(pair.substr(eq + 1));
+    const auto place = static_cast<size_t>(at - fields.begin());
+    const char* const end = digits.data() + digits.size();
+    const auto read = std::from_chars(digits.data(), end, report[place]);
+    if (read.ec != std::errc() || read.ptr != end || !std::isfinite(report[place])) {
+      return std::nullopt;
+    }
+    found[place] = true;
+  }
+  if (fields.empty() || !std::ranges::all_of(found, [](bool f) { return f; })) return std::nullopt;
+  return report;
+}
+
+Outcome OutcomeOf(const Message& message, std::string_view base) {
+  if (message.status == 200) return Outcome::kOk;
+  const auto rejected = message.Find(base, "X-Rejected");
+  const bool turned_away = rejected && *rejected == "1";
+  if ((message.status == 503 || message.status == 504) && turned_away) return Outcome::kFull;
+  return Outcome::kError;
+}
+
+std::string HeadForHost(const Held& request, Duration left) {
+  const Message& m = request.message;
+  const std::string_view base = request.bytes.view();
+  std::string head = fmt::format("{} {} HTTP/1.1\r\n", m.method.In(base), m.target.In(base));
+  for (const auto& [key, value] : m.headers) {
+    const std::string_view name = key.In(base);
+    if (SameName(name, "X-Budget-Ms") || SameName(name, "Content-Length")) continue;
+    if (HopByHop(m, base, name)) continue;
+    head += fmt::format("{}: {}\r\n", name, value.In(base));
+  }
+  const auto ms = std::max<int64_t>(1, left.count() / 1000);
+  head += fmt::format("X-Budget-Ms: {}\r\n", ms);
+  const bool bodiless = m.method.In(base) == "GET" && m.body.size == 0;
+  if (!bodiless) head += fmt::format("Content-Length: {}\r\n", m.body.size);
+  return head + "\r\n";
+}
+
+// ---- Connections ----------------------------------------------------------------------------
+
+// What a connection is busy with: an attempt, or a probe where there is no exchange.
+struct Servers::Job {
+  std::shared_ptr<Exchange> exchange;
+  size_t attempt = 0;
+  std::string endpoint;
+  Time sent{0};
+  Time until{0};
+  bool established = false;
+};
+
+class Servers::Connection final : public Stream::Owner {
+ public:
+  Connection(Servers& servers, Host& host, Socket socket)
+      : servers_(servers),
+        host_(host),
+        epoch_(host.epoch),
+        stream_(servers.loop_, std::move(socket), this, true) {
+    stream_.set_most_unread(2 * kMaxBody);
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  virtual ~Connection() { CancelTimers(); }
+
+  bool Open() {
+    if (!stream_.Start()) return false;
+    connect_timer_ = servers_.loop_.After(servers_.options_.connect_timeout, [this] {
+      connect_timer_ = {};
+      servers_.End(*this, Outcome::kConnectFailed, std::nullopt, nullptr);
+    });
+    return true;
+  }
+
+  void Start(std::unique_ptr<Job> job) {
+    job_ = std::move(job);
+    parser_.Reset();
+    written_ = false;
+    const Time now = servers_.loop_.Now();
+    limit_ = servers_.loop_.After(job_->until - now, [this] {
+      limit_ = {};
+      const bool sent = written_;
+      servers_.End(*this, sent ? Outcome::kTimeout : Outcome::kConnectFailed, std::nullopt,
+                   nullptr);
+    });
+    if (stream_.connected()) Write();
+  }
+
+  std::unique_ptr<Job> Finish() {
+    CancelTimers();
+    return std::move(job_);
+  }
+
+  void CancelTimers() {
+    servers_.loop_.Cancel(limit_);
+    servers_.loop_.Cancel(connect_timer_);
+  }
+
+  // Fit for the next request: nothing half-written and nothing unread.
+  [[nodiscard]] bool Reusable() const {
+    return reusable_ && host_.listed && epoch_ == host_.epoch && !stream_.ended() &&
+           !stream_.closed() && stream_.flushed();
+  }
+
+  [[nodiscard]] Job* job() const { return job_.get(); }
+  Stream& stream() { return stream_; }
+  Host& host() { return host_; }
+
+  Time idle_since{0};
+  std::list<Connection*>::iterator idle_place;
+  bool idle = false;
+
+ private:
+  void OnConnected() override {
+    servers_.loop_.Cancel(connect_timer_);
+    if (job_) Write();
+  }
+
+  void Write() {
+    if (!job_->exchange) {
+      const bool reports = servers_.options_.reports_in_probes;
+      stream_.Write(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", reports ? "/_load" : "/ping",
+                                ToText(host_.address)));
+      return;
+    }
+    const Held& request = job_->exchange->request();
+    stream_.Write(HeadForHost(request, job_->until - servers_.loop_.Now()), job_->exchange,
+                  request.body());
+  }
+
+  void OnFlushed() override { written_ = true; }
+
+  void OnRead() override {
+    if (!job_) {  // idle: the host closes, or says what nobody asked for
+      ++Count().host_idle_lost;
+      servers_.Drop(*this);
+      return;
+    }
+    const Progress progress = parser_.Feed(stream_.in());
+    if (progress == Progress::kBad) {
+      ++Count().host_malformed;
+      return servers_.End(*this, written_ ? Outcome::kReset : Outcome::kConnectFailed, std::nullopt,
+                          nullptr);
+    }
+    MaybeEstablished();
+    if (progress == Progress::kDone) return Done();
+    if (stream_.ended()) OnBroken();
+  }
+
+  // A streamed answer has begun: it belongs to its client, and no time limit runs on.
+  void MaybeEstablished() {
+    if (!job_->exchange || job_->established || !job_->exchange->cls().streamed) return;
+    if (parser_.message().body.at == 0 || parser_.message().status != 200) return;
+    job_->established = true;
+    servers_.loop_.Cancel(limit_);
+    servers_.listener_->OnEstablished(job_->exchange, job_->attempt, job_->endpoint,
+                                      servers_.loop_.Now() - job_->sent);
+  }
+
+  void Done() {
+    auto held = std::make_shared<Held>();
+    held->message = parser_.message();
+    held->bytes = stream_.in().TakeFront(held->message.size);
+    const std::string_view base = held->bytes.view();
+    // Bytes behind the answer belong to nothing that was asked: the connection is out of step.
+    reusable_ = held->message.keep_alive && written_ && stream_.in().empty();
+    const Outcome outcome = OutcomeOf(held->message, base);
+    std::optional<Report> report;
+    const Options& options = servers_.options_;
+    std::optional<std::string_view> text;
+    if (options.reports_in_answers) text = held->message.Find(base, "X-Load-Report");
+    if (!job_->exchange && options.reports_in_probes && outcome == Outcome::kOk) {
+      text = held->body();
+    }
+    if (text) {
+      report = ParseReport(*text, options.report_fields);
+      if (!report) ++Count().reports_malformed;
+    }
+    servers_.End(*this, outcome, std::move(report),
+                 outcome == Outcome::kOk ? std::move(held) : nullptr);
+  }
+
+  void OnBroken() override {
+    if (!job_) {
+      ++Count().host_idle_lost;
+      servers_.Drop(*this);
+      return;
+    }
+    servers_.End(*this, written_ ? Outcome::kReset : Outcome::kConnectFailed, std::nullopt,
+                 nullptr);
+  }
+
+  Servers& servers_;
+  Host& host_;
+  uint64_t epoch_;
+  Stream stream_;
+  MessageParser parser_{MessageParser::Kind::kAnswer};
+  std::unique_ptr<Job> job_;
+  EventLoop::TimerId limit_, connect_timer_;
+  bool written_ = false, reusable_ = false;
+};
+
+// ---- Servers --------------------------------------------------------------------------------
+
+Servers::Servers(EventLoop& loop, Descriptors& budget, Options options, Listener* listener)
+    : loop_(loop), budget_(budget), options_(std::move(options)), listener_(listener) {
+  tidy_ = loop_.After(kTidy, [this] { Tidy(); });
+}
+
+Servers::~Servers() {
+  loop_.Cancel(tidy_);
+  connections_.clear();
+}
+
+Servers::Host* Servers::Find(const std::string& endpoint) {
+  const auto at = hosts_.find(endpoint);
+  return at == hosts_.end() ? nullptr : at->second.get();
+}
+
+void Servers::SetAddress(const std::string& endpoint, const Address& address) {
+  std::unique_ptr<Host>& host = hosts_[endpoint];
+  if (!host) host = std::make_unique<Host>(Host{.id = endpoint, .address = address, .idle = {}});
+  host->listed = true;
+  if (host->address == address) return;
+  host->address = address;
+  ++host->epoch;
+  DropIdle(*host);
+}
+
+void Servers::Left(const std::string& endpoint) {
+  Host* const host = Find(endpoint);
+  if (host == nullptr) return;
+  host->listed = false;
+  DropIdle(*host);
+}
+
+void Servers::Send(std::shared_ptr<Exchange> exchange, size_t attempt, const std::string& endpoint,
+                   Time until) {
+  auto job = std::make_unique<Job>();
+  job->exchange = std::move(exchange);
+  job->attempt = attempt;
+  job->endpoint = endpoint;
+  job->sent = loop_.Now();
+  job->until = until;
+  Host* const host = Find(endpoint);
+  if (host == nullptr || until <= job->sent) {
+    return Report_(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
+  }
+  Begin(std::move(job), *host);
+}
+
+void Servers::Probe(const std::string& endpoint) {
+  auto job = std::make_unique<Job>();
+  job->endpoint = endpoint;
+  job->sent = loop_.Now();
+  job->until = job->sent + kProbeTimeouts * options_.connect_timeout;
+  Host* const host = Find(endpoint);
+  if (host == nullptr) return Report_(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
+  Begin(std::move(job), *host);
+}
+
+void Servers::Begin(std::unique_ptr<Job> job, Host& host) {
+  while (!host.idle.empty()) {
+    Connection& connection = *host.idle.back();
+    host.idle.pop_back();
+    idle_.erase(connection.idle_place);
+    connection.idle = false;
+    // The host may have closed it, and the news of that be waiting behind this event.
+    if (connection.stream().Quiet()) return connection.Start(std::move(job));
+    ++Count().host_idle_lost;
+    Drop(connection);
+  }
+  // Half of the descriptors are left to clients, without whom no connection to a host is of use.
+  const bool room = connections_.size() < budget_.most() / 2 || CloseOneIdle();
+  bool refused = false;
+  std::optional<Socket> socket;
+  if (room) socket = Connect(host.address, budget_, refused);
+  if (room && !socket && !refused && CloseOneIdle()) {
+    socket = Connect(host.address, budget_, refused);
+  }
+  if (!socket) {
+    // A lack of our own says nothing of the host: nothing was transmitted.
+    if (!refused) ++Count().host_no_descriptor;
+    return Report_(std::move(job), refused ? Outcome::kConnectFailed : Outcome::kMoot, std::nullopt,
+                   nullptr);
+  }
+  ++Count().host_connects;
+  const auto connection = std::make_shared<Connection>(*this, host, std::move(*socket));
+  connections_.emplace(connection.get(), connection);
+  if (!connection->Open()) {
+    Drop(*connection);
+    return Report_(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
+  }
+  connection->Start(std::move(job));
+}
+
+void Servers::End(Connection& connection, Outcome outcome, std::optional<Report> report,
+                  std::shared_ptr<const Held> from) {
+  if (connection.idle) return;  // dropped by its host's address; ended already
+  auto job = connection.Finish();
+  const bool whole =
+      outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kFull;
+  if (whole && connection.Reusable()) {
+    Park(connection);
+  } else {
+    Drop(connection);
+  }
+  if (PADDLESTILE_CHECK(job != nullptr)) {
+    Report_(std::move(job), outcome, std::move(report), std::move(from));
+  }
+}
+
+void Servers::Report_(std::unique_ptr<Job> job, Outcome outcome, std::optional<Report> report,
+                      std::shared_ptr<const Held> from) {
+  const Duration took = loop_.Now() - job->sent;
+  if (!job->exchange) {
+    if (outcome == Outcome::kOk) ++Count().probes_ok;
+    listener_->OnProbed(job->endpoint, outcome, took, std::move(report));
+    return;
+  }
+  if (Logged(Level::kDebug)) {
+    Log(Level::kDebug, "attempt {} of {} at {}: outcome {} after {:.1f} ms", job->attempt,
+        job->exchange->id(), job->endpoint, static_cast<int>(outcome), Ms(took));
+  }
+  listener_->OnSettled(job->exchange, job->attempt, job->endpoint, outcome, took, std::move(report),
+                       std::move(from));
+}
+
+void Servers::Cancel(const Exchange& exchange, size_t attempt) {
+  for (const auto& [connection, owned] : connections_) {
+    const Job* const job = connection->job();
+    if (job == nullptr || job->exchange.get() != &exchange || job->attempt != attempt) continue;
+    if (job->established) return;  // begun streams belong to their clients
+    return End(*connection, Outcome::kCancelled, std::nullopt, nullptr);
+  }
+}
+
+void Servers::Park(Connection& connection) {
+  connection.idle = true;
+  connection.idle_since = loop_.Now();
+  connection.idle_place = idle_.insert(idle_.end(), &connection);
+  connection.host().idle.push_back(&connection);
+}
+
+void Servers::Drop(Connection& connection) {
+  const auto at = connections_.find(&connection);
+  if (!PADDLESTILE_CHECK(at != connections_.end())) return;
+  if (connection.idle) {
+    idle_.erase(connection.idle_place);
+    std::erase(connection.host().idle, &connection);
+    connection.idle = false;
+  }
+  connection.CancelTimers();
+  connection.stream().Close();
+  // It may be the one whose handler is at work: its memory goes once that has returned.
+  loop_.Defer([kept = std::move(at->second)] {});
+  connections_.erase(at);
+}
+
+void Servers::DropIdle(Host& host) {
+  while (!host.idle.empty()) {
+    ++Count().host_idle_closed;
+    Drop(*host.idle.back());
+  }
+}
+
+bool Servers::CloseOneIdle() {
+  if (idle_.empty()) return false;
+  ++Count().host_idle_closed;
+  Drop(*idle_.front());
+  return true;
+}
+
+void Servers::Tidy() {
+  const double share = options_.idle_close > Duration(0) ? kIdleShare : 1;
+  const Duration idle = options_.idle_close > Duration(0) ? options_.idle_close : kIdleUnknown;
+  const Time before =
+      loop_.Now() + kTidy - Duration(std::llround(share * static_cast<double>(idle.count())));
+  while (!idle_.empty() && idle_.front()->idle_since < before) CloseOneIdle();
+  tidy_ = loop_.After(kTidy, [this] { Tidy(); });
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,185 @@
+#include "net/stream.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "net/counters.h"
+
+namespace paddlestile::net {
+namespace {
+constexpr size_t kReadAtLeast = 2048;
+constexpr size_t kPiecesAtOnce = 16;
+}  // namespace
+
+std::optional<Socket> Connect(const Address& to, Descriptors& budget, bool& refused) {
+  refused = false;
+  if (!budget.Take()) return std::nullopt;
+  Socket socket(Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)), &budget);
+  if (socket.get() < 0) return std::nullopt;
+  const int on = 1;
+  setsockopt(socket.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(to.port);
+  address.sin_addr.s_addr = htonl(to.host);
+  if (connect(socket.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 &&
+      errno != EINPROGRESS && errno != EINTR) {
+    refused = true;
+    return std::nullopt;
+  }
+  return socket;
+}
+
+Stream::Stream(EventLoop& loop, Socket socket, Owner* owner, bool connecting)
+    : loop_(loop), socket_(std::move(socket)), owner_(owner), connected_(!connecting) {}
+
+Stream::~Stream() { Close(); }
+
+bool Stream::Start() { return watched_ = loop_.Watch(socket_.get(), this, token_); }
+
+void Stream::Close() {
+  if (closed_) return;
+  closed_ = true;
+  if (watched_) loop_.Unwatch(socket_.get(), token_);
+  socket_.Close();
+  out_.clear();
+}
+
+void Stream::Break() {
+  if (closed_ || broken_) return;
+  broken_ = true;
+  owner_->OnBroken();
+}
+
+bool Stream::ReadAll() {
+  bool news = false;
+  while (!closed_ && !ended_ && !broken_) {
+    if (in_.size() >= most_unread_) return news;  // the edge stays open for Resume
+    char* const to = in_.Prepare(kReadAtLeast);
+    const ssize_t n = recv(socket_.get(), to, in_.Room(), 0);
+    if (n > 0) {
+      in_.Commit(static_cast<size_t>(n));
+      news = true;
+    } else if (n == 0) {
+      ended_ = news = true;
+    } else if (errno == EINTR) {
+      continue;
+    } else {
+      readable_ = false;
+      // An emptied buffer keeps no memory while the connection idles.
+      if (in_.empty()) in_.Consume(0);
+      if (errno != EAGAIN && errno != EWOULDBLOCK) {
+        // What came before the break may still be a whole message.
+        if (news) owner_->OnRead();
+        news = false;
+        Break();
+      }
+      return news;
+    }
+  }
+  return news;
+}
+
+void Stream::Resume() {
+  if (closed_ || !readable_) return;
+  if (ReadAll()) owner_->OnRead();
+}
+
+void Stream::OnEvents(uint32_t events) {
+  if (!connected_) {
+    int error = 0;
+    socklen_t size = sizeof(error);
+    getsockopt(socket_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) return Break();
+    if ((events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) == 0) return;
+    // A socket that has not begun to connect reports a hang-up too.
+    sockaddr_in peer{};
+    size = sizeof(peer);
+    if (getpeername(socket_.get(), reinterpret_cast<sockaddr*>(&peer), &size) != 0) {
+      if ((events & (EPOLLERR | EPOLLHUP)) != 0 && errno != ENOTCONN) Break();
+      return;
+    }
+    connected_ = true;
+    owner_->OnConnected();
+    if (closed_) return;
+  }
+  if ((events & EPOLLOUT) != 0 && !out_.empty()) {
+    Flush();
+    if (closed_) return;
+  }
+  if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+    readable_ = true;
+    if (ReadAll()) owner_->OnRead();
+  }
+}
+
+void Stream::Flush() {
+  while (!out_.empty() && !broken_) {
+    std::array<iovec, kPiecesAtOnce> parts{};
+    size_t count = 0;
+    for (const Piece& piece : out_) {
+      if (count == parts.size()) break;
+      parts[count++] = {const_cast<char*>(piece.rest.data()), piece.rest.size()};
+    }
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = count;
+    const ssize_t n = sendmsg(socket_.get(), &message, MSG_NOSIGNAL);
+    if (n < 0) {
+      if (errno == EINTR) continue;
+      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      // A peer may have answered and closed before it read all: that answer is still there.
+      readable_ = true;
+      out_.clear();
+      if (ReadAll()) owner_->OnRead();
+      if (!closed_) Break();
+      return;
+    }
+    for (auto left = static_cast<size_t>(n);
+         left > 0 || (!out_.empty() && out_.front().rest.empty());) {
+      Piece& piece = out_.front();
+      const size_t part = std::min(left, piece.rest.size());
+      piece.rest.remove_prefix(part);
+      left -= part;
+      if (!piece.rest.empty()) break;
+      out_.pop_front();
+    }
+  }
+  if (out_.empty() && !broken_) owner_->OnFlushed();
+}
+
+void Stream::Write(std::string head, std::shared_ptr<const void> keep, std::string_view body) {
+  if (closed_ || broken_) return;
+  const bool idle = out_.empty();
+  Piece& first = out_.emplace_back();
+  first.own = std::move(head);
+  first.rest = first.own;
+  if (!body.empty()) {
+    Piece& second = out_.emplace_back();
+    second.keep = std::move(keep);
+    second.rest = body;
+  }
+  if (connected_ && idle) Flush();
+}
+
+void Stream::ShutWrite() {
+  if (!closed_) shutdown(socket_.get(), SHUT_WR);
+}
+
+bool Stream::Quiet() const {
+  if (closed_ || ended_ || broken_ || !in_.empty()) return false;
+  char byte = 0;
+  const ssize_t n = recv(socket_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace paddlestile::net
