--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,7 +1,9 @@
 // One gateway: reads what it is told, serves, and leaves in good order on SIGTERM.
+#include <sys/resource.h>
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
@@ -24,11 +26,16 @@
 // SIGTERM and SIGINT drain, SIGUSR1 prints the counters.
 class Signals final : public EventLoop::Handler {
  public:
-  Signals(EventLoop& loop, Gateway& gateway) : loop_(loop), gateway_(gateway) {
+  // Blocks them; done before anything else, so that none ends the program between.
+  static sigset_t Block() {
     sigset_t set;
     sigemptyset(&set);
     for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
     sigprocmask(SIG_BLOCK, &set, nullptr);
+    return set;
+  }
+
+  Signals(EventLoop& loop, Gateway& gateway, const sigset_t& set) : loop_(loop), gateway_(gateway) {
     fd_ = Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     uint64_t token = 0;
     if (!fd_ || !loop_.Watch(fd_.get(), this, token)) {
@@ -61,14 +68,20 @@
     SetLogLevel(Level::kDebug);
   }
   std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals_set = Signals::Block();
   try {
     EventLoop loop;
     Config config = ReadConfig([](const char* name) { return std::getenv(name); },
                                [&](double ms) { return loop.clock().FromWall(ms); });
+    // What the system grants may be less than what was promised.
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+      config.sockets = std::min<size_t>(config.sockets, limit.rlim_cur);
+    }
     Log(Level::kInfo, "{} listens on {}, {} hosts known", config.name, ToText(config.listen),
         config.known.members.size());
     Gateway gateway(loop, std::move(config));
-    Signals signals(loop, gateway);
+    const Signals signals(loop, gateway, signals_set);
     loop.Run();
     PrintCounters(gateway);
     return 0;
--- a/src/net/buffer.cpp
+++ b/src/net/buffer.cpp
@@ -20,7 +20,9 @@
     if (begin_ > 0 && capacity_ - size() >= least && begin_ >= size()) {
       std::memcpy(bytes_.get(), bytes_.get() + begin_, size());
     } else {
-      const size_t capacity = std::max(size() + least, capacity_ * 2);
+      // By a quarter: a thousand clients may each hold a whole request, and doubling would hold
+      // twice what they sent.
+      const size_t capacity = size() + std::max(least, size() / 4);
       // for_overwrite: what is read next needs no zeroes first.
       auto bytes = std::make_unique_for_overwrite<char[]>(capacity);
       if (size() > 0) std::memcpy(bytes.get(), bytes_.get() + begin_, size());
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -146,7 +147,7 @@
 
 class Clients::Listening final : public EventLoop::Handler {
  public:
-  Listening(Clients& clients, const Address& listen) : clients_(clients) {
+  Listening(Clients& clients, const Address& listen) : clients_(clients), loop_(clients.loop_) {
     fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     const int on = 1;
     sockaddr_in address{};
@@ -156,19 +157,23 @@
     const auto* const name = reinterpret_cast<const sockaddr*>(&address);
     if (!fd_ || setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
         bind(fd_.get(), name, sizeof(address)) != 0 || ::listen(fd_.get(), kBacklog) != 0 ||
-        !clients_.loop_.Watch(fd_.get(), this, token_)) {
+        !loop_.Watch(fd_.get(), this, token_)) {
       throw std::system_error(errno, std::generic_category(), "listen on " + ToText(listen));
     }
+    socklen_t size = sizeof(address);
+    getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address), &size);
+    clients_.address_.port = ntohs(address.sin_port);  // where any port was asked for
   }
   Listening(const Listening&) = delete;
   Listening& operator=(const Listening&) = delete;
-  virtual ~Listening() { clients_.loop_.Unwatch(fd_.get(), token_); }
+  virtual ~Listening() { loop_.Unwatch(fd_.get(), token_); }
 
   [[nodiscard]] int fd() const { return fd_.get(); }
   void OnEvents(uint32_t) override { clients_.Accept(); }
 
  private:
   Clients& clients_;
+  EventLoop& loop_;
   Fd fd_;
   uint64_t token_ = 0;
 };
@@ -178,12 +183,14 @@
 class Clients::Connection final : public Stream::Owner {
  public:
   Connection(Clients& clients, Socket socket)
-      : clients_(clients), stream_(clients.loop_, std::move(socket), this, false) {
+      : clients_(clients),
+        loop_(clients.loop_),
+        stream_(clients.loop_, std::move(socket), this, false) {
     stream_.set_most_unread(kMaxHead + kMaxBody);
   }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
-  virtual ~Connection() { clients_.loop_.Cancel(timer_); }
+  virtual ~Connection() { loop_.Cancel(timer_); }
 
   bool Start() {
     if (!stream_.Start()) return false;
@@ -196,7 +203,7 @@
 
   // Before it goes: whoever works for it must not answer it any more.
   void Leave() {
-    clients_.loop_.Cancel(timer_);
+    loop_.Cancel(timer_);
     StopIdling();
     if (const auto exchange = std::exchange(exchange_, nullptr); exchange && !exchange->over()) {
       exchange->Abandon();
@@ -243,7 +250,7 @@
   }
 
   void Take() {
-    clients_.loop_.Cancel(timer_);
+    loop_.Cancel(timer_);
     Held request;
     request.message = parser_.message();
     request.bytes = stream_.in().TakeFront(request.message.size);
@@ -290,10 +297,10 @@
   void OnFlushed() override {
     if (state_ != State::kWriting) return;  // that was "100 Continue"
     if (keep_alive_) {
-      clients_.loop_.Cancel(timer_);
+      loop_.Cancel(timer_);
       state_ = State::kReading;
       // Not within the call that answers: a request that waits in the buffer is a call of its own.
-      clients_.loop_.Defer([self = shared_()] { self->Next(); });
+      loop_.Defer([self = shared_()] { self->Next(); });
       return;
     }
     // Closed with something unread, the kernel would reset the connection and with it the answer.
@@ -301,7 +308,7 @@
     stream_.ShutWrite();
     stream_.in().Consume(stream_.in().size());
     SetTimer(kLinger, [this] { clients_.Drop(*this); });
-    clients_.loop_.Defer([self = shared_()] { self->stream_.Resume(); });
+    loop_.Defer([self = shared_()] { self->stream_.Resume(); });
   }
 
   void Next() {
@@ -327,8 +334,8 @@
   }
 
   void SetTimer(Duration after, std::function<void()> then) {
-    clients_.loop_.Cancel(timer_);
-    timer_ = clients_.loop_.After(after, [this, then = std::move(then)] {
+    loop_.Cancel(timer_);
+    timer_ = loop_.After(after, [this, then = std::move(then)] {
       timer_ = {};
       then();
     });
@@ -337,6 +344,7 @@
   std::shared_ptr<Connection> shared_() { return *place; }
 
   Clients& clients_;
+  EventLoop& loop_;  // may outlive the clients, as what is put off may
   Stream stream_;
   MessageParser parser_{MessageParser::Kind::kRequest};
   State state_ = State::kReading;
@@ -362,13 +370,21 @@
 
 void Clients::Accept() {
   while (listening_) {
-    if (!budget_.Take() && !(listener_->OnShort() && budget_.Take())) return AcceptLater();
+    if (!budget_.Take()) {
+      // Room is made only for somebody who waits: else the last free descriptor would cost an idle
+      // connection each time.
+      pollfd waiting{listening_->fd(), POLLIN, 0};
+      if (poll(&waiting, 1, 0) == 0) return;
+      if (!listener_->OnShort() || !budget_.Take()) return AcceptLater();
+    }
     Socket socket(Fd(accept4(listening_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)),
                   &budget_);
     if (socket.get() < 0) {
-      if (errno == EINTR || errno == ECONNABORTED) continue;
-      if (errno == EAGAIN || errno == EWOULDBLOCK) return;
+      const int error = errno;
+      if (error == EINTR || error == ECONNABORTED) continue;
+      if (error == EAGAIN || error == EWOULDBLOCK) return;
       // The table is full all the same: with the edge consumed, only the timer looks again.
+      if (error == EMFILE && listener_->OnShort()) continue;
       return AcceptLater();
     }
     const int on = 1;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -75,8 +75,9 @@
 }
 
 Address AddressVariable(const std::function<const char*(const char*)>& env, const char* name) {
+  const char* const text = NeedVariable(env, name);
   try {
-    return ParseAddress(NeedVariable(env, name));
+    return ParseAddress(text);
   } catch (const ConfigError& error) {
     throw ConfigError(fmt::format("{}: {}", name, error.what()));
   }
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -20,6 +20,7 @@
   X(answers_served)     /* 200 */                                      \
   X(answers_refused)    /* 503 */                                      \
   X(answers_failed)     /* 502 */                                      \
+  X(answers_overdue)    /* 502 because the module gave none */         \
   X(clients_left)       /* gone before their answer */                 \
   X(sends)              /* attempts asked for by the module */         \
   X(settled_ok)         /* outcomes of attempts */                     \
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -115,15 +115,15 @@
   std::array<epoll_event, 256> events;
   const int n = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), ms);
   const Time began = Now();
-  // A timer that sets itself anew at once would be due for ever within this call: each runs once.
-  RunTimers();
   for (int i = 0; i < n; ++i) {
     const uint64_t token = events[static_cast<size_t>(i)].data.u64;
-    const Slot& slot = slots_[static_cast<uint32_t>(token)];
+    const Slot slot = slots_[static_cast<uint32_t>(token)];
     if (slot.handler == nullptr || slot.generation != token >> 32) continue;  // closed meanwhile
     slot.handler->OnEvents(events[static_cast<size_t>(i)].events);
     RunDeferred();
   }
+  // After the sockets: what had come in by the time a limit is reached still counts.
+  RunTimers();
   if (Now() - began > kLag) ++Count().loop_lagged;
 }
 
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -69,6 +70,13 @@
   }
   void AttemptEnded() { --out_; }
   [[nodiscard]] size_t attempts() const { return attempts_; }
+  // A streamed answer has begun on this attempt, the first to do so: it alone is the client's.
+  bool Establish(size_t attempt) {
+    if (over_ || stream_) return false;
+    stream_ = attempt;
+    return true;
+  }
+  [[nodiscard]] const std::optional<size_t>& stream() const { return stream_; }
   [[nodiscard]] int out() const { return out_; }
 
  private:
@@ -79,6 +87,7 @@
   Reply reply_;
   size_t attempts_ = 0;
   int out_ = 0;
+  std::optional<size_t> stream_;
   bool over_ = false;
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -42,6 +42,10 @@
 
 }  // namespace
 
+Gateway::~Gateway() {
+  for (auto& [exchange, timer] : overdue_) loop_.Cancel(timer);
+}
+
 Gateway::Gateway(EventLoop& loop, Config config)
     : loop_(loop),
       config_(std::move(config)),
@@ -49,8 +53,8 @@
       brain_(config_.settings, config_.seed) {
   servers_ = std::make_unique<Servers>(loop_, budget_, ServerOptions(config_), this);
   const bool own_watch = config_.settings.discovery == DiscoveryMode::kPush;
-  list_ = std::make_unique<List>(loop_, budget_, config_.discovery, config_.names,
-                                 config_.known.revision, own_watch, this);
+  list_ = std::make_unique<List>(loop_, config_.discovery, config_.names, config_.known.revision,
+                                 own_watch, this);
   TakeList(std::move(config_.known), ListKind::kCached);
   list_->Start();
   // Last: a client that is let in finds all the rest at work.
@@ -95,6 +99,9 @@
       std::make_shared<Exchange>(submit.id, std::move(request), submit.deadline,
                                  &config_.settings.classes[submit.cls], std::move(reply));
   exchanges_.emplace(submit.id, exchange);
+  const Duration slack = config_.settings.obligations.answer_slack;
+  overdue_.emplace(exchange.get(), loop_.After(submit.deadline + slack - now,
+                                               [this, exchange] { OnOverdue(exchange); }));
   Post(std::move(submit));
   return {std::move(exchange), 0, {}};
 }
@@ -102,6 +109,19 @@
 void Gateway::OnClientLeft(const std::shared_ptr<Exchange>& exchange) {
   ++Count().clients_left;
   --held_;
+  servers_->ClientLeft(*exchange);
+  Post(ClientLeft{exchange->id()});
+  MaybeForget(exchange);
+}
+
+// The last answer is the module's to give, in time. Should it ever fail to, its client is not left
+// waiting: the request ends here as it does in the simulator.
+void Gateway::OnOverdue(const std::shared_ptr<Exchange>& exchange) {
+  overdue_.erase(exchange.get());
+  if (exchange->stream() || !exchange->Finish({502, nullptr, {}})) return;
+  ++Count().answers_overdue;
+  --held_;
+  net::Log(Level::kError, "no answer in time to {}", exchange->id());
   Post(ClientLeft{exchange->id()});
   MaybeForget(exchange);
 }
@@ -119,6 +139,12 @@
     ++Count().answers_served;
     --held_;
   }
+  // The break of a stream that had begun is the end of its request.
+  if (outcome != Outcome::kOk && exchange->stream() == attempt &&
+      exchange->Finish({502, nullptr, {}})) {
+    ++Count().answers_failed;
+    --held_;
+  }
   Post(Settled{exchange->id(), attempt, endpoint, outcome, took, exchange->over(),
                std::move(report)});
   MaybeForget(exchange);
@@ -191,6 +217,9 @@
     for (const Action& action : actions_) Apply(action);
   }
   pumping_ = false;
+  // Only now: an event that waited may still have had an action for it.
+  for (const auto& exchange : ending_) Forget(exchange);
+  ending_.clear();
 }
 
 void Gateway::Apply(const Action& action) {
@@ -204,7 +233,16 @@
 
 // Late outcomes still have to find it, so that it stays until its last attempt has ended.
 void Gateway::MaybeForget(const std::shared_ptr<Exchange>& exchange) {
+  if (exchange->over() && exchange->out() == 0) ending_.push_back(exchange);
+}
+
+void Gateway::Forget(const std::shared_ptr<Exchange>& exchange) {
   if (!exchange->over() || exchange->out() > 0) return;
+  const auto timer = overdue_.find(exchange.get());
+  if (timer != overdue_.end()) {
+    loop_.Cancel(timer->second);
+    overdue_.erase(timer);
+  }
   const auto at = exchanges_.find(exchange->id());
   if (at != exchanges_.end() && at->second == exchange) exchanges_.erase(at);
 }
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -28,7 +28,7 @@
   Gateway(EventLoop& loop, Config config);
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
-  virtual ~Gateway() = default;
+  virtual ~Gateway();
 
   // Takes no longer part after this: serves what still comes, then calls `done`.
   void Drain(std::function<void()> done);
@@ -36,6 +36,8 @@
   // Counters and the present state, one line.
   [[nodiscard]] std::string StateText() const;
 
+  [[nodiscard]] const Address& address() const { return clients_->address(); }
+  [[nodiscard]] size_t in_hand() const { return exchanges_.size(); }
   [[nodiscard]] const Stats& stats() const { return brain_.stats(); }
 
  private:
@@ -66,7 +68,9 @@
   void Apply(const FetchList& fetch);
   void Apply(const paddlestile::Log& log);
   std::shared_ptr<Exchange> FindExchange(const std::string& id);
+  void OnOverdue(const std::shared_ptr<Exchange>& exchange);
   void MaybeForget(const std::shared_ptr<Exchange>& exchange);
+  void Forget(const std::shared_ptr<Exchange>& exchange);
 
   EventLoop& loop_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
@@ -74,6 +78,8 @@
   Descriptors budget_;
   Brain brain_;
   std::unordered_map<std::string, std::shared_ptr<Exchange>> exchanges_;
+  std::vector<std::shared_ptr<Exchange>> ending_;  // over, to be forgotten after the events
+  std::unordered_map<const Exchange*, EventLoop::TimerId> overdue_;
   size_t held_ = 0;  // exchanges without their answer
   std::deque<Event> events_;
   bool pumping_ = false;
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -23,12 +23,15 @@
 class List::Call final : public Stream::Owner {
  public:
   Call(List& list, Socket socket, bool watch)
-      : list_(list), watch_(watch), stream_(list.loop_, std::move(socket), this, true) {
+      : list_(list),
+        loop_(list.loop_),
+        watch_(watch),
+        stream_(list.loop_, std::move(socket), this, true) {
     stream_.set_most_unread(kMostLine + kMaxHead);
   }
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
-  virtual ~Call() { list_.loop_.Cancel(timer_); }
+  virtual ~Call() { loop_.Cancel(timer_); }
 
   bool Start() {
     if (!stream_.Start()) return false;
@@ -36,7 +39,7 @@
     return true;
   }
   void Stop() {
-    list_.loop_.Cancel(timer_);
+    loop_.Cancel(timer_);
     stream_.Close();
   }
   [[nodiscard]] bool watch() const { return watch_; }
@@ -53,11 +56,10 @@
   void OnBroken() override { list_.Failed(*this, "connection broken"); }
 
   void OnRead() override {
-    if (watch_) {
-      if (!in_body_ && !ReadHead()) return;
-      ReadLines();
-    } else {
+    if (!watch_) {
       ReadWhole();
+    } else if (in_body_ || ReadHead()) {
+      ReadLines();
     }
     if (!stream_.closed() && stream_.ended()) list_.Failed(*this, "connection ended");
   }
@@ -114,14 +116,15 @@
   }
 
   void SetTimer(Duration after) {
-    list_.loop_.Cancel(timer_);
-    timer_ = list_.loop_.After(after, [this] {
+    loop_.Cancel(timer_);
+    timer_ = loop_.After(after, [this] {
       timer_ = {};
       list_.Failed(*this, "silent");
     });
   }
 
   List& list_;
+  EventLoop& loop_;  // may outlive the list, as what is put off may
   bool watch_;
   Stream stream_;
   MessageParser head_{MessageParser::Kind::kAnswer};
@@ -133,10 +136,9 @@
   EventLoop::TimerId timer_;
 };
 
-List::List(EventLoop& loop, Descriptors& budget, const Address& discovery, const Names& names,
-           double revision, bool own_watch, Listener* listener)
+List::List(EventLoop& loop, const Address& discovery, const Names& names, double revision,
+           bool own_watch, Listener* listener)
     : loop_(loop),
-      budget_(budget),
       discovery_(discovery),
       names_(names),
       revision_(revision),
@@ -169,7 +171,7 @@
   Close(call);
   if (watch) ++Count().list_watches;
   bool refused = false;
-  std::optional<Socket> socket = Connect(discovery_, budget_, refused);
+  std::optional<Socket> socket = Connect(discovery_, nullptr, refused);
   if (socket) {
     call = std::make_unique<Call>(*this, std::move(*socket), watch);
     if (call->Start()) return;
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -25,10 +25,11 @@
     ~Listener() = default;
   };
 
+  // Its two connections come out of the descriptors' reserve: clients must not shut it out.
   // `own_watch`: watch from the start and by itself again after each failure, as where changes are
   // delivered unprompted. Else only Follow and Fetch ask.
-  List(EventLoop& loop, Descriptors& budget, const Address& discovery, const Names& names,
-       double revision, bool own_watch, Listener* listener);
+  List(EventLoop& loop, const Address& discovery, const Names& names, double revision,
+       bool own_watch, Listener* listener);
   ~List();
   List(const List&) = delete;
   List& operator=(const List&) = delete;
@@ -48,7 +49,6 @@
   void Again();
 
   EventLoop& loop_;
-  Descriptors& budget_;
   Address discovery_;
   const Names& names_;
   double revision_;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -93,6 +93,7 @@
  public:
   Connection(Servers& servers, Host& host, Socket socket)
       : servers_(servers),
+        loop_(servers.loop_),
         host_(host),
         epoch_(host.epoch),
         stream_(servers.loop_, std::move(socket), this, true) {
@@ -104,7 +105,7 @@
 
   bool Open() {
     if (!stream_.Start()) return false;
-    connect_timer_ = servers_.loop_.After(servers_.options_.connect_timeout, [this] {
+    connect_timer_ = loop_.After(servers_.options_.connect_timeout, [this] {
       connect_timer_ = {};
       servers_.End(*this, Outcome::kConnectFailed, std::nullopt, nullptr);
     });
@@ -115,12 +116,15 @@
     job_ = std::move(job);
     parser_.Reset();
     written_ = false;
-    const Time now = servers_.loop_.Now();
-    limit_ = servers_.loop_.After(job_->until - now, [this] {
+    const Time now = loop_.Now();
+    limit_ = loop_.After(job_->until - now, [this] {
       limit_ = {};
-      const bool sent = written_;
-      servers_.End(*this, sent ? Outcome::kTimeout : Outcome::kConnectFailed, std::nullopt,
-                   nullptr);
+      // With the time up before the connection is, nothing was sent and the host not shown at
+      // fault.
+      const Outcome outcome = written_              ? Outcome::kTimeout
+                              : stream_.connected() ? Outcome::kConnectFailed
+                                                    : Outcome::kMoot;
+      servers_.End(*this, outcome, std::nullopt, nullptr);
     });
     if (stream_.connected()) Write();
   }
@@ -131,8 +135,8 @@
   }
 
   void CancelTimers() {
-    servers_.loop_.Cancel(limit_);
-    servers_.loop_.Cancel(connect_timer_);
+    loop_.Cancel(limit_);
+    loop_.Cancel(connect_timer_);
   }
 
   // Fit for the next request: nothing half-written and nothing unread.
@@ -151,7 +155,7 @@
 
  private:
   void OnConnected() override {
-    servers_.loop_.Cancel(connect_timer_);
+    loop_.Cancel(connect_timer_);
     if (job_) Write();
   }
 
@@ -163,8 +167,7 @@
       return;
     }
     const Held& request = job_->exchange->request();
-    stream_.Write(HeadForHost(request, job_->until - servers_.loop_.Now()), job_->exchange,
-                  request.body());
+    stream_.Write(HeadForHost(request, job_->until - loop_.Now()), job_->exchange, request.body());
   }
 
   void OnFlushed() override { written_ = true; }
@@ -190,10 +193,11 @@
   void MaybeEstablished() {
     if (!job_->exchange || job_->established || !job_->exchange->cls().streamed) return;
     if (parser_.message().body.at == 0 || parser_.message().status != 200) return;
+    if (!job_->exchange->Establish(job_->attempt)) return;  // another one has begun before
     job_->established = true;
-    servers_.loop_.Cancel(limit_);
+    loop_.Cancel(limit_);
     servers_.listener_->OnEstablished(job_->exchange, job_->attempt, job_->endpoint,
-                                      servers_.loop_.Now() - job_->sent);
+                                      loop_.Now() - job_->sent);
   }
 
   void Done() {
@@ -230,6 +234,7 @@
   }
 
   Servers& servers_;
+  EventLoop& loop_;  // may outlive the servers, as what is put off may
   Host& host_;
   uint64_t epoch_;
   Stream stream_;
@@ -271,6 +276,7 @@
   if (host == nullptr) return;
   host->listed = false;
   DropIdle(*host);
+  MaybeForget(*host);
 }
 
 void Servers::Send(std::shared_ptr<Exchange> exchange, size_t attempt, const std::string& endpoint,
@@ -313,9 +319,9 @@
   const bool room = connections_.size() < budget_.most() / 2 || CloseOneIdle();
   bool refused = false;
   std::optional<Socket> socket;
-  if (room) socket = Connect(host.address, budget_, refused);
+  if (room) socket = Connect(host.address, &budget_, refused);
   if (room && !socket && !refused && CloseOneIdle()) {
-    socket = Connect(host.address, budget_, refused);
+    socket = Connect(host.address, &budget_, refused);
   }
   if (!socket) {
     // A lack of our own says nothing of the host: nothing was transmitted.
@@ -326,6 +332,7 @@
   ++Count().host_connects;
   const auto connection = std::make_shared<Connection>(*this, host, std::move(*socket));
   connections_.emplace(connection.get(), connection);
+  ++host.open;
   if (!connection->Open()) {
     Drop(*connection);
     return Report_(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
@@ -374,6 +381,14 @@
   }
 }
 
+void Servers::ClientLeft(const Exchange& exchange) {
+  for (const auto& [connection, owned] : connections_) {
+    const Job* const job = connection->job();
+    if (job == nullptr || job->exchange.get() != &exchange || !job->established) continue;
+    return End(*connection, Outcome::kCancelled, std::nullopt, nullptr);
+  }
+}
+
 void Servers::Park(Connection& connection) {
   connection.idle = true;
   connection.idle_since = loop_.Now();
@@ -391,11 +406,23 @@
   }
   connection.CancelTimers();
   connection.stream().Close();
+  --connection.host().open;
+  MaybeForget(connection.host());
   // It may be the one whose handler is at work: its memory goes once that has returned.
   loop_.Defer([kept = std::move(at->second)] {});
   connections_.erase(at);
 }
 
+// Hosts that are replaced come with new ids: those gone for good must not pile up.
+void Servers::MaybeForget(const Host& host) {
+  if (host.listed || host.open > 0) return;
+  loop_.Defer([this, alive = std::weak_ptr(alive_), id = host.id] {
+    if (alive.expired()) return;
+    const Host* const now = Find(id);
+    if (now != nullptr && !now->listed && now->open == 0) hosts_.erase(id);
+  });
+}
+
 void Servers::DropIdle(Host& host) {
   while (!host.idle.empty()) {
     ++Count().host_idle_closed;
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -70,6 +70,8 @@
   void Send(std::shared_ptr<Exchange> exchange, size_t attempt, const std::string& endpoint,
             Time until);
   void Cancel(const Exchange& exchange, size_t attempt);
+  // An answer that has begun to stream ends with its client; nothing else would end it.
+  void ClientLeft(const Exchange& exchange);
   void Probe(const std::string& endpoint);
 
   // Closes the connection that has idled longest; false where none idles.
@@ -77,6 +79,7 @@
 
   [[nodiscard]] size_t connections() const { return connections_.size(); }
   [[nodiscard]] size_t idle() const { return idle_.size(); }
+  [[nodiscard]] size_t hosts() const { return hosts_.size(); }
 
  private:
   class Connection;
@@ -86,6 +89,7 @@
     Address address;
     uint64_t epoch = 0;  // raised with each change of the address
     bool listed = true;
+    size_t open = 0;                // connections
     std::vector<Connection*> idle;  // the last used at the end
   };
 
@@ -98,9 +102,11 @@
   void Park(Connection& connection);
   void Drop(Connection& connection);
   void DropIdle(Host& host);
+  void MaybeForget(const Host& host);
   void Tidy();
 
   EventLoop& loop_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
   Descriptors& budget_;
   Options options_;
   Listener* listener_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -20,10 +20,10 @@
 constexpr size_t kPiecesAtOnce = 16;
 }  // namespace
 
-std::optional<Socket> Connect(const Address& to, Descriptors& budget, bool& refused) {
+std::optional<Socket> Connect(const Address& to, Descriptors* budget, bool& refused) {
   refused = false;
-  if (!budget.Take()) return std::nullopt;
-  Socket socket(Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)), &budget);
+  if (budget != nullptr && !budget->Take()) return std::nullopt;
+  Socket socket(Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)), budget);
   if (socket.get() < 0) return std::nullopt;
   const int on = 1;
   setsockopt(socket.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -63,9 +63,9 @@
   Descriptors* budget_;
 };
 
-// Begins a connection. Nothing where the budget or the kernel has no descriptor; `refused` where
-// the address itself gives none.
-std::optional<Socket> Connect(const Address& to, Descriptors& budget, bool& refused);
+// Begins a connection, out of the reserve where no budget is given. Nothing where the budget or the
+// kernel has no descriptor; `refused` where the address itself gives none.
+std::optional<Socket> Connect(const Address& to, Descriptors* budget, bool& refused);
 
 class Stream : public EventLoop::Handler {
  public:
--- /dev/null
+++ b/tests/main_test.cpp
@@ -0,0 +1,157 @@
+// The program itself: what it says of a bad start, and how it leaves.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "net/peers.h"
+
+namespace paddlestile::net {
+namespace {
+
+using testing::Peer;
+using testing::Port;
+
+const std::string kConfig =
+    R"({"name":"n1","seed":"1f","limits":{"sockets":256},"known":{"revision":1,"complete":true,)"
+    R"("members":[]},"settings":{"Classes":[{"Name":"read","Effect":"safe","Slo":400.0,)"
+    R"("Deadline":1000.0}],"Allowed":{"SendCap":3,"ConnectTimeout":250.0}}})";
+
+class Program : public ::testing::Test {
+ protected:
+  Program() {
+    path_ = ::testing::TempDir() + "paddlestile-main-" + std::to_string(getpid()) + ".json";
+    // An address of this process alone: a free port of 127.0.0.1 may be another test's by then.
+    address = {0x7f4d0000U | (static_cast<uint32_t>(getpid()) & 0xffffU), 5000};
+    env_ = {{"LB_NAME", "n1"},
+            {"LB_LISTEN", ToText(address)},
+            {"LB_DISCOVERY", discovery.text()},
+            {"LB_CONFIG", path_}};
+    std::ofstream(path_) << kConfig;
+  }
+  ~Program() override {
+    if (pid_ > 0) {
+      kill(pid_, SIGKILL);
+      waitpid(pid_, nullptr, 0);
+    }
+    std::remove(path_.c_str());
+  }
+
+  void Start() {
+    int ends[2] = {-1, -1};
+    ASSERT_EQ(pipe(ends), 0);
+    pid_ = fork();
+    if (pid_ == 0) {
+      dup2(ends[1], STDERR_FILENO);
+      close(ends[0]);
+      std::vector<std::string> words;
+      for (const auto& [name, value] : env_) words.push_back(name + "=" + value);
+      std::vector<char*> env;
+      for (std::string& word : words) env.push_back(word.data());
+      env.push_back(nullptr);
+      char* const args[] = {const_cast<char*>("paddlestile"), nullptr};
+      execve(PADDLESTILE_PROGRAM, args, env.data());
+      _exit(127);
+    }
+    close(ends[1]);
+    err_ = Fd(ends[0]);
+    fcntl(err_.get(), F_SETFL, O_NONBLOCK);
+  }
+  // Its log so far.
+  const std::string& Text() {
+    char bytes[4096];
+    ssize_t n = 0;
+    while ((n = read(err_.get(), bytes, sizeof(bytes))) > 0) {
+      text_.append(bytes, static_cast<size_t>(n));
+    }
+    return text_;
+  }
+  bool Says(const std::string& what) {
+    for (int i = 0; i < 1000; ++i) {
+      if (Text().find(what) != std::string::npos) return true;
+      usleep(5000);
+    }
+    return false;
+  }
+  // Its exit code; -1 where it does not end in ten seconds or by a signal.
+  int Wait() {
+    for (int i = 0; i < 2000; ++i) {
+      int status = 0;
+      if (waitpid(pid_, &status, WNOHANG) == pid_) {
+        pid_ = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+      }
+      usleep(5000);
+    }
+    return -1;
+  }
+
+  Port discovery;
+  Address address;
+  std::map<std::string, std::string> env_;
+  std::string path_;
+
+ private:
+  pid_t pid_ = -1;
+  Fd err_;
+  std::string text_;
+
+ protected:
+  [[nodiscard]] pid_t pid() const { return pid_; }
+};
+
+TEST_F(Program, ABadStartEndsAtOnceWithOneLine) {
+  env_.erase("LB_DISCOVERY");
+  Start();
+  EXPECT_EQ(Wait(), 1);
+  EXPECT_EQ(Text(), "error: paddlestile: LB_DISCOVERY is not set\n");
+}
+
+TEST_F(Program, BadSettingsAreNamed) {
+  std::ofstream(path_) << R"({"seed":"1","known":{"revision":0,"members":[]},)"
+                          R"("settings":{"Classes":[{"Name":"a","Slo":0.0,"Deadline":1.0}]}})";
+  Start();
+  EXPECT_EQ(Wait(), 1);
+  EXPECT_NE(Text().find("Classes[].Slo"), std::string::npos) << Text();
+}
+
+TEST_F(Program, AnAddressInUseIsNamed) {
+  Port taken;
+  env_["LB_LISTEN"] = taken.text();
+  Start();
+  EXPECT_EQ(Wait(), 1);
+  EXPECT_NE(Text().find("listen on " + taken.text()), std::string::npos) << Text();
+}
+
+TEST_F(Program, TellsItsCountersOnRequestAndAtItsEnd) {
+  Start();
+  ASSERT_TRUE(Says("listens on"));
+  Peer client;
+  for (int i = 0; i < 200 && !client.Has("200 OK"); ++i) {
+    if (i % 10 == 0) {
+      client = Peer::To(address);
+      client.Say("GET /_health HTTP/1.1\r\n\r\n");
+    }
+    usleep(5000);
+  }
+  ASSERT_TRUE(client.Has("200 OK"));
+  kill(pid(), SIGUSR1);
+  ASSERT_TRUE(Says("counters: clients="));
+  EXPECT_TRUE(Says("health_checks=1"));
+  kill(pid(), SIGTERM);
+  ASSERT_TRUE(Says("draining"));
+  EXPECT_EQ(Wait(), 0);
+  EXPECT_NE(Text().find("counters: clients=0"), std::string::npos) << Text();
+  EXPECT_TRUE(client.Ended());
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/clients_test.cpp
@@ -0,0 +1,392 @@
+#include "net/clients.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/peers.h"
+
+namespace paddlestile::net {
+namespace {
+
+using testing::Ms;
+using testing::Peer;
+using testing::RunFor;
+using testing::RunUntil;
+
+std::string Get(const std::string& id) {
+  return "GET /read/1 HTTP/1.1\r\nHost: s\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 900\r\n\r\n";
+}
+
+class ClientsTest : public ::testing::Test, public Clients::Listener {
+ protected:
+  explicit ClientsTest(size_t descriptors = 1024) : budget(descriptors) {
+    clients = std::make_unique<Clients>(loop, budget, Address{INADDR_LOOPBACK, 0}, this);
+  }
+  Taken OnRequest(Held request, Exchange::Reply reply) override {
+    const std::string_view base = request.bytes.view();
+    std::string id(request.message.Find(base, "X-Call-Id").value_or("none"));
+    if (id == "bad") return {nullptr, 400, "bad"};
+    taken.push_back(std::make_shared<Exchange>(std::move(id), std::move(request), Time(0), &cls,
+                                               std::move(reply)));
+    return {taken.back(), 0, {}};
+  }
+  void OnClientLeft(const std::shared_ptr<Exchange>& exchange) override {
+    left.push_back(exchange->id());
+  }
+  bool OnShort() override { return clients && clients->CloseOneIdle(); }
+
+  Peer Dial() { return Peer::To(clients->address()); }
+  bool Taken_(size_t count) {
+    return RunUntil(loop, [&] { return taken.size() >= count; });
+  }
+  bool Hears(Peer& peer, std::string_view text) {
+    return RunUntil(loop, [&] { return peer.Has(text); });
+  }
+  static std::shared_ptr<const Held> HostAnswer(const std::string& text) {
+    auto held = std::make_shared<Held>();
+    MessageParser parser(MessageParser::Kind::kAnswer);
+    held->bytes.Append(text);
+    EXPECT_EQ(parser.Feed(held->bytes), Progress::kDone);
+    held->message = parser.message();
+    return held;
+  }
+
+  EventLoop loop;
+  Descriptors budget;
+  RequestClass cls = paddlestile::testing::MakeClass(Effect::kSafe);
+  std::vector<std::shared_ptr<Exchange>> taken;
+  std::vector<std::string> left;
+  std::unique_ptr<Clients> clients;
+};
+
+TEST_F(ClientsTest, HealthIsAnsweredWithoutTheModule) {
+  Peer peer = Dial();
+  peer.Say("GET /_health HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(Hears(peer, "HTTP/1.1 200 OK\r\n"));
+  EXPECT_TRUE(taken.empty());
+}
+
+TEST_F(ClientsTest, TakesARequestAndPassesTheHostsAnswerOn) {
+  Peer peer = Dial();
+  peer.Say(Get("a"));
+  ASSERT_TRUE(Taken_(1));
+  taken[0]->Finish({200,
+                    HostAnswer("HTTP/1.1 200 OK\r\nContent-Type: t\r\nConnection: close\r\n"
+                               "X-Load-Report: inflight=1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                               "4\r\nbody\r\n0\r\n\r\n"),
+                    {}});
+  ASSERT_TRUE(Hears(peer, "body"));
+  EXPECT_EQ(peer.Heard(), "HTTP/1.1 200 OK\r\nContent-Type: t\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+TEST_F(ClientsTest, RefusalsTellWhenToComeBack) {
+  Peer peer = Dial();
+  peer.Say(Get("a"));
+  ASSERT_TRUE(Taken_(1));
+  taken[0]->Finish({503, nullptr, Ms(75)});
+  ASSERT_TRUE(Hears(peer, "\r\n\r\n"));
+  EXPECT_EQ(peer.Heard(),
+            "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.075\r\nContent-Length: 0\r\n\r\n");
+}
+
+TEST_F(ClientsTest, ARequestAByteAtATimeIsTakenWithItsLastByte) {
+  Peer peer = Dial();
+  const std::string text = Get("a");
+  for (const char c : text) {
+    EXPECT_TRUE(taken.empty());
+    peer.Say(std::string(1, c));
+    loop.RunOnce(Duration(0));
+  }
+  EXPECT_TRUE(Taken_(1));
+}
+
+TEST_F(ClientsTest, APipelinedRequestWaitsForItsTurn) {
+  Peer peer = Dial();
+  peer.Say(Get("a") + Get("b") + Get("c"));
+  ASSERT_TRUE(Taken_(1));
+  RunFor(loop, Ms(20));
+  EXPECT_EQ(taken.size(), 1u);
+  taken[0]->Finish({502, nullptr, {}});
+  ASSERT_TRUE(Taken_(2));
+  EXPECT_EQ(taken[1]->id(), "b");
+  taken[1]->Finish({502, nullptr, {}});
+  ASSERT_TRUE(Taken_(3));
+  taken[2]->Finish({502, nullptr, {}});
+  RunFor(loop, Ms(10));
+  EXPECT_EQ(clients->connections(), 1u);
+}
+
+TEST_F(ClientsTest, LostFramingIsAnsweredAndClosed) {
+  const std::pair<std::string, std::string> cases[] = {
+      {"GET /read HTTP/1.1\nX: y\n\n", "HTTP/1.1 400 "},
+      {"POST /read HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "HTTP/1.1 413 "},
+      {"GET /" + std::string(20000, 'a'), "HTTP/1.1 431 "},
+      {"POST /read HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", "HTTP/1.1 501 "}};
+  for (const auto& [text, start] : cases) {
+    Peer peer = Dial();
+    peer.Say(text);
+    ASSERT_TRUE(RunUntil(loop, [&] { return peer.Ended(); })) << text.substr(0, 60);
+    EXPECT_EQ(peer.Heard().substr(0, start.size()), start);
+    EXPECT_TRUE(peer.Has("Connection: close\r\n"));
+  }
+  EXPECT_TRUE(taken.empty());
+}
+
+// Closing with bytes unread would reset the connection and take the answer with it.
+TEST_F(ClientsTest, TheAnswerToTooLongABodyArrivesThoughTheClientGoesOnSending) {
+  Peer peer = Dial();
+  peer.Say("POST /read HTTP/1.1\r\nContent-Length: 1000000\r\n\r\n");
+  for (int i = 0; i < 100; ++i) {
+    peer.Say(std::string(2000, 'x'));
+    loop.RunOnce(Duration(0));
+  }
+  ASSERT_TRUE(RunUntil(loop, [&] { return peer.Ended(); }));
+  EXPECT_TRUE(peer.Has("HTTP/1.1 413 "));
+}
+
+TEST_F(ClientsTest, AnAnswerWithoutTheModuleKeepsTheConnection) {
+  Peer peer = Dial();
+  peer.Say(Get("bad"));
+  ASSERT_TRUE(Hears(peer, "HTTP/1.1 400 "));
+  peer.Say(Get("a"));
+  EXPECT_TRUE(Taken_(1));
+}
+
+TEST_F(ClientsTest, ConnectionCloseIsHonoured) {
+  Peer peer = Dial();
+  peer.Say("GET /read/1 HTTP/1.1\r\nConnection: close\r\nX-Call-Id: a\r\n\r\n");
+  ASSERT_TRUE(Taken_(1));
+  taken[0]->Finish({502, nullptr, {}});
+  ASSERT_TRUE(RunUntil(loop, [&] { return peer.Ended(); }));
+  EXPECT_TRUE(peer.Has("Connection: close\r\n"));
+}
+
+TEST_F(ClientsTest, AClientThatClosesHasLeft) {
+  Peer peer = Dial();
+  peer.Say(Get("a"));
+  ASSERT_TRUE(Taken_(1));
+  peer.Close();
+  ASSERT_TRUE(RunUntil(loop, [&] { return left.size() == 1; }));
+  EXPECT_FALSE(taken[0]->Finish({502, nullptr, {}}));
+  EXPECT_EQ(clients->connections(), 0u);
+}
+
+TEST_F(ClientsTest, AClientThatResetsHasLeft) {
+  Peer peer = Dial();
+  peer.Say(Get("a"));
+  ASSERT_TRUE(Taken_(1));
+  peer.Reset();
+  EXPECT_TRUE(RunUntil(loop, [&] { return left.size() == 1; }));
+}
+
+TEST_F(ClientsTest, AClientThatBreaksOffInTheMiddleAskedForNothing) {
+  Peer peer = Dial();
+  peer.Say(Get("a").substr(0, 30));
+  RunFor(loop, Ms(10));
+  peer.Close();
+  ASSERT_TRUE(RunUntil(loop, [&] { return clients->connections() == 0; }));
+  EXPECT_TRUE(taken.empty());
+  EXPECT_TRUE(left.empty());
+}
+
+// The whole request and the close may come in one read: it is taken all the same.
+TEST_F(ClientsTest, ARequestThatComesWithItsCloseIsTaken) {
+  Peer peer = Dial();
+  peer.Say(Get("a"));
+  peer.Close();
+  ASSERT_TRUE(Taken_(1));
+  EXPECT_TRUE(RunUntil(loop, [&] { return left.size() == 1; }));
+}
+
+TEST_F(ClientsTest, AClientThatSendsNoEndHoldsLittleMemory) {
+  Peer peer = Dial();
+  peer.Say(Get("a"));
+  ASSERT_TRUE(Taken_(1));
+  // It goes on sending while its request is in hand.
+  testing::MakeNonBlocking(peer.fd());
+  size_t sent = 0;
+  const std::string more(10000, 'x');
+  for (int i = 0; i < 2000; ++i) {
+    const ssize_t n = send(peer.fd(), more.data(), more.size(), MSG_NOSIGNAL);
+    if (n > 0) sent += static_cast<size_t>(n);
+    loop.RunOnce(Duration(0));
+  }
+  EXPECT_LT(sent, 12'000'000u);  // the kernel's part and 80 KiB; 20 MB were offered
+  EXPECT_EQ(clients->connections(), 1u);
+}
+
+TEST_F(ClientsTest, ExpectContinueIsAsked) {
+  Peer peer = Dial();
+  peer.Say(
+      "POST /read HTTP/1.1\r\nExpect: 100-continue\r\nX-Call-Id: a\r\nContent-Length: 2\r\n\r\n");
+  ASSERT_TRUE(Hears(peer, "HTTP/1.1 100 Continue\r\n\r\n"));
+  peer.Say("ok");
+  ASSERT_TRUE(Taken_(1));
+  EXPECT_EQ(taken[0]->request().body(), "ok");
+  taken[0]->Finish({502, nullptr, {}});
+  EXPECT_TRUE(Hears(peer, "HTTP/1.1 502 "));
+}
+
+TEST_F(ClientsTest, DrainingServesWhatComesAndClosesAfterEachAnswer) {
+  Peer old = Dial(), idle = Dial();
+  old.Say("GET /_health HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(Hears(old, "\r\n\r\n"));
+  bool done = false;
+  clients->Drain(Ms(3600), [&] { done = true; });
+  old.Say(Get("a"));
+  Peer fresh = Dial();  // still let in
+  fresh.Say(Get("b"));
+  ASSERT_TRUE(Taken_(2));
+  RunFor(loop, Ms(700));
+  EXPECT_TRUE(idle.Ended());  // closed between requests
+  EXPECT_FALSE(done);         // two are in hand
+  for (const auto& exchange : taken) exchange->Finish({502, nullptr, {}});
+  ASSERT_TRUE(Hears(old, "Connection: close\r\n"));
+  ASSERT_TRUE(Hears(fresh, "Connection: close\r\n"));
+  old.Close();
+  fresh.Close();
+  EXPECT_TRUE(RunUntil(loop, [&] { return done; }));
+}
+
+TEST_F(ClientsTest, DrainingKeepsAcceptingForAWhile) {
+  bool done = false;
+  clients->Drain(Ms(3600), [&] { done = true; });
+  RunFor(loop, Ms(400));
+  EXPECT_FALSE(done);
+  Peer late = Dial();
+  late.Say(Get("a"));
+  ASSERT_TRUE(Taken_(1));
+  taken[0]->Finish({502, nullptr, {}});
+  EXPECT_TRUE(RunUntil(loop, [&] { return late.Ended(); }));
+  late.Close();
+  EXPECT_TRUE(RunUntil(loop, [&] { return done; }));
+}
+
+TEST_F(ClientsTest, DrainingEndsInTimeThoughAClientNeverReads) {
+  Peer stuck = Dial();
+  stuck.Say(Get("a").substr(0, 20));
+  bool done = false;
+  const Time begun = loop.Now();
+  clients->Drain(Ms(800), [&] { done = true; });
+  ASSERT_TRUE(RunUntil(loop, [&] { return done; }));
+  EXPECT_LT(loop.Now() - begun, Ms(900));
+}
+
+class FewDescriptors : public ClientsTest {
+ protected:
+  FewDescriptors() : ClientsTest(Descriptors::kReserve + 33) {}  // 33 connections
+};
+
+// With every descriptor in use by a request, the next connection waits in the backlog and is
+// served once one is free; no loop spins meanwhile.
+TEST_F(FewDescriptors, AcceptingWaitsAndLosesNothing) {
+  std::vector<Peer> peers;
+  for (int i = 0; i < 40; ++i) {
+    peers.push_back(Dial());
+    peers.back().Say(Get("id" + std::to_string(i)));
+  }
+  ASSERT_TRUE(Taken_(33));
+  const uint64_t waits = Count().accept_waits;
+  RunFor(loop, Ms(60));
+  EXPECT_EQ(taken.size(), 33u);
+  EXPECT_LT(Count().accept_waits - waits, 40u);
+  for (size_t i = 0; i < 33; ++i) taken[i]->Finish({502, nullptr, {}});
+  EXPECT_TRUE(Taken_(40));
+}
+
+TEST_F(FewDescriptors, IdleConnectionsMakeRoom) {
+  std::vector<Peer> idle;
+  for (int i = 0; i < 33; ++i) idle.push_back(Dial());
+  ASSERT_TRUE(RunUntil(loop, [&] { return clients->connections() == 33; }));
+  Peer fresh = Dial();
+  fresh.Say(Get("a"));
+  EXPECT_TRUE(Taken_(1));
+  EXPECT_TRUE(idle[0].Ended());  // the longest idle
+  EXPECT_FALSE(idle[32].Ended());
+}
+
+// ---- Understanding --------------------------------------------------------------------------
+
+class UnderstandTest : public ::testing::Test {
+ protected:
+  UnderstandTest() {
+    settings = paddlestile::testing::MakeSettings();
+    settings.classes.resize(2);  // 0 safe, 1 keyed
+    settings.callers_mark_retry = true;
+    names.classes.Add("read");
+    names.classes.Add("book");
+    names.tenants.Add("acme");
+    names.tenants.Add("other");
+  }
+  Understood Of(const std::string& text) {
+    Held held;
+    MessageParser parser(MessageParser::Kind::kRequest);
+    held.bytes.Append(text);
+    EXPECT_EQ(parser.Feed(held.bytes), Progress::kDone) << text;
+    held.message = parser.message();
+    return Understand(held, names, settings, Time(1'000'000));
+  }
+  Settings settings;
+  Names names;
+};
+
+const std::string kGood = "X-Call-Id: 9b1f\r\nX-Caller: other\r\nX-Budget-Ms: 480\r\n";
+
+TEST_F(UnderstandTest, ReadsWhatTheModuleNeeds) {
+  const Understood u =
+      Of("POST /book/x?y HTTP/1.1\r\n" + kGood +
+         "Idempotency-Key: k\r\nX-Again: 1\r\nX-Call-Info: Expected=12.5,Subject=s1,IsWrite=1,z=2"
+         "\r\n\r\n");
+  ASSERT_EQ(u.bad_status, 0) << u.why;
+  EXPECT_EQ(u.submit.id, "9b1f");
+  EXPECT_EQ(u.submit.cls, 1u);
+  EXPECT_EQ(u.submit.tenant, 1u);
+  EXPECT_EQ(u.submit.deadline, Time(1'480'000));
+  EXPECT_TRUE(u.submit.again);
+  EXPECT_TRUE(u.submit.is_write);
+  EXPECT_EQ(u.submit.key, "s1");
+  EXPECT_EQ(u.submit.expected, Duration(12'500));
+}
+
+TEST_F(UnderstandTest, RepeatsAreMarkedOnlyWhereClientsMarkThem) {
+  settings.callers_mark_retry = false;
+  EXPECT_FALSE(Of("GET /read HTTP/1.1\r\n" + kGood + "X-Again: 1\r\n\r\n").submit.again);
+}
+
+TEST_F(UnderstandTest, TenantsAreNotAskedForWhereThereAreNone) {
+  names.tenants = NameTable();
+  EXPECT_EQ(Of("GET /read HTTP/1.1\r\nX-Call-Id: a\r\nX-Budget-Ms: 5\r\n\r\n").bad_status, 0);
+}
+
+TEST_F(UnderstandTest, RefusesWhatItCannotPlace) {
+  const std::pair<std::string, int> cases[] = {
+      {"GET /read HTTP/1.1\r\nX-Caller: acme\r\nX-Budget-Ms: 480\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id:\r\nX-Caller: acme\r\nX-Budget-Ms: 480\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: a b\r\nX-Caller: acme\r\nX-Budget-Ms: 480\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: " + std::string(65, 'a') +
+           "\r\nX-Caller: acme\r\nX-Budget-Ms: 480\r\n\r\n",
+       400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: a\r\nX-Caller: acme\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: a\r\nX-Caller: acme\r\nX-Budget-Ms: 0\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: a\r\nX-Caller: acme\r\nX-Budget-Ms: 4.5\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: a\r\nX-Caller: acme\r\nX-Budget-Ms: -4\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: a\r\nX-Caller: acme\r\nX-Budget-Ms: 99999999999\r\n\r\n",
+       400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: b\r\n" + kGood + "\r\n", 400},  // the id twice
+      {"GET /nothing HTTP/1.1\r\n" + kGood + "\r\n", 404},
+      {"GET / HTTP/1.1\r\n" + kGood + "\r\n", 404},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: a\r\nX-Budget-Ms: 480\r\n\r\n", 400},
+      {"GET /read HTTP/1.1\r\nX-Call-Id: a\r\nX-Caller: who\r\nX-Budget-Ms: 480\r\n\r\n", 403},
+      {"POST /book HTTP/1.1\r\n" + kGood + "\r\n", 400},  // no key to know a repeat by
+      {"CONNECT /read HTTP/1.1\r\n" + kGood + "\r\n", 405},
+      {"HEAD /read HTTP/1.1\r\n" + kGood + "\r\n", 405},
+  };
+  for (const auto& [text, status] : cases) EXPECT_EQ(Of(text).bad_status, status) << text;
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/config_test.cpp
@@ -0,0 +1,173 @@
+#include "net/config.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+#include <map>
+#include <string>
+
+#include "wire/wire.h"
+
+namespace paddlestile::net {
+namespace {
+
+const std::string kSettings =
+    R"({"Me":1,"NInstances":3,"Zone":1,"FailureDomains":["north","south east"],)"
+    R"("Kinds":["big","small"],"Classes":[)"
+    R"({"Name":"read","Effect":"safe","Slo":400.0,"Deadline":1000.0,"Worth":1.0},)"
+    R"({"Name":"book","Effect":"keyed","Group":"all","Window":1500.0,"Slo":300.0,"Deadline":900.0}],)"
+    R"("Tenants":[{"Name":"t one","Share":0.5},{"Name":"two","Share":0.5}],)"
+    R"("Allowed":{"Probes":true,"SendCap":3,"ConnectTimeout":250.0,"IdleClose":60000.0},)"
+    R"("Stats":{"Source":"probe","Fields":["inflight","latency_ms"]},)"
+    R"("Obligations":{"ColdFrom":0.3},"SomethingNew":{"Deep":[{"x":1}]},"Nothing":null})";
+
+std::string File(const std::string& settings, const std::string& members = "[]") {
+  return R"({"name":"n1","seed":"8c1f30d27a5be964","limits":{"sockets":512},"known":)"
+         R"({"revision":41,"complete":true,"members":)" +
+         members + R"(},"settings":)" + settings + "}";
+}
+
+class ConfigFile : public ::testing::Test {
+ protected:
+  void Write(const std::string& text) {
+    std::ofstream(path_, std::ios::binary) << text;
+    env_["LB_CONFIG"] = path_;
+  }
+  Config Read() {
+    return ReadConfig(
+        [this](const char* name) {
+          const auto at = env_.find(name);
+          return at == env_.end() ? nullptr : at->second.c_str();
+        },
+        [](double ms) { return Time(static_cast<int64_t>(ms)); });
+  }
+  std::string Error() {
+    try {
+      Read();
+      return "";
+    } catch (const ConfigError& error) {
+      return error.what();
+    }
+  }
+  void TearDown() override { std::remove(path_.c_str()); }
+
+  std::string path_ =
+      ::testing::TempDir() + "paddlestile-config-" + std::to_string(getpid()) + ".json";
+  std::map<std::string, std::string> env_{
+      {"LB_NAME", "n1"}, {"LB_LISTEN", "127.0.0.4:5000"}, {"LB_DISCOVERY", "127.0.0.9:8500"}};
+};
+
+TEST_F(ConfigFile, ReadsAllThatItIsTold) {
+  Write(File(kSettings,
+             R"([{"id":"h1","host_port":"127.0.0.2:80","locality":"south east","flavor":"small",)"
+             R"("cell":3,"phase":"active","size":1.5,"up_since_ms":7,"extra":{}}])"));
+  const Config c = Read();
+  EXPECT_EQ(c.name, "n1");
+  EXPECT_EQ(ToText(c.listen), "127.0.0.4:5000");
+  EXPECT_EQ(ToText(c.discovery), "127.0.0.9:8500");
+  EXPECT_EQ(c.seed, 0x8c1f30d27a5be964u);
+  EXPECT_EQ(c.sockets, 512u);
+  EXPECT_EQ(c.idle_close, Duration(60'000'000));
+  EXPECT_EQ(c.settings.instances, 3);
+  ASSERT_EQ(c.settings.classes.size(), 2u);
+  EXPECT_EQ(c.settings.classes[1].effect, Effect::kKeyed);
+  EXPECT_EQ(c.settings.classes[1].window, Duration(1'500'000));
+  EXPECT_EQ(c.settings.report.latency_ms, 1u);
+  EXPECT_EQ(c.names.classes.Find("book"), 1u);
+  EXPECT_EQ(c.names.tenants.Find("t one"), 0u);
+  EXPECT_EQ(c.names.tenants.Find("three"), 2u);
+  EXPECT_EQ(c.names.report_fields, (std::vector<std::string>{"inflight", "latency_ms"}));
+  ASSERT_EQ(c.known.members.size(), 1u);
+  const HostEntry& host = c.known.members[0];
+  EXPECT_EQ(host.info.zone, 1);
+  EXPECT_EQ(host.info.kind, 1u);
+  EXPECT_EQ(host.info.cell, 3);
+  EXPECT_EQ(host.info.launched, Time(7));
+  EXPECT_EQ(ToText(host.address), "127.0.0.2:80");
+}
+
+// The wire owns the names of the settings; the file's nesting comes out as its pairs.
+TEST_F(ConfigFile, NestedSettingsMeanWhatTheWireMeans) {
+  const Settings wire = wire::ParseSettings(
+      "Me=1 NInstances=3 Zone=1 FailureDomains=north,south_east Classes.count=2 "
+      "Classes.0.Effect=safe Classes.0.Slo=400 Classes.0.Deadline=1000 Classes.1.Effect=keyed "
+      "Classes.1.Group=all Classes.1.Window=1500 Classes.1.Slo=300 Classes.1.Deadline=900 "
+      "Allowed.Probes=true Allowed.SendCap=3");
+  const Settings nested = wire::ParseSettings(FlattenSettings(Json::Parse(kSettings)));
+  EXPECT_EQ(nested.me, wire.me);
+  EXPECT_EQ(nested.zones, wire.zones);
+  EXPECT_EQ(nested.zone, wire.zone);
+  EXPECT_EQ(nested.allowed.probes, wire.allowed.probes);
+  EXPECT_EQ(nested.allowed.send_cap, wire.allowed.send_cap);
+  EXPECT_EQ(nested.classes[0].aim, wire.classes[0].aim);
+  EXPECT_EQ(nested.classes[1].deadline, wire.classes[1].deadline);
+}
+
+TEST_F(ConfigFile, NamesEachMissingOrMalformedVariable) {
+  Write(File(kSettings));
+  for (const char* const name : {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"}) {
+    const std::string held = env_[name];
+    env_.erase(name);
+    EXPECT_EQ(Error(), std::string(name) + " is not set");
+    env_[name] = held;
+  }
+  for (const char* const bad : {"here:5000", "127.0.0.1", "127.0.0.1:", "127.0.0.1:0",
+                                "127.0.0.1:65536", "127.0.0.1:x", "1.2.3:5"}) {
+    env_["LB_LISTEN"] = bad;
+    EXPECT_EQ(Error().substr(0, 10), "LB_LISTEN:") << bad;
+  }
+}
+
+TEST_F(ConfigFile, NamesWhatIsWrongWithTheFile) {
+  env_["LB_CONFIG"] = "/nowhere/at/all";
+  EXPECT_EQ(Error(), "LB_CONFIG: cannot read the file it names");
+  const auto error_of = [&](const std::string& text) {
+    Write(text);
+    return Error();
+  };
+  EXPECT_NE(error_of("{").find("LB_CONFIG: "), std::string::npos);
+  EXPECT_NE(error_of("{}").find("'seed' is missing"), std::string::npos);
+  EXPECT_NE(error_of(R"({"seed":"xyz"})").find("'seed'"), std::string::npos);
+  EXPECT_NE(error_of(R"({"seed":"1"})").find("'settings' is missing"), std::string::npos);
+  EXPECT_NE(error_of(R"({"seed":"1","settings":{}})").find("'known' is missing"),
+            std::string::npos);
+  EXPECT_NE(error_of(File(R"({"NInstances":"many"})")).find("NInstances"), std::string::npos);
+  EXPECT_NE(error_of(File(kSettings, R"([{"id":"a","phase":"active"}])")).find("host_port"),
+            std::string::npos);
+  EXPECT_NE(error_of(File(kSettings, R"([{"id":"a","host_port":"x","phase":"active"}])"))
+                .find("no address"),
+            std::string::npos);
+}
+
+TEST_F(ConfigFile, EveryTruncatedFileIsRefused) {
+  const std::string whole = File(kSettings);
+  for (size_t size = 0; size < whole.size(); size += 7) {
+    Write(whole.substr(0, size));
+    EXPECT_NE(Error(), "") << size;
+  }
+}
+
+TEST(HostList, PhasesAndUnknownNames) {
+  Names names;
+  names.zones.Add("a");
+  names.kinds.Add("k");
+  const HostList list = ParseHostList(
+      Json::Parse(R"({"revision":5,"members":[)"
+                  R"({"id":"1","host_port":"127.0.0.1:1","phase":"leaving","locality":"a"},)"
+                  R"({"id":"2","host_port":"127.0.0.1:1","phase":"resting","locality":"zz"},)"
+                  R"({"id":"3","phase":"left","flavor":"new"}]})"),
+      names, [](double) { return Time(0); });
+  EXPECT_FALSE(list.complete);
+  ASSERT_EQ(list.members.size(), 3u);
+  EXPECT_EQ(list.members[0].info.state, EndpointState::kDraining);
+  // A phase that nobody knows here is none that asks for work.
+  EXPECT_EQ(list.members[1].info.state, EndpointState::kDraining);
+  EXPECT_EQ(list.members[1].info.zone, 1);  // in no zone of ours
+  EXPECT_EQ(list.members[2].info.state, EndpointState::kRemoved);
+  EXPECT_EQ(list.members[2].info.kind, 1u);
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/counters_test.cpp
@@ -0,0 +1,58 @@
+#include "net/counters.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <string>
+
+#include "net/log.h"
+
+namespace paddlestile::net {
+namespace {
+
+TEST(Counters, PrintOnlyWhatWasCounted) {
+  Counters counters;
+  EXPECT_EQ(counters.Text(), "");
+  counters.sends = 3;
+  counters.answers_served = 2;
+  EXPECT_EQ(counters.Text(), "answers_served=2 sends=3");
+}
+
+TEST(Counters, AFailedCheckIsCountedAndTold) {
+  const uint64_t before = Count().checks_failed;
+  ::testing::internal::CaptureStderr();
+  EXPECT_FALSE(CheckFailed("a == b", "file.cpp", 7));
+  EXPECT_EQ(Count().checks_failed, before + 1);
+  EXPECT_NE(::testing::internal::GetCapturedStderr().find("check failed: a == b at file.cpp:7"),
+            std::string::npos);
+}
+
+#ifndef NDEBUG
+TEST(CountersDeathTest, AFailedCheckEndsADebugBuild) {
+  ::testing::FLAGS_gtest_death_test_style = "threadsafe";
+  EXPECT_DEATH((void)PADDLESTILE_CHECK(1 == 2), "1 == 2");
+}
+#endif
+
+TEST(Log, NoPeerCanForgeALine) {
+  ::testing::internal::CaptureStderr();
+  Log(Level::kError, "id {}", "x\nerror: forged\r");
+  const std::string text = ::testing::internal::GetCapturedStderr();
+  EXPECT_EQ(text.find('\n'), text.size() - 1);
+}
+
+TEST(Log, AFloodIsCutOff) {
+  ::testing::internal::CaptureStderr();
+  for (int i = 0; i < 5000; ++i) Log(Level::kError, "line {}", i);
+  const std::string text = ::testing::internal::GetCapturedStderr();
+  EXPECT_LT(std::count(text.begin(), text.end(), '\n'), 500);
+}
+
+TEST(Log, LevelsBelowTheLeastAreDropped) {
+  ::testing::internal::CaptureStderr();
+  Log(Level::kDebug, "quiet");
+  EXPECT_EQ(::testing::internal::GetCapturedStderr(), "");
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/exchange_test.cpp
@@ -0,0 +1,45 @@
+#include "net/exchange.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "bench.h"
+
+namespace paddlestile::net {
+namespace {
+
+class ExchangeTest : public ::testing::Test {
+ protected:
+  RequestClass cls = paddlestile::testing::MakeClass(Effect::kSafe);
+  std::vector<int> answers;
+  Exchange exchange{"id", Held{}, Time(100), &cls,
+                    [this](const Answer& answer) { answers.push_back(answer.status); }};
+};
+
+TEST_F(ExchangeTest, GivesOneAnswer) {
+  EXPECT_FALSE(exchange.over());
+  EXPECT_TRUE(exchange.Finish({200, nullptr, {}}));
+  EXPECT_FALSE(exchange.Finish({503, nullptr, {}}));
+  EXPECT_TRUE(exchange.over());
+  EXPECT_EQ(answers, std::vector<int>{200});
+}
+
+TEST_F(ExchangeTest, AnswersNobodyOnceTheClientHasLeft) {
+  exchange.Abandon();
+  EXPECT_TRUE(exchange.over());
+  EXPECT_FALSE(exchange.Finish({200, nullptr, {}}));
+  EXPECT_TRUE(answers.empty());
+}
+
+TEST_F(ExchangeTest, NumbersAttemptsInTheOrderOfTheirSends) {
+  EXPECT_EQ(exchange.NextAttempt(), 0u);
+  EXPECT_EQ(exchange.NextAttempt(), 1u);
+  EXPECT_EQ(exchange.out(), 2);
+  exchange.AttemptEnded();
+  EXPECT_EQ(exchange.out(), 1);
+  EXPECT_EQ(exchange.NextAttempt(), 2u);
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/gateway_test.cpp
@@ -0,0 +1,383 @@
+// The whole gateway between a client, hosts and discovery that the test plays by hand.
+#include "net/gateway.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/peers.h"
+
+namespace paddlestile::net {
+namespace {
+
+using testing::Http200;
+using testing::Ms;
+using testing::Peer;
+using testing::Port;
+using testing::RunFor;
+using testing::RunUntil;
+
+const std::string kChunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string Request(const std::string& id, const std::string& cls = "safe", int budget = 1500) {
+  return "POST /" + cls + "/1 HTTP/1.1\r\nHost: s\r\nX-Call-Id: " + id +
+         "\r\nX-Budget-Ms: " + std::to_string(budget) + "\r\nIdempotency-Key: k" + id +
+         "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+class GatewayTest : public ::testing::Test {
+ protected:
+  // What a host says to a request, given the whole text of it; empty: nothing.
+  using Script = std::function<std::string(const std::string&)>;
+  struct Host {
+    std::string id;
+    Port port;
+    Script script;
+    std::vector<Peer> peers;
+    int requests = 0, probes = 0;
+  };
+
+  GatewayTest() {
+    config.listen = {INADDR_LOOPBACK, 0};
+    config.discovery = agent.address();
+    config.seed = 5;
+    config.idle_close = Ms(60000);
+    config.settings = paddlestile::testing::MakeSettings();
+    for (const char* const name : {"safe", "keyed", "zoned", "celled", "unsafe"}) {
+      config.names.classes.Add(name);
+    }
+    config.names.zones.Add("a");
+    config.names.zones.Add("b");
+    config.names.report_fields = {"inflight", "latency_ms"};
+    config.known.revision = 40;
+    config.known.complete = true;
+  }
+
+  Host& AddHost(const std::string& id, Script script) {
+    hosts.push_back(std::make_unique<Host>());
+    hosts.back()->id = id;
+    hosts.back()->script = std::move(script);
+    HostEntry entry;
+    entry.info.id = id;
+    entry.address = hosts.back()->port.address();
+    config.known.members.push_back(entry);
+    return *hosts.back();
+  }
+  void Start() {
+    gateway = std::make_unique<Gateway>(loop, config);
+    address = gateway->address();
+  }
+
+  // Plays all hosts once.
+  void PlayHosts() {
+    for (const auto& host : hosts) {
+      while (Peer peer = host->port.TryTake()) host->peers.push_back(std::move(peer));
+      for (Peer& peer : host->peers) {
+        if (!peer || !peer.Has("\r\n\r\n")) continue;
+        const std::string text = peer.Heard();
+        const bool probe = text.starts_with("GET /_load") || text.starts_with("GET /ping");
+        if (!probe && !text.ends_with("body")) continue;
+        peer.Forget();
+        ++(probe ? host->probes : host->requests);
+        const std::string answer = probe ? Http200("inflight=1,latency_ms=5") : host->script(text);
+        if (answer == "reset") {
+          peer.Reset();
+        } else {
+          peer.Say(answer);
+        }
+      }
+    }
+  }
+  bool Until(const std::function<bool()>& holds, Duration at_most = Ms(5000)) {
+    return RunUntil(
+        loop,
+        [&] {
+          PlayHosts();
+          return holds();
+        },
+        at_most);
+  }
+  Peer Ask(const std::string& text) {
+    Peer peer = Peer::To(address);
+    peer.Say(text);
+    return peer;
+  }
+  int Requests() const {
+    int n = 0;
+    for (const auto& host : hosts) n += host->requests;
+    return n;
+  }
+
+  static std::string Nothing(const std::string&) { return ""; }
+  static std::string Ok(const std::string&) { return Http200("served"); }
+  static std::string Error(const std::string&) {
+    return "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n";
+  }
+  static std::string Full(const std::string&) {
+    return "HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  EventLoop loop;
+  Port agent;
+  Config config;
+  Address address;
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::unique_ptr<Gateway> gateway;
+};
+
+TEST_F(GatewayTest, ServesARequest) {
+  AddHost("h1", Ok);
+  Start();
+  Peer client = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return client.Has("served"); }));
+  EXPECT_EQ(client.Heard().substr(0, 15), "HTTP/1.1 200 OK");
+  EXPECT_EQ(hosts[0]->requests, 1);
+  EXPECT_TRUE(Until([&] { return gateway->in_hand() == 0; }));
+}
+
+TEST_F(GatewayTest, TriesAnotherHostAfterARefusedConnection) {
+  AddHost("h1", Ok).port.Close();
+  AddHost("h2", Ok);
+  Start();
+  for (int i = 0; i < 6; ++i) {
+    Peer client = Ask(Request("a" + std::to_string(i)));
+    ASSERT_TRUE(Until([&] { return client.Has("served"); })) << client.Heard();
+  }
+  EXPECT_EQ(hosts[1]->requests, 6);
+}
+
+TEST_F(GatewayTest, AnUnsafeRequestThatMayHaveRunFailsAndIsNotSentAgain) {
+  AddHost("h1", [](const std::string&) { return "reset"; });
+  AddHost("h2", [](const std::string&) { return "reset"; });
+  Start();
+  Peer client = Ask(Request("a", "unsafe"));
+  ASSERT_TRUE(Until([&] { return client.Has("\r\n\r\n"); }));
+  EXPECT_EQ(client.Heard().substr(0, 12), "HTTP/1.1 502");
+  EXPECT_EQ(Requests(), 1);
+}
+
+TEST_F(GatewayTest, ASafeRequestIsSentAgainAfterAReset) {
+  int calls = 0;
+  const Script once = [&](const std::string&) {
+    return ++calls == 1 ? "reset" : Http200("served");
+  };
+  AddHost("h1", once);
+  AddHost("h2", once);
+  Start();
+  Peer client = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return client.Has("served"); })) << client.Heard();
+  EXPECT_EQ(Requests(), 2);
+}
+
+TEST_F(GatewayTest, SilentHostsEndInAnAnswerByTheDeadline) {
+  AddHost("h1", Nothing);
+  AddHost("h2", Nothing);
+  Start();
+  const Time begun = loop.Now();
+  Peer client = Ask(Request("a", "safe", 300));
+  ASSERT_TRUE(Until([&] { return client.Has("\r\n\r\n"); }));
+  EXPECT_LT(loop.Now() - begun, Ms(350));
+  EXPECT_EQ(client.Heard().substr(0, 10), "HTTP/1.1 5");
+  EXPECT_TRUE(Until([&] { return gateway->in_hand() == 0; }));
+}
+
+TEST_F(GatewayTest, AnEmptyFleetRefuses) {
+  Start();
+  Peer client = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return client.Has("HTTP/1.1 503"); }));
+}
+
+TEST_F(GatewayTest, AnIdInHandIsNotTakenAgain) {
+  AddHost("h1", Nothing);
+  Start();
+  Peer first = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return Requests() == 1; }));
+  Peer second = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return second.Has("HTTP/1.1 409"); }));
+  EXPECT_EQ(Requests(), 1);
+}
+
+TEST_F(GatewayTest, MalformedRequestsReachNoHost) {
+  AddHost("h1", Ok);
+  Start();
+  const uint64_t taken = Count().requests_taken;
+  for (const std::string& text :
+       {Request("a", "nothing"), Request("a b"), std::string("GET /safe HTTP/1.1\r\n\r\n"),
+        std::string("POST /safe HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\nx")}) {
+    Peer client = Ask(text);
+    ASSERT_TRUE(Until([&] { return client.Has("HTTP/1.1 4"); })) << text;
+  }
+  RunFor(loop, Ms(20));
+  EXPECT_EQ(Requests(), 0);
+  EXPECT_EQ(Count().requests_taken, taken);
+}
+
+TEST_F(GatewayTest, MoreThanMayBeHeldAreTurnedAway) {
+  config.settings.allowed.most_held = 2;
+  AddHost("h1", Nothing);
+  Start();
+  Peer one = Ask(Request("a")), two = Ask(Request("b"));
+  ASSERT_TRUE(Until([&] { return gateway->in_hand() == 2; }));
+  Peer three = Ask(Request("c"));
+  ASSERT_TRUE(Until([&] { return three.Has("HTTP/1.1 503"); }));
+  EXPECT_EQ(gateway->in_hand(), 2u);
+}
+
+TEST_F(GatewayTest, TheOutcomeAfterTheClientLeftIsStillTold) {
+  Host& host = AddHost("h1", Nothing);
+  Start();
+  Peer client = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return Requests() == 1; }));
+  const uint64_t ok = Count().settled_ok, served = Count().answers_served;
+  client.Close();
+  RunFor(loop, Ms(20));
+  EXPECT_EQ(gateway->in_hand(), 1u);  // its attempt is out
+  for (Peer& peer : host.peers) peer.Say(Http200("late"));
+  ASSERT_TRUE(Until([&] { return gateway->in_hand() == 0; }));
+  EXPECT_EQ(Count().settled_ok, ok + 1);
+  EXPECT_EQ(Count().answers_served, served);
+}
+
+TEST_F(GatewayTest, TheListReachesTheModuleAndItsHostsAreUsed) {
+  Start();
+  Peer watch = agent.Take(loop);
+  ASSERT_TRUE(RunUntil(loop, [&] { return watch.Has("follow=1&since=40"); }));
+  hosts.push_back(std::make_unique<Host>());
+  hosts.back()->script = Ok;
+  const std::string line =
+      R"({"revision":41,"complete":true,"members":[{"id":"new","host_port":")" +
+      hosts.back()->port.text() +
+      R"(","locality":"a","phase":"active"}]})"
+      "\n";
+  watch.Say(kChunkedHead + fmt::format("{:x}\r\n{}\r\n", line.size(), line));
+  RunFor(loop, Ms(20));
+  Peer client = Ask(Request("a"));
+  EXPECT_TRUE(Until([&] { return client.Has("served"); }));
+}
+
+TEST_F(GatewayTest, NothingNewGoesToAHostThatDrainsOrLeaves) {
+  AddHost("h1", Ok);
+  AddHost("h2", Ok);
+  Start();
+  Peer watch = agent.Take(loop);
+  const std::string line =
+      R"({"revision":41,"complete":false,"members":[{"id":"h1","host_port":")" +
+      hosts[0]->port.text() +
+      R"(","phase":"leaving"}]})"
+      "\n";
+  watch.Say(kChunkedHead + fmt::format("{:x}\r\n{}\r\n", line.size(), line));
+  RunFor(loop, Ms(20));
+  for (int i = 0; i < 8; ++i) {
+    Peer client = Ask(Request("a" + std::to_string(i)));
+    ASSERT_TRUE(Until([&] { return client.Has("served"); }));
+  }
+  EXPECT_EQ(hosts[0]->requests, 0);
+  EXPECT_EQ(hosts[1]->requests, 8);
+}
+
+TEST_F(GatewayTest, TheListHeldStaysWhileDiscoveryIsDown) {
+  AddHost("h1", Ok);
+  Start();
+  Peer watch = agent.Take(loop);
+  watch.Say("garbage\r\n\r\n");
+  ASSERT_TRUE(RunUntil(loop, [&] { return watch.Ended(); }));
+  agent.Close();
+  RunFor(loop, Ms(300));
+  Peer client = Ask(Request("a"));
+  EXPECT_TRUE(Until([&] { return client.Has("served"); }));
+}
+
+TEST_F(GatewayTest, WhereTheListMustBeAskedForTheModuleAsks) {
+  config.settings.discovery = DiscoveryMode::kAsk;
+  config.settings.obligations.must_ask_in = Ms(400);
+  AddHost("h1", Ok);
+  Start();
+  Peer watch = agent.Take(loop);
+  ASSERT_TRUE(RunUntil(loop, [&] { return watch.Has("follow=1&since=40"); }));
+  watch.Close();
+  Peer next = agent.Take(loop);  // by the module's own timer
+  ASSERT_TRUE(RunUntil(loop, [&] { return next.Has("follow=1&since=40"); }));
+}
+
+TEST_F(GatewayTest, WithoutProbesNoneAreSent) {
+  config.settings.allowed.probes = false;
+  config.settings.report.source = ReportSource::kAnswers;
+  AddHost("h1", [](const std::string&) {
+    return Http200("served", "X-Load-Report: inflight=2,latency_ms=4\r\n");
+  });
+  Start();
+  for (int i = 0; i < 5; ++i) {
+    Peer client = Ask(Request("a" + std::to_string(i)));
+    ASSERT_TRUE(Until([&] { return client.Has("served"); }));
+  }
+  EXPECT_EQ(hosts[0]->probes, 0);
+  EXPECT_EQ(hosts[0]->requests, 5);
+}
+
+TEST_F(GatewayTest, AStreamThatBreaksIsTheEndOfItsRequest) {
+  config.settings.classes[0].streamed = true;
+  AddHost("h1",
+          [](const std::string&) { return "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"; });
+  AddHost("h2", hosts[0]->script);
+  Start();
+  Peer client = Ask(Request("a", "safe", 400));
+  ASSERT_TRUE(Until([&] { return Requests() == 1; }));
+  RunFor(loop, Ms(500));
+  EXPECT_EQ(client.Heard(), "");  // past its deadline it still belongs to the client
+  for (const auto& host : hosts) {
+    for (Peer& peer : host->peers) peer.Close();
+  }
+  ASSERT_TRUE(Until([&] { return client.Has("\r\n\r\n"); }));
+  EXPECT_EQ(client.Heard().substr(0, 12), "HTTP/1.1 502");
+  EXPECT_EQ(Requests(), 1);
+  EXPECT_TRUE(Until([&] { return gateway->in_hand() == 0; }));
+}
+
+TEST_F(GatewayTest, DrainsWithARequestInHand) {
+  AddHost("h1", Nothing);
+  Start();
+  Peer client = Ask(Request("a", "safe", 1200));
+  ASSERT_TRUE(Until([&] { return Requests() == 1; }));
+  bool done = false;
+  gateway->Drain([&] { done = true; });
+  RunFor(loop, Ms(800));
+  EXPECT_FALSE(done);
+  for (Peer& peer : hosts[0]->peers) peer.Say(Http200("served"));
+  ASSERT_TRUE(Until([&] { return client.Has("served"); }));
+  EXPECT_TRUE(client.Has("Connection: close"));
+  client.Close();
+  EXPECT_TRUE(Until([&] { return done; }));
+}
+
+// A module that forgets a request must not leave its client without an answer.
+TEST_F(GatewayTest, AnOverdueRequestIsEndedAndCounted) {
+  // With less than no slack the request counts as overdue before the module has reason to end it.
+  config.settings.obligations.answer_slack = Ms(-300);
+  AddHost("h1", Nothing);
+  Start();
+  const uint64_t overdue = Count().answers_overdue;
+  Peer client = Ask(Request("a", "safe", 400));
+  ASSERT_TRUE(Until([&] { return client.Has("\r\n\r\n"); }));
+  EXPECT_EQ(client.Heard().substr(0, 12), "HTTP/1.1 502");
+  EXPECT_EQ(Count().answers_overdue, overdue + 1);
+}
+
+TEST_F(GatewayTest, TellsItsState) {
+  AddHost("h1", Ok);
+  Start();
+  Peer client = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return client.Has("served"); }));
+  const std::string text = gateway->StateText();
+  EXPECT_NE(text.find("clients=1 "), std::string::npos) << text;
+  EXPECT_NE(text.find("answers_served="), std::string::npos) << text;
+  EXPECT_NE(text.find("picks_"), std::string::npos) << text;
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/http_test.cpp
@@ -0,0 +1,247 @@
+#include "net/http.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace paddlestile::net {
+namespace {
+
+struct Parsed {
+  Progress progress = Progress::kMore;
+  int bad = 0;
+  Message message;
+  std::string base, body, rest;
+};
+
+// Feeds the pieces one by one until the parser has had enough.
+Parsed Parse(MessageParser::Kind kind, const std::vector<std::string>& pieces) {
+  Parsed out;
+  Buffer in;
+  MessageParser parser(kind);
+  for (const std::string& piece : pieces) {
+    in.Append(piece);
+    if (out.progress == Progress::kMore) out.progress = parser.Feed(in);
+  }
+  out.bad = parser.status_for_bad();
+  out.message = parser.message();
+  out.base = std::string(in.view());
+  if (out.progress == Progress::kDone) {
+    out.body = std::string(out.message.body.In(out.base));
+    out.rest = out.base.substr(out.message.size);
+  }
+  return out;
+}
+Parsed ParseRequest(const std::string& text) {
+  return Parse(MessageParser::Kind::kRequest, {text});
+}
+Parsed ParseAnswer(const std::string& text) { return Parse(MessageParser::Kind::kAnswer, {text}); }
+
+std::vector<std::string> Bytes(const std::string& text) {
+  std::vector<std::string> bytes;
+  for (const char c : text) bytes.emplace_back(1, c);
+  return bytes;
+}
+
+const std::string kPost =
+    "POST /order/7?x=1 HTTP/1.1\r\nHost: s\r\nX-Call-Id: abc\r\nContent-Length: 5\r\n\r\nhello";
+const std::string kChunked =
+    "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA;x=y\r\n0123456789\r\n"
+    "0\r\nTrailer: t\r\n\r\n";
+
+TEST(Http, ReadsARequest) {
+  const Parsed p = ParseRequest(kPost + "GET");
+  ASSERT_EQ(p.progress, Progress::kDone);
+  EXPECT_EQ(p.message.method.In(p.base), "POST");
+  EXPECT_EQ(p.message.target.In(p.base), "/order/7?x=1");
+  EXPECT_EQ(p.message.Find(p.base, "x-call-ID"), "abc");
+  EXPECT_EQ(p.body, "hello");
+  EXPECT_EQ(p.rest, "GET");  // the next request's first bytes
+  EXPECT_TRUE(p.message.keep_alive);
+}
+
+TEST(Http, ReadsTheSameSplitAtEveryByte) {
+  for (const std::string& text : {kPost, kChunked}) {
+    const Parsed whole = ParseRequest(text);
+    ASSERT_EQ(whole.progress, Progress::kDone);
+    for (size_t at = 1; at < text.size(); ++at) {
+      const Parsed split =
+          Parse(MessageParser::Kind::kRequest, {text.substr(0, at), text.substr(at)});
+      ASSERT_EQ(split.progress, Progress::kDone) << at;
+      EXPECT_EQ(split.body, whole.body) << at;
+      EXPECT_EQ(split.message.headers.size(), whole.message.headers.size()) << at;
+      EXPECT_EQ(split.message.target.In(split.base), whole.message.target.In(whole.base)) << at;
+    }
+    const Parsed bytes = Parse(MessageParser::Kind::kRequest, Bytes(text));
+    ASSERT_EQ(bytes.progress, Progress::kDone);
+    EXPECT_EQ(bytes.body, whole.body);
+  }
+}
+
+TEST(Http, IsNotDoneBeforeTheLastByte) {
+  for (const std::string& text : {kPost, kChunked}) {
+    for (size_t size = 0; size < text.size(); ++size) {
+      EXPECT_EQ(ParseRequest(text.substr(0, size)).progress, Progress::kMore) << size;
+    }
+  }
+}
+
+TEST(Http, UndoesChunksInPlace) {
+  const Parsed p = ParseRequest(kChunked + "next");
+  ASSERT_EQ(p.progress, Progress::kDone);
+  EXPECT_EQ(p.body, "abc0123456789");
+  EXPECT_EQ(p.rest, "next");
+}
+
+// A body of one-byte chunks is six times as long on the wire; only its content may be kept.
+TEST(Http, KeepsNoFramingOfChunks) {
+  Buffer in;
+  MessageParser parser(MessageParser::Kind::kRequest);
+  in.Append("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+  const size_t head = in.size();
+  for (int i = 0; i < 1000; ++i) {
+    in.Append("1\r\nx\r\n");
+    ASSERT_EQ(parser.Feed(in), Progress::kMore);
+  }
+  EXPECT_EQ(in.size(), head + 1000);
+  in.Append("0\r\n\r\n");
+  ASSERT_EQ(parser.Feed(in), Progress::kDone);
+  EXPECT_EQ(parser.message().body.In(in.view()), std::string(1000, 'x'));
+}
+
+TEST(Http, RefusesLostFraming) {
+  const std::pair<std::string, int> bad[] = {
+      {"GET /a HTTP/1.1\nHost: s\r\n\r\n", 400},                       // bare line ends
+      {"GET /a HTTP/1.1\r\nHost: s\n\r\n", 400},                       //
+      {"GET /a HTTP/1.1\r\nHost : s\r\n\r\n", 400},                    // space before the colon
+      {"GET /a HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400},                  // folded
+      {"GET /a HTTP/1.1\r\nno colon\r\n\r\n", 400},                    //
+      {"GET /a HTTP/1.1\r\nA: b\x01\r\n\r\n", 400},                    // control character
+      {"GET  /a HTTP/1.1\r\n\r\n", 400},                               //
+      {"GET a HTTP/1.1\r\n\r\n", 400},                                 // no origin form
+      {"GET /a\r\n\r\n", 400},                                         //
+      {"G@T /a HTTP/1.1\r\n\r\n", 400},                                //
+      {"GET /a HTTP/2.0\r\n\r\n", 505},                                //
+      {"GET /a FTP/1.1\r\n\r\n", 400},                                 //
+      {"POST /a HTTP/1.1\r\nContent-Length: 5x\r\n\r\nhello", 400},    //
+      {"POST /a HTTP/1.1\r\nContent-Length: -5\r\n\r\nhello", 400},    //
+      {"POST /a HTTP/1.1\r\nContent-Length: +5\r\n\r\nhello", 400},    //
+      {"POST /a HTTP/1.1\r\nContent-Length:\r\n\r\n", 400},            //
+      {"POST /a HTTP/1.1\r\nContent-Length: 5, 5\r\n\r\nhello", 400},  //
+      {"POST /a HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\nhello", 400},
+      {"POST /a HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501},
+      {"POST /a HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413},
+      {"POST /a HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 400},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", 400},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\nabc\r\n", 400},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcd\r\n", 400},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nfffffffff\r\n", 400},
+      {"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nx\n\r\n", 400},
+  };
+  for (const auto& [text, status] : bad) {
+    const Parsed p = ParseRequest(text);
+    EXPECT_EQ(p.progress, Progress::kBad) << text;
+    EXPECT_EQ(p.bad, status) << text;
+    const Parsed slow = Parse(MessageParser::Kind::kRequest, Bytes(text));
+    EXPECT_EQ(slow.progress, Progress::kBad) << text;
+    EXPECT_EQ(slow.bad, status) << text;
+  }
+}
+
+TEST(Http, LimitsHeadAndBody) {
+  EXPECT_EQ(ParseRequest("GET /" + std::string(kMaxHead, 'a')).bad, 431);
+  std::string many = "GET /a HTTP/1.1\r\n";
+  for (size_t i = 0; i <= kMaxHeaders; ++i) many += "A: b\r\n";
+  EXPECT_EQ(ParseRequest(many + "\r\n").bad, 431);
+  const std::string most(kMaxBody, 'b');
+  const std::string head = "POST /a HTTP/1.1\r\nContent-Length: " + std::to_string(kMaxBody);
+  EXPECT_EQ(ParseRequest(head + "\r\n\r\n" + most).body, most);
+  std::string chunks = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 17; ++i) chunks += "1000\r\n" + std::string(4096, 'c') + "\r\n";
+  EXPECT_EQ(ParseRequest(chunks + "0\r\n\r\n").bad, 413);
+}
+
+TEST(Http, KnowsWhetherTheConnectionIsKept) {
+  EXPECT_FALSE(ParseRequest("GET /a HTTP/1.1\r\nConnection: x, Close\r\n\r\n").message.keep_alive);
+  EXPECT_FALSE(ParseRequest("GET /a HTTP/1.0\r\n\r\n").message.keep_alive);
+  EXPECT_TRUE(ParseRequest("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n").message.keep_alive);
+  EXPECT_FALSE(ParseRequest("GET /a HTTP/1.1\r\nConnection: close\r\nConnection: "
+                            "keep-alive\r\n\r\n")
+                   .message.keep_alive);
+}
+
+TEST(Http, ReadsAnswers) {
+  const Parsed p = ParseAnswer("HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 2\r\n\r\nno");
+  ASSERT_EQ(p.progress, Progress::kDone);
+  EXPECT_EQ(p.message.status, 503);
+  EXPECT_EQ(p.body, "no");
+  EXPECT_EQ(ParseAnswer("HTTP/1.1 204\r\n\r\n").progress, Progress::kDone);
+  EXPECT_EQ(
+      ParseAnswer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n").body,
+      "x");
+}
+
+TEST(Http, PassesOverInterimAnswers) {
+  const Parsed p =
+      ParseAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx");
+  ASSERT_EQ(p.progress, Progress::kDone);
+  EXPECT_EQ(p.message.status, 200);
+  EXPECT_EQ(p.body, "x");
+}
+
+// The end of the connection is also what a host's death looks like: half a body must not pass.
+TEST(Http, RefusesAnswersWithoutAnEnd) {
+  EXPECT_EQ(ParseAnswer("HTTP/1.1 200 OK\r\n\r\nhalf").progress, Progress::kBad);
+}
+
+TEST(Http, RefusesMalformedAnswers) {
+  for (const char* const text :
+       {"HTTP/1.1 20 OK\r\n\r\n", "HTTP/1.1 999 OK\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n",
+        "ICY 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nx",
+        "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", "HTTP/1.1 200 OK\n\n"}) {
+    EXPECT_EQ(ParseAnswer(text).progress, Progress::kBad) << text;
+  }
+}
+
+TEST(Http, HeadersOfOneConnectionOnly) {
+  const Parsed p =
+      ParseRequest("GET /a HTTP/1.1\r\nConnection: X-Mine, close\r\nX-Mine: 1\r\n\r\n");
+  EXPECT_TRUE(HopByHop(p.message, p.base, "x-mine"));
+  EXPECT_TRUE(HopByHop(p.message, p.base, "Keep-Alive"));
+  EXPECT_FALSE(HopByHop(p.message, p.base, "X-Call-Id"));
+}
+
+// Seeded changes of good messages: whatever comes, the parser neither runs on for ever nor reads
+// past the buffer (ASan looks), and says the same whole or a byte at a time.
+TEST(Http, TakesAnyMutationTheSameWholeOrByBytes) {
+  std::mt19937 rng(20261201);
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Load-Report: inflight=1\r\n\r\n"
+      "4\r\nbody\r\n0\r\n\r\n";
+  static constexpr char kAlphabet[] = "\r\n :;,0159afAZ/\x00\xff";
+  const std::string alphabet(kAlphabet, sizeof(kAlphabet) - 1);
+  for (int round = 0; round < 20000; ++round) {
+    const bool request = round % 2 == 0;
+    std::string text = request ? (round % 4 == 0 ? kPost : kChunked) : answer;
+    for (int changes = 1 + static_cast<int>(rng() % 4); changes > 0; --changes) {
+      const size_t at = rng() % text.size();
+      const char c = alphabet[rng() % alphabet.size()];
+      switch (rng() % 3) {
+        case 0: text[at] = c; break;
+        case 1: text.insert(at, 1, c); break;
+        default: text.erase(at, 1); break;
+      }
+    }
+    const auto kind = request ? MessageParser::Kind::kRequest : MessageParser::Kind::kAnswer;
+    const Parsed whole = Parse(kind, {text}), bytes = Parse(kind, Bytes(text));
+    ASSERT_EQ(whole.progress, bytes.progress) << text;
+    ASSERT_EQ(whole.body, bytes.body) << text;
+    ASSERT_EQ(whole.bad, bytes.bad) << text;
+  }
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/json_test.cpp
@@ -0,0 +1,103 @@
+#include "net/json.h"
+
+#include <gtest/gtest.h>
+
+#include <random>
+#include <string>
+
+namespace paddlestile::net {
+namespace {
+
+TEST(Json, ReadsValues) {
+  const Json v = Json::Parse(R"( {"a":[1,-2.5e3,true,null],"b":{"c":"x"}} )");
+  ASSERT_EQ(v.type(), Json::Type::kObject);
+  const Json& a = v.Need("a", Json::Type::kArray);
+  ASSERT_EQ(a.items().size(), 4u);
+  EXPECT_EQ(a.items()[0].number(), 1);
+  EXPECT_EQ(a.items()[1].number(), -2500);
+  EXPECT_EQ(a.items()[1].text(), "-2.5e3");
+  EXPECT_TRUE(a.items()[2].boolean());
+  EXPECT_EQ(a.items()[3].type(), Json::Type::kNull);
+  EXPECT_EQ(v.Find("b")->Need("c", Json::Type::kString).text(), "x");
+  EXPECT_EQ(v.Find("d"), nullptr);
+}
+
+TEST(Json, ReadsEscapes) {
+  EXPECT_EQ(Json::Parse(R"("\"\\\/\n\u0041\u00e9\u20ac\ud83d\ude00")").text(),
+            "\"\\/\nA\xc3\xa9\xe2\x82\xac\xf0\x9f\x98\x80");
+}
+
+TEST(Json, RefusesWhatIsMalformed) {
+  for (const char* const text : {"",
+                                 "{",
+                                 "[1,]",
+                                 "{\"a\"}",
+                                 "{\"a\":1,}",
+                                 "01",
+                                 "1.",
+                                 "1e",
+                                 "-",
+                                 "+1",
+                                 "tru",
+                                 "nul",
+                                 "\"",
+                                 "\"\\x\"",
+                                 "\"\\ud800\"",
+                                 "\"\\ud800\\u0041\"",
+                                 "\"\\u12g4\"",
+                                 "\"\n\"",
+                                 "[1] 2",
+                                 "1e999",
+                                 "{a:1}",
+                                 "'a'",
+                                 "[1 2]"}) {
+    EXPECT_THROW(Json::Parse(text), JsonError) << text;
+  }
+}
+
+TEST(Json, LimitsDepth) {
+  EXPECT_NO_THROW(Json::Parse(std::string(30, '[') + std::string(30, ']')));
+  EXPECT_THROW(Json::Parse(std::string(100000, '[')), JsonError);
+}
+
+TEST(Json, NamesWhatIsMissing) {
+  const Json v = Json::Parse(R"({"a":1})");
+  try {
+    (void)v.Need("b", Json::Type::kNumber);
+    FAIL();
+  } catch (const JsonError& error) {
+    EXPECT_STREQ(error.what(), "'b' is missing");
+  }
+  EXPECT_THROW((void)v.Need("a", Json::Type::kString), JsonError);
+}
+
+TEST(Json, EveryPrefixOfAnObjectIsRefused) {
+  const std::string text = R"({"revision":4,"members":[{"id":"a\u0041","up":1.5e3},true,null]})";
+  EXPECT_NO_THROW(Json::Parse(text));
+  for (size_t size = 0; size < text.size(); ++size) {
+    EXPECT_THROW(Json::Parse(text.substr(0, size)), JsonError) << size;
+  }
+}
+
+TEST(Json, TakesAnyMutation) {
+  std::mt19937 rng(7);
+  const std::string good = R"({"revision":4,"members":[{"id":"a\u0041","up":-1.5e3},true,null]})";
+  static constexpr char kAlphabet[] = "{}[]\",:\\u0e-.\x00\xff";
+  const std::string alphabet(kAlphabet, sizeof(kAlphabet) - 1);
+  int refused = 0;
+  for (int round = 0; round < 20000; ++round) {
+    std::string text = good;
+    for (int changes = 1 + static_cast<int>(rng() % 4); changes > 0; --changes) {
+      text[rng() % text.size()] = alphabet[rng() % alphabet.size()];
+    }
+    try {
+      Json::Parse(text);
+    } catch (const JsonError&) {
+      ++refused;
+    }
+  }
+  EXPECT_GT(refused, 10000);
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/list_test.cpp
@@ -0,0 +1,199 @@
+#include "net/list.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/peers.h"
+
+namespace paddlestile::net {
+namespace {
+
+using testing::Ms;
+using testing::Peer;
+using testing::RunUntil;
+
+std::string Entry(const std::string& id, const std::string& phase = "active") {
+  return R"({"id":")" + id + R"(","host_port":"127.0.0.1:81","locality":"a","phase":")" + phase +
+         R"(","up_since_ms":0,"new_field":[1]})";
+}
+std::string Line(int revision, bool complete, const std::string& members) {
+  return R"({"revision":)" + std::to_string(revision) + R"(,"complete":)" +
+         (complete ? "true" : "false") + R"(,"members":[)" + members + "]}\n";
+}
+std::string Chunk(const std::string& text) {
+  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
+}
+const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+class ListTest : public ::testing::Test, public List::Listener {
+ protected:
+  ListTest() { names.zones.Add("a"); }
+  void OnList(HostList list) override { lists.push_back(std::move(list)); }
+  void OnListFailed() override { ++failed; }
+
+  void Begin(bool own_watch, double revision = 40) {
+    list = std::make_unique<List>(loop, port.address(), names, revision, own_watch, this);
+    list->Start();
+  }
+  // The next call to discovery, with its request read.
+  Peer Call() {
+    Peer peer = port.Take(loop);
+    EXPECT_TRUE(RunUntil(loop, [&] { return peer.Has("\r\n\r\n"); }));
+    return peer;
+  }
+
+  EventLoop loop;
+  Names names;
+  testing::Port port;
+  std::vector<HostList> lists;
+  int failed = 0;
+  std::unique_ptr<List> list;
+};
+
+TEST_F(ListTest, WatchesFromTheRevisionHeld) {
+  Begin(true);
+  Peer agent = Call();
+  EXPECT_TRUE(agent.Has("GET /catalog/members?follow=1&since=40 HTTP/1.1\r\n"));
+  agent.Say(kHead + Chunk(Line(41, false, Entry("h1"))));
+  ASSERT_TRUE(RunUntil(loop, [&] { return lists.size() == 1; }));
+  EXPECT_EQ(lists[0].revision, 41);
+  EXPECT_FALSE(lists[0].complete);
+  ASSERT_EQ(lists[0].members.size(), 1u);
+  EXPECT_EQ(lists[0].members[0].info.id, "h1");
+  EXPECT_EQ(failed, 0);
+}
+
+TEST_F(ListTest, LinesSplitAtEveryByteComeOutTheSame) {
+  Begin(true);
+  Peer agent = Call();
+  std::string all = kHead;
+  // Chunks that end within lines, and lines that end within chunks.
+  const std::string text =
+      "\n" + Line(41, true, Entry("h1")) + "\r\n" + Line(42, false, Entry("h2"));
+  all += Chunk(text.substr(0, 30)) + Chunk(text.substr(30, 120)) + Chunk(text.substr(150));
+  for (const char c : all) {
+    agent.Say(std::string(1, c));
+    loop.RunOnce(Duration(0));
+  }
+  ASSERT_TRUE(RunUntil(loop, [&] { return lists.size() == 2; }));
+  EXPECT_EQ(lists[0].revision, 41);
+  EXPECT_EQ(lists[1].members[0].info.id, "h2");
+  EXPECT_EQ(failed, 0);
+}
+
+TEST_F(ListTest, EachMalformedWatchFailsOnceAndIsBegunAgainFromTheListHeld) {
+  const std::string bad[] = {
+      kHead + Chunk("{not json}\n"),
+      kHead + Chunk("{\"revision\":44}\n"),
+      kHead + Chunk(Line(44, false, R"({"id":"x","phase":"active"})")),
+      kHead + Chunk(Line(39, true, "")),  // gone back
+      kHead + "xyz\r\n",
+      kHead + "0\r\n\r\n",
+      "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+      "nonsense\r\n\r\n",
+  };
+  Begin(true);
+  for (const std::string& text : bad) {
+    Peer agent = Call();
+    EXPECT_TRUE(agent.Has("since=40"));
+    failed = 0;
+    agent.Say(text);
+    ASSERT_TRUE(RunUntil(loop, [&] { return agent.Ended(); })) << text;
+    EXPECT_EQ(failed, 1) << text;
+  }
+  EXPECT_TRUE(lists.empty());
+  Peer agent = Call();
+  agent.Say(kHead + Chunk(Line(41, true, Entry("h1"))));
+  EXPECT_TRUE(RunUntil(loop, [&] { return lists.size() == 1; }));
+}
+
+TEST_F(ListTest, ABrokenWatchIsBegunAgain) {
+  Begin(true);
+  Peer agent = Call();
+  agent.Say(kHead + Chunk(Line(41, true, Entry("h1"))));
+  ASSERT_TRUE(RunUntil(loop, [&] { return lists.size() == 1; }));
+  agent.Reset();
+  ASSERT_TRUE(RunUntil(loop, [&] { return failed == 1; }));
+  Peer next = Call();
+  EXPECT_TRUE(next.Has("since=41"));
+}
+
+// Discovery that is down is silent and closes nothing: only the missing empty lines tell.
+TEST_F(ListTest, ASilentWatchIsGivenUpButEmptyLinesKeepIt) {
+  Begin(true);
+  Peer agent = Call();
+  agent.Say(kHead + Chunk("\n"));
+  testing::RunFor(loop, Ms(2500));
+  agent.Say(Chunk("\n"));
+  testing::RunFor(loop, Ms(3000));
+  EXPECT_EQ(failed, 0);  // 5.5 s, but an empty line in between
+  ASSERT_TRUE(RunUntil(
+      loop, [&] { return failed == 1; }, Ms(3000)));
+  EXPECT_TRUE(agent.Ended());
+}
+
+TEST_F(ListTest, WithoutAnOwnWatchOnlyTheModuleAsks) {
+  Begin(false);
+  testing::RunFor(loop, Ms(30));
+  EXPECT_FALSE(port.TryTake());
+  list->Follow(true);
+  Peer agent = Call();
+  EXPECT_TRUE(agent.Has("follow=1"));
+  agent.Close();
+  ASSERT_TRUE(RunUntil(loop, [&] { return failed == 1; }));
+  testing::RunFor(loop, Ms(300));
+  EXPECT_FALSE(port.TryTake());  // it asks again itself, when it wants to
+  list->Follow(true);
+  Peer next = Call();
+  list->Follow(false);
+  EXPECT_TRUE(RunUntil(loop, [&] { return next.Ended(); }));
+  EXPECT_EQ(failed, 1);
+}
+
+TEST_F(ListTest, FetchesTheWholeListOnce) {
+  Begin(false);
+  list->Fetch();
+  Peer agent = Call();
+  EXPECT_TRUE(agent.Has("GET /catalog/members HTTP/1.1\r\n"));
+  const std::string body = Line(50, true, Entry("h1") + "," + Entry("h2", "leaving"));
+  agent.Say(testing::Http200(body));
+  ASSERT_TRUE(RunUntil(loop, [&] { return lists.size() == 1; }));
+  EXPECT_TRUE(lists[0].complete);
+  EXPECT_EQ(lists[0].members.size(), 2u);
+  EXPECT_EQ(list->revision(), 50);
+}
+
+TEST_F(ListTest, AListFetchedInPartIsNone) {
+  Begin(false);
+  list->Fetch();
+  Peer agent = Call();
+  const std::string whole = testing::Http200(Line(50, true, Entry("h1")));
+  agent.Say(whole.substr(0, whole.size() - 5));
+  agent.Close();
+  ASSERT_TRUE(RunUntil(loop, [&] { return failed == 1; }));
+  EXPECT_TRUE(lists.empty());
+  EXPECT_EQ(list->revision(), 40);
+}
+
+TEST_F(ListTest, AnEmptyFleetIsAList) {
+  Begin(true);
+  Peer agent = Call();
+  agent.Say(kHead + Chunk(Line(41, true, "")));
+  ASSERT_TRUE(RunUntil(loop, [&] { return lists.size() == 1; }));
+  EXPECT_TRUE(lists[0].members.empty());
+  EXPECT_EQ(failed, 0);
+}
+
+TEST_F(ListTest, NobodyThereIsAFailedWatchAndTriedAgain) {
+  port.Close();
+  Begin(true);
+  EXPECT_TRUE(RunUntil(loop, [&] { return failed >= 2; }));
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/peers.h
@@ -0,0 +1,161 @@
+// Peers for the tests of src/net: plain sockets on loopback that a test reads and writes by hand,
+// and a loop that runs until something holds. Nothing here answers by itself.
+#ifndef PADDLESTILE_TESTS_NET_PEERS_H_
+#define PADDLESTILE_TESTS_NET_PEERS_H_
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "bench.h"
+#include "net/config.h"
+#include "net/event_loop.h"
+#include "net/stream.h"
+
+namespace paddlestile::net::testing {
+
+using paddlestile::testing::Ms;
+
+// Runs the loop until `holds`, for five seconds at most.
+inline bool RunUntil(EventLoop& loop, const std::function<bool()>& holds,
+                     Duration at_most = Ms(5000)) {
+  const Time end = loop.Now() + at_most;
+  while (!holds()) {
+    if (loop.Now() > end) return false;
+    loop.RunOnce(Ms(2));
+  }
+  return true;
+}
+inline void RunFor(EventLoop& loop, Duration time) {
+  RunUntil(
+      loop, [] { return false; }, time);
+}
+
+inline void MakeNonBlocking(int fd) { fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK); }
+
+// The far end of a connection.
+class Peer {
+ public:
+  Peer() = default;
+  explicit Peer(Fd fd) : fd_(std::move(fd)) { MakeNonBlocking(fd_.get()); }
+  explicit operator bool() const { return static_cast<bool>(fd_); }
+
+  // Connects to a listener on loopback.
+  static Peer To(const Address& to) {
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    address.sin_addr.s_addr = htonl(to.host);
+    EXPECT_EQ(connect(fd.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    return Peer(std::move(fd));
+  }
+
+  void Say(std::string_view text) {
+    while (!text.empty()) {
+      const ssize_t n = send(fd_.get(), text.data(), text.size(), MSG_NOSIGNAL);
+      if (n <= 0) return;
+      text.remove_prefix(static_cast<size_t>(n));
+    }
+  }
+  // All that has come so far.
+  const std::string& Heard() {
+    char bytes[4096];
+    while (fd_ && !ended_) {
+      const ssize_t n = recv(fd_.get(), bytes, sizeof(bytes), 0);
+      if (n > 0) {
+        heard_.append(bytes, static_cast<size_t>(n));
+      } else {
+        if (n == 0 || (errno != EAGAIN && errno != EINTR)) ended_ = true;
+        if (n < 0 && errno == EINTR) continue;
+        return heard_;
+      }
+    }
+    return heard_;
+  }
+  bool Has(std::string_view text) { return Heard().find(text) != std::string::npos; }
+  bool Ended() {
+    Heard();
+    return ended_;
+  }
+  void Forget() {
+    Heard();
+    heard_.clear();
+  }
+  void Close() { fd_.Reset(); }
+  // A close that the other side sees as a reset.
+  void Reset() {
+    const linger now{1, 0};
+    setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    fd_.Reset();
+  }
+  void ShutWrite() { shutdown(fd_.get(), SHUT_WR); }
+  [[nodiscard]] int fd() const { return fd_.get(); }
+
+ private:
+  Fd fd_;
+  std::string heard_;
+  bool ended_ = false;
+};
+
+// A listening socket on loopback whose connections the test takes one by one.
+class Port {
+ public:
+  explicit Port(int backlog = 64) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(bind(fd_.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    EXPECT_EQ(listen(fd_.get(), backlog), 0);
+    socklen_t size = sizeof(address);
+    getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address), &size);
+    address_ = {INADDR_LOOPBACK, ntohs(address.sin_port)};
+    MakeNonBlocking(fd_.get());
+  }
+  [[nodiscard]] const Address& address() const { return address_; }
+  [[nodiscard]] std::string text() const { return ToText(address_); }
+
+  // The next connection, or none yet.
+  Peer TryTake() {
+    Fd fd(accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    return fd ? Peer(std::move(fd)) : Peer();
+  }
+  Peer Take(EventLoop& loop) {
+    Peer peer;
+    EXPECT_TRUE(RunUntil(loop, [&] { return static_cast<bool>(peer = TryTake()); }));
+    return peer;
+  }
+  void Close() { fd_.Reset(); }
+
+ private:
+  Fd fd_;
+  Address address_;
+};
+
+// Two ends of one connection, the first on a loop.
+inline std::pair<Fd, Peer> Pair() {
+  int fds[2] = {-1, -1};
+  EXPECT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, fds), 0);
+  MakeNonBlocking(fds[0]);
+  return {Fd(fds[0]), Peer(Fd(fds[1]))};
+}
+
+inline std::string Http200(std::string_view body, std::string_view headers = "") {
+  return "HTTP/1.1 200 OK\r\n" + std::string(headers) +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + std::string(body);
+}
+
+}  // namespace paddlestile::net::testing
+
+#endif  // PADDLESTILE_TESTS_NET_PEERS_H_
--- /dev/null
+++ b/tests/net/servers_test.cpp
@@ -0,0 +1,498 @@
+#include "net/servers.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/counters.h"
+#include "net/peers.h"
+
+namespace paddlestile::net {
+namespace {
+
+using testing::Http200;
+using testing::Ms;
+using testing::Peer;
+using testing::RunUntil;
+
+Held MakeRequest(const std::string& text) {
+  Held held;
+  MessageParser parser(MessageParser::Kind::kRequest);
+  held.bytes.Append(text);
+  EXPECT_EQ(parser.Feed(held.bytes), Progress::kDone);
+  held.message = parser.message();
+  return held;
+}
+
+const std::string kPost =
+    "POST /book/1?a=b HTTP/1.1\r\nHost: service\r\nX-Call-Id: id1\r\nX-Budget-Ms: 900\r\n"
+    "Idempotency-Key: k\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nContent-Length: 4\r\n\r\n"
+    "body";
+
+class ServersTest : public ::testing::Test, public Servers::Listener {
+ protected:
+  struct End {
+    std::string id;
+    size_t attempt = 0;
+    Outcome outcome = Outcome::kOk;
+    std::optional<Report> report;
+    std::string body;
+  };
+
+  void OnSettled(const std::shared_ptr<Exchange>& exchange, size_t attempt, const std::string&,
+                 Outcome outcome, Duration, std::optional<Report> report,
+                 std::shared_ptr<const Held> from) override {
+    ends.push_back({exchange->id(), attempt, outcome, std::move(report),
+                    from ? std::string(from->body()) : std::string()});
+  }
+  void OnEstablished(const std::shared_ptr<Exchange>&, size_t, const std::string&,
+                     Duration) override {
+    ++established;
+  }
+  void OnProbed(const std::string&, Outcome outcome, Duration,
+                std::optional<Report> report) override {
+    probes.emplace_back(outcome, std::move(report));
+  }
+
+  void Make(Servers::Options options) {
+    servers = std::make_unique<Servers>(loop, budget, std::move(options), this);
+    servers->SetAddress("h1", port.address());
+  }
+  Servers::Options Plain() {
+    Servers::Options options;
+    options.connect_timeout = Ms(100);
+    options.idle_close = Ms(60000);
+    options.report_fields = {"inflight", "latency_ms"};
+    options.reports_in_probes = true;
+    return options;
+  }
+  std::shared_ptr<Exchange> Request(const std::string& id = "id1", Duration time = Ms(2000)) {
+    return std::make_shared<Exchange>(id, MakeRequest(kPost), loop.Now() + time, &cls,
+                                      [](const Answer&) {});
+  }
+  std::shared_ptr<Exchange> Send(const std::string& id = "id1", Duration time = Ms(2000)) {
+    auto exchange = Request(id, time);
+    servers->Send(exchange, exchange->NextAttempt(), "h1", exchange->deadline());
+    return exchange;
+  }
+  // Takes the host's end of the next connection and reads the request on it.
+  Peer Host() {
+    Peer host = port.Take(loop);
+    EXPECT_TRUE(RunUntil(loop, [&] { return host.Has("body"); }));
+    return host;
+  }
+  bool Ended(size_t count) {
+    return RunUntil(loop, [&] { return ends.size() >= count; });
+  }
+
+  EventLoop loop;
+  Descriptors budget{1024};
+  RequestClass cls = paddlestile::testing::MakeClass(Effect::kKeyed);
+  testing::Port port;
+  std::vector<End> ends;
+  std::vector<std::pair<Outcome, std::optional<Report>>> probes;
+  int established = 0;
+  std::unique_ptr<Servers> servers;
+};
+
+TEST_F(ServersTest, SendsTheRequestOnUnchangedButForItsTime) {
+  Make(Plain());
+  Send();
+  Peer host = Host();
+  const std::string& text = host.Heard();
+  EXPECT_EQ(text.substr(0, 27), "POST /book/1?a=b HTTP/1.1\r\n");
+  EXPECT_NE(text.find("X-Call-Id: id1\r\n"), std::string::npos);
+  EXPECT_NE(text.find("Idempotency-Key: k\r\n"), std::string::npos);
+  EXPECT_NE(text.find("Content-Length: 4\r\n"), std::string::npos);
+  EXPECT_EQ(text.find("X-Budget-Ms: 900"), std::string::npos);
+  EXPECT_NE(text.find("X-Budget-Ms: 1"), std::string::npos);  // what is left of 2000
+  EXPECT_EQ(text.find("X-Hop"), std::string::npos);
+  EXPECT_EQ(text.substr(text.size() - 8), "\r\n\r\nbody");
+}
+
+TEST_F(ServersTest, EachAnswerHasItsOutcome) {
+  Make(Plain());
+  const std::pair<std::string, Outcome> cases[] = {
+      {Http200("yes"), Outcome::kOk},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n", Outcome::kOk},
+      {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", Outcome::kError},
+      {"HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", Outcome::kFull},
+      {"HTTP/1.1 504 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", Outcome::kFull},
+      {"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Outcome::kError},
+      {"HTTP/1.1 503 No\r\nX-Rejected: 0\r\nContent-Length: 0\r\n\r\n", Outcome::kError},
+      {"HTTP/1.1 500 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n", Outcome::kError},
+      {"HTTP/1.1 201 Made\r\nContent-Length: 0\r\n\r\n", Outcome::kError},
+      {"HTTP/1.1 418 Odd\r\nContent-Length: 0\r\n\r\n", Outcome::kError},
+      {"HTTP/1.1 204 None\r\n\r\n", Outcome::kError},
+      {"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", Outcome::kReset},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", Outcome::kReset},
+      {"garbage\r\n\r\n", Outcome::kReset},
+  };
+  for (const auto& [answer, outcome] : cases) {
+    ends.clear();
+    Send();
+    Peer host = Host();
+    host.Say(answer);
+    ASSERT_TRUE(Ended(1)) << answer;
+    EXPECT_EQ(ends[0].outcome, outcome) << answer;
+    EXPECT_EQ(ends[0].body, outcome == Outcome::kOk ? "yes" : "") << answer;
+    while (servers->CloseOneIdle()) {}
+  }
+}
+
+// Cut anywhere, an answer is a reset and nothing of it is served.
+TEST_F(ServersTest, AnAnswerCutShortIsAReset) {
+  Make(Plain());
+  const std::string answer = Http200("hello", "X-A: b\r\n");
+  for (size_t size = 0; size < answer.size(); ++size) {
+    ends.clear();
+    Send();
+    Peer host = Host();
+    host.Say(answer.substr(0, size));
+    if (size % 2 == 0) {
+      host.Close();
+    } else {
+      host.Reset();
+    }
+    ASSERT_TRUE(Ended(1)) << size;
+    EXPECT_EQ(ends[0].outcome, Outcome::kReset) << size;
+    EXPECT_EQ(ends[0].body, "");
+  }
+}
+
+TEST_F(ServersTest, AnAnswerAByteAtATimeIsServedWhole) {
+  Make(Plain());
+  Send();
+  Peer host = Host();
+  for (const char c : Http200("hello")) {
+    EXPECT_TRUE(ends.empty());
+    host.Say(std::string(1, c));
+    loop.RunOnce(Duration(0));
+  }
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].body, "hello");
+}
+
+// The last bytes and the close may come together.
+TEST_F(ServersTest, AWholeAnswerCountsThoughTheHostClosesAtOnce) {
+  Make(Plain());
+  Send();
+  Peer host = Host();
+  host.Say(Http200("hello"));
+  host.Close();
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
+  EXPECT_EQ(servers->idle(), 0u);
+}
+
+TEST_F(ServersTest, RefusedConnectionsNeverRan) {
+  Make(Plain());
+  port.Close();
+  Send();
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kConnectFailed);
+}
+
+// A cut-off host takes no connection and says nothing.
+TEST_F(ServersTest, ConnectionsThatNeverComeUpEndByTheSettingsTimeOut) {
+  testing::Port full(0);
+  std::vector<Peer> filling;
+  for (int i = 0; i < 4; ++i) {  // fill the backlog, so that the kernel drops what comes
+    Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(full.address().port);
+    address.sin_addr.s_addr = htonl(full.address().host);
+    (void)connect(fd.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    filling.emplace_back(std::move(fd));
+  }
+  testing::RunFor(loop, Ms(10));
+  Make(Plain());
+  servers->SetAddress("h1", full.address());
+  const Time begun = loop.Now();
+  Send();
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kConnectFailed);
+  EXPECT_GE(loop.Now() - begun, Ms(100));
+  EXPECT_LT(loop.Now() - begun, Ms(1000));
+}
+
+TEST_F(ServersTest, SilenceEndsAtTheDeadlineAndClosesTheConnection) {
+  Make(Plain());
+  const Time begun = loop.Now();
+  Send("id1", Ms(60));
+  Peer host = Host();
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kTimeout);
+  EXPECT_GE(loop.Now() - begun, Ms(60));
+  EXPECT_TRUE(RunUntil(loop, [&] { return host.Ended(); }));
+}
+
+TEST_F(ServersTest, ASendWithNoTimeLeftOrNoKnownHostIsNotTransmitted) {
+  Make(Plain());
+  Send("id1", Ms(0));
+  auto exchange = Request("id2");
+  servers->Send(exchange, exchange->NextAttempt(), "nobody", exchange->deadline());
+  ASSERT_EQ(ends.size(), 2u);
+  EXPECT_EQ(ends[0].outcome, Outcome::kMoot);
+  EXPECT_EQ(ends[1].outcome, Outcome::kMoot);
+  EXPECT_EQ(servers->connections(), 0u);
+}
+
+TEST_F(ServersTest, ACancelClosesAndIsTheOnlyOutcome) {
+  Make(Plain());
+  const auto exchange = Send();
+  Peer host = Host();
+  servers->Cancel(*exchange, 0);
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kCancelled);
+  EXPECT_TRUE(RunUntil(loop, [&] { return host.Ended(); }));
+  host.Say(Http200("late"));
+  servers->Cancel(*exchange, 0);
+  testing::RunFor(loop, Ms(20));
+  EXPECT_EQ(ends.size(), 1u);
+}
+
+TEST_F(ServersTest, KeepsAConnectionForTheNextRequest) {
+  Make(Plain());
+  Send("id1");
+  Peer host = Host();
+  host.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  host.Forget();
+  Send("id2");
+  ASSERT_TRUE(RunUntil(loop, [&] { return host.Has("body"); }));
+  host.Say(Http200("2"));
+  ASSERT_TRUE(Ended(2));
+  EXPECT_EQ(ends[1].body, "2");
+  EXPECT_EQ(servers->connections(), 1u);
+}
+
+TEST_F(ServersTest, OneRequestAtATimeOnAConnection) {
+  Make(Plain());
+  Send("id1");
+  Send("id2");
+  Peer one = Host(), two = Host();
+  EXPECT_EQ(servers->connections(), 2u);
+}
+
+// The close has reached the kernel but not yet the loop: writing there would end as a reset.
+TEST_F(ServersTest, LooksForTheEndBeforeUsingAConnectionAgain) {
+  Make(Plain());
+  Send("id1");
+  Peer host = Host();
+  host.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  ASSERT_EQ(servers->idle(), 1u);
+  host.Close();
+  Send("id2");  // before the loop has run
+  Peer next = Host();
+  next.Say(Http200("2"));
+  ASSERT_TRUE(Ended(2));
+  EXPECT_EQ(ends[1].outcome, Outcome::kOk);
+}
+
+TEST_F(ServersTest, BytesOnAnIdleConnectionEndIt) {
+  Make(Plain());
+  Send("id1");
+  Peer host = Host();
+  host.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  host.Say(Http200("nobody asked"));
+  EXPECT_TRUE(RunUntil(loop, [&] { return servers->connections() == 0; }));
+}
+
+TEST_F(ServersTest, BytesBehindAnAnswerEndTheConnection) {
+  Make(Plain());
+  Send("id1");
+  Peer host = Host();
+  host.Say(Http200("1") + "more");
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
+  EXPECT_EQ(servers->connections(), 0u);
+}
+
+TEST_F(ServersTest, ClosesIdleConnectionsBeforeTheHostDoes) {
+  Servers::Options options = Plain();
+  options.idle_close = Ms(2500);
+  Make(options);
+  Send("id1");
+  Peer host = Host();
+  host.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  const Time since = loop.Now();
+  ASSERT_TRUE(RunUntil(loop, [&] { return host.Ended(); }));
+  EXPECT_LT(loop.Now() - since, Ms(2500));
+}
+
+TEST_F(ServersTest, AChangedAddressMeansNewConnections) {
+  Make(Plain());
+  Send("id1");
+  Send("id2");
+  Peer one = Host(), two = Host();
+  one.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  testing::Port moved;
+  servers->SetAddress("h1", moved.address());
+  EXPECT_TRUE(RunUntil(loop, [&] { return one.Ended(); }));  // it was idle
+  two.Say(Http200("2"));  // what was out goes on, but is not kept
+  ASSERT_TRUE(Ended(2));
+  EXPECT_EQ(ends[1].outcome, Outcome::kOk);
+  EXPECT_EQ(servers->idle(), 0u);
+  Send("id3");
+  EXPECT_TRUE(moved.Take(loop));
+}
+
+TEST_F(ServersTest, AHostThatLeftIsForgottenOnceItsWorkIsDone) {
+  Make(Plain());
+  Send("id1");
+  Peer host = Host();
+  servers->Left("h1");
+  host.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
+  EXPECT_EQ(servers->connections(), 0u);
+  loop.RunOnce(Duration(0));
+  EXPECT_EQ(servers->hosts(), 0u);
+}
+
+TEST_F(ServersTest, ARequestNotWrittenWholeNeverRan) {
+  Make(Plain());
+  // A body that no socket takes at once, to a host that reads nothing.
+  std::string head = "POST /book HTTP/1.1\r\nX-Call-Id: big\r\n\r\n";
+  Held request;
+  request.bytes.Append(head + std::string(16 << 20, 'x'));
+  request.message = MakeRequest(head).message;
+  request.message.body = {head.size(), 16 << 20};
+  auto exchange = std::make_shared<Exchange>("big", std::move(request), loop.Now() + Ms(300), &cls,
+                                             [](const Answer&) {});
+  servers->Send(exchange, exchange->NextAttempt(), "h1", exchange->deadline());
+  Peer host = port.Take(loop);
+  testing::RunFor(loop, Ms(50));
+  host.Reset();
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kConnectFailed);
+}
+
+TEST_F(ServersTest, ProbesAskForTheReport) {
+  Make(Plain());
+  servers->Probe("h1");
+  Peer host = port.Take(loop);
+  ASSERT_TRUE(RunUntil(loop, [&] { return host.Has("GET /_load HTTP/1.1\r\n"); }));
+  host.Say(Http200("latency_ms=2.5,new=1,inflight=7"));
+  ASSERT_TRUE(RunUntil(loop, [&] { return probes.size() == 1; }));
+  EXPECT_EQ(probes[0].first, Outcome::kOk);
+  EXPECT_EQ(probes[0].second, (Report{7, 2.5}));
+  EXPECT_EQ(servers->idle(), 1u);
+}
+
+TEST_F(ServersTest, ProbesWithoutReportsPing) {
+  Servers::Options options = Plain();
+  options.reports_in_probes = false;
+  Make(options);
+  servers->Probe("h1");
+  Peer host = port.Take(loop);
+  ASSERT_TRUE(RunUntil(loop, [&] { return host.Has("GET /ping HTTP/1.1\r\n"); }));
+  host.Say("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(RunUntil(loop, [&] { return probes.size() == 1; }));
+  EXPECT_NE(probes[0].first, Outcome::kOk);
+  EXPECT_FALSE(probes[0].second);
+}
+
+TEST_F(ServersTest, ASilentProbeTimesOut) {
+  Make(Plain());
+  servers->Probe("h1");
+  Peer host = port.Take(loop);
+  ASSERT_TRUE(RunUntil(loop, [&] { return probes.size() == 1; }));
+  EXPECT_EQ(probes[0].first, Outcome::kTimeout);
+}
+
+TEST_F(ServersTest, ReportsComeOnAnswersWhereTheSettingsSaySo) {
+  Servers::Options options = Plain();
+  options.reports_in_answers = true;
+  Make(options);
+  const std::pair<std::string, std::optional<Report>> cases[] = {
+      {"X-Load-Report: inflight=3,latency_ms=9\r\n", Report{3, 9}},
+      {"X-Load-Report: inflight=3\r\n", std::nullopt},
+      {"X-Load-Report: inflight=3,latency_ms=x\r\n", std::nullopt},
+      {"X-Load-Report: inflight=3,latency_ms=inf\r\n", std::nullopt},
+      {"X-Load-Report: inflight\r\n", std::nullopt},
+      {"X-Load-Report:\r\n", std::nullopt},
+      {"", std::nullopt}};
+  Send();
+  Peer host = Host();
+  for (const auto& [header, report] : cases) {
+    ends.clear();
+    host.Say(Http200("ok", header));
+    ASSERT_TRUE(Ended(1));
+    EXPECT_EQ(ends[0].outcome, Outcome::kOk) << header;
+    EXPECT_EQ(ends[0].report, report) << header;
+    host.Forget();
+    Send();
+    ASSERT_TRUE(RunUntil(loop, [&] { return host.Has("body"); }));
+  }
+}
+
+TEST_F(ServersTest, ReportsOnAnswersAreLeftAloneElsewhere) {
+  Make(Plain());
+  Send();
+  Peer host = Host();
+  host.Say(Http200("ok", "X-Load-Report: inflight=3,latency_ms=9\r\n"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_FALSE(ends[0].report);
+}
+
+// A streamed answer belongs to its client once begun: no time limit ends it.
+TEST_F(ServersTest, AStreamedAnswerOutlivesTheDeadline) {
+  cls.streamed = true;
+  Make(Plain());
+  const auto exchange = Send("id1", Ms(60));
+  Peer host = Host();
+  host.Say("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbe");
+  ASSERT_TRUE(RunUntil(loop, [&] { return established == 1; }));
+  testing::RunFor(loop, Ms(100));
+  EXPECT_TRUE(ends.empty());
+  servers->Cancel(*exchange, 0);  // is not called off
+  EXPECT_TRUE(ends.empty());
+  host.Say("en");
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].body, "been");
+}
+
+TEST_F(ServersTest, AStreamedAnswerEndsWithItsClient) {
+  cls.streamed = true;
+  Make(Plain());
+  const auto exchange = Send();
+  Peer host = Host();
+  host.Say("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbe");
+  ASSERT_TRUE(RunUntil(loop, [&] { return established == 1; }));
+  servers->ClientLeft(*exchange);
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kCancelled);
+}
+
+// Our own lack of descriptors says nothing of the host, and idle connections make room first.
+TEST_F(ServersTest, WithoutDescriptorsNothingIsTransmitted) {
+  Descriptors small(Descriptors::kReserve + 40);  // 40 in all, 20 for hosts
+  servers = std::make_unique<Servers>(loop, small, Plain(), this);
+  servers->SetAddress("h1", port.address());
+  testing::Port other;
+  servers->SetAddress("h2", other.address());
+  servers->Probe("h2");
+  Peer probed = other.Take(loop);
+  probed.Say(Http200("inflight=1,latency_ms=1"));
+  ASSERT_TRUE(RunUntil(loop, [&] { return servers->idle() == 1; }));
+  std::vector<std::shared_ptr<Exchange>> held;
+  for (int i = 0; i < 20; ++i) held.push_back(Send("id" + std::to_string(i)));
+  EXPECT_TRUE(ends.empty());
+  EXPECT_EQ(servers->idle(), 0u);
+  held.push_back(Send("one more"));
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0].outcome, Outcome::kMoot);
+  servers.reset();
+}
+
+}  // namespace
+}  // namespace paddlestile::net
--- /dev/null
+++ b/tests/net/stream_test.cpp
@@ -0,0 +1,180 @@
+#include "net/stream.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+
+#include "net/peers.h"
+
+namespace paddlestile::net {
+namespace {
+
+using testing::Ms;
+using testing::Pair;
+using testing::Peer;
+using testing::RunUntil;
+
+struct Owner : Stream::Owner {
+  void OnConnected() override { ++connected; }
+  void OnRead() override {
+    ++reads;
+    if (then) then();
+  }
+  void OnFlushed() override { ++flushed; }
+  void OnBroken() override { ++broken; }
+  int connected = 0, reads = 0, flushed = 0, broken = 0;
+  std::function<void()> then;
+};
+
+class StreamTest : public ::testing::Test {
+ protected:
+  StreamTest() {
+    auto [fd, far] = Pair();
+    peer = std::move(far);
+    stream = std::make_unique<Stream>(loop, Socket(std::move(fd), nullptr), &owner, false);
+    EXPECT_TRUE(stream->Start());
+    loop.RunOnce(Duration(0));
+  }
+  EventLoop loop;
+  Owner owner;
+  Peer peer;
+  std::unique_ptr<Stream> stream;
+};
+
+TEST_F(StreamTest, ReadsAllThatIsThereOnOneEdge) {
+  peer.Say(std::string(50000, 'x'));
+  ASSERT_TRUE(RunUntil(loop, [&] { return stream->in().size() == 50000; }));
+  peer.Say("y");
+  EXPECT_TRUE(RunUntil(loop, [&] { return stream->in().size() == 50001; }));
+}
+
+TEST_F(StreamTest, WritesWhatDoesNotFitAtOnceLater) {
+  const auto body = std::make_shared<std::string>(4'000'000, 'b');
+  stream->Write("head", body, *body);
+  EXPECT_EQ(owner.flushed, 0);  // more than the socket holds
+  ASSERT_TRUE(RunUntil(loop, [&] { return peer.Heard().size() == 4'000'004; }));
+  EXPECT_EQ(owner.flushed, 1);
+  EXPECT_EQ(peer.Heard().substr(0, 6), "headbb");
+}
+
+TEST_F(StreamTest, KeepsTheMemoryOfWhatIsUnwritten) {
+  auto body = std::make_shared<std::string>(4'000'000, 'b');
+  const std::weak_ptr<std::string> held = body;
+  const std::string_view view = *body;
+  stream->Write("", std::move(body), view);
+  EXPECT_FALSE(held.expired());
+  ASSERT_TRUE(RunUntil(loop, [&] { return peer.Heard().size() == 4'000'000; }));
+  EXPECT_TRUE(held.expired());
+}
+
+TEST_F(StreamTest, SeesTheEndAndTheBreak) {
+  peer.Say("last");
+  peer.Close();
+  ASSERT_TRUE(RunUntil(loop, [&] { return stream->ended(); }));
+  EXPECT_EQ(stream->in().view(), "last");
+  EXPECT_EQ(owner.broken, 0);
+}
+
+TEST_F(StreamTest, AWriteToAClosedPeerBreaksWithoutASignal) {
+  peer.Close();
+  stream->Write("x");  // would end the process by SIGPIPE
+  EXPECT_TRUE(RunUntil(loop, [&] { return owner.broken == 1; }));
+}
+
+TEST_F(StreamTest, StopsReadingAtItsLimitAndGoesOn) {
+  stream->set_most_unread(10000);
+  peer.Say(std::string(60000, 'x'));
+  ASSERT_TRUE(RunUntil(loop, [&] { return stream->in().size() >= 10000; }));
+  testing::RunFor(loop, Ms(20));
+  EXPECT_LT(stream->in().size(), 30000u);
+  size_t got = 0;
+  ASSERT_TRUE(RunUntil(loop, [&] {
+    got += stream->in().size();
+    stream->in().Consume(stream->in().size());
+    stream->Resume();
+    return got >= 60000;
+  }));
+  EXPECT_EQ(got, 60000u);
+}
+
+TEST_F(StreamTest, AHandlerMayCloseItsOwnStream) {
+  owner.then = [&] { stream->Close(); };
+  peer.Say("x");
+  ASSERT_TRUE(RunUntil(loop, [&] { return owner.reads == 1; }));
+  testing::RunFor(loop, Ms(5));
+  EXPECT_EQ(owner.reads, 1);
+  EXPECT_TRUE(peer.Ended());
+}
+
+TEST_F(StreamTest, IsQuietOnlyWithNothingWaiting) {
+  EXPECT_TRUE(stream->Quiet());
+  peer.Say("x");
+  EXPECT_FALSE(stream->Quiet());  // seen before the loop brings the event
+}
+
+TEST_F(StreamTest, IsNotQuietAfterThePeersEnd) {
+  peer.Close();
+  EXPECT_FALSE(stream->Quiet());
+}
+
+TEST(Connect, ReachesAListener) {
+  EventLoop loop;
+  Descriptors budget(1024);
+  testing::Port port;
+  bool refused = true;
+  std::optional<Socket> socket = Connect(port.address(), &budget, refused);
+  ASSERT_TRUE(socket);
+  EXPECT_FALSE(refused);
+  Owner owner;
+  Stream stream(loop, std::move(*socket), &owner, true);
+  ASSERT_TRUE(stream.Start());
+  EXPECT_TRUE(RunUntil(loop, [&] { return owner.connected == 1; }));
+}
+
+TEST(Connect, ARefusalBreaks) {
+  EventLoop loop;
+  Descriptors budget(1024);
+  testing::Port port;
+  port.Close();
+  bool refused = false;
+  std::optional<Socket> socket = Connect(port.address(), &budget, refused);
+  if (!socket) {
+    EXPECT_TRUE(refused);
+    return;
+  }
+  Owner owner;
+  Stream stream(loop, std::move(*socket), &owner, true);
+  ASSERT_TRUE(stream.Start());
+  EXPECT_TRUE(RunUntil(loop, [&] { return owner.broken == 1; }));
+  EXPECT_EQ(owner.connected, 0);
+}
+
+TEST(Descriptors, CountsWhatIsOpen) {
+  Descriptors budget(Descriptors::kReserve * 2 + 1);
+  EXPECT_EQ(budget.most(), Descriptors::kReserve + 1);
+  testing::Port port;
+  bool refused = false;
+  {
+    std::optional<Socket> one = Connect(port.address(), &budget, refused);
+    EXPECT_EQ(budget.used(), 1u);
+    Socket moved = std::move(*one);
+    one.reset();
+    EXPECT_EQ(budget.used(), 1u);
+  }
+  EXPECT_EQ(budget.used(), 0u);
+}
+
+TEST(Descriptors, GivesNoMoreThanItHas) {
+  Descriptors budget(Descriptors::kReserve + 34);
+  testing::Port port;
+  bool refused = false;
+  std::vector<Socket> held;
+  while (auto socket = Connect(port.address(), &budget, refused))
+    held.push_back(std::move(*socket));
+  EXPECT_EQ(held.size(), budget.most());
+  EXPECT_FALSE(refused);
+}
+
+}  // namespace
+}  // namespace paddlestile::net
