--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -51,7 +51,10 @@
   const bool objects = !items.empty() && items[0].type() == Json::Type::kObject;
   if (!objects) {
     std::string list;
-    for (const Json& item : items) list += (list.empty() ? "" : ",") + Scalar(item);
+    for (const Json& item : items) {
+      if (!list.empty()) list += ',';
+      list += Scalar(item);
+    }
     return add(path, list);
   }
   add(path + ".count", std::to_string(items.size()));
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -13,8 +13,8 @@
 
 namespace paddlestile::net {
 
-constexpr size_t kMaxHead = 16 * 1024;
-constexpr size_t kMaxBody = 64 * 1024;
+constexpr size_t kMaxHead = 16'384;
+constexpr size_t kMaxBody = 65'536;
 constexpr size_t kMaxHeaders = 100;
 
 enum class Progress { kMore, kDone, kBad };
