--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -42,7 +42,7 @@
     for (const auto& [name, field] : value.fields()) {
       // A name that would read as something else on the wire is none that the settings know.
       if (name.empty() || name.find_first_of(" =.") != std::string::npos) continue;
-      Flatten(path.empty() ? name : path + "." + name, field, out);
+      Flatten(path.empty() ? name : fmt::format("{}.{}", path, name), field, out);
     }
     return;
   }
