--- a/src/net/json.cpp
+++ b/src/net/json.cpp
@@ -2,178 +2,254 @@
 
 #include <fmt/format.h>
 
+#include <cctype>
 #include <charconv>
 #include <cmath>
-#include <cstdint>
+#include <optional>
 
 namespace paddlestile::net {
+namespace {
 
-class JsonParser {
- public:
-  explicit JsonParser(std::string_view text) : text_(text) {}
+bool IsSpace(char c) { return c == ' ' || c == '\t' || c == '\n' || c == '\r'; }
+bool IsDigit(char c) { return c >= '0' && c <= '9'; }
 
-  Json Whole() {
-    Json value = Value(0);
-    Space();
-    if (at_ != text_.size()) Fail("more after the value");
-    return value;
+// A number as JSON writes it, which is stricter than what from_chars takes.
+std::optional<double> ToNumber(std::string_view text) {
+  size_t at = 0;
+  const auto digits = [&] {
+    const size_t from = at;
+    while (at < text.size() && IsDigit(text[at])) ++at;
+    return at - from;
+  };
+  const auto is = [&](char c) { return at < text.size() && text[at] == c; };
+  if (is('-')) ++at;
+  const bool zero = is('0');
+  const size_t whole = digits();
+  if (whole == 0 || (zero && whole > 1)) return std::nullopt;
+  if (is('.') && (++at, digits() == 0)) return std::nullopt;
+  if (is('e') || is('E')) {
+    ++at;
+    if (is('+') || is('-')) ++at;
+    if (digits() == 0) return std::nullopt;
   }
+  double value = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (at != text.size() || read.ec != std::errc() || !std::isfinite(value)) return std::nullopt;
+  return value;
+}
 
- private:
-  [[noreturn]] void Fail(std::string_view what) const {
-    throw JsonError(fmt::format("{} at byte {}", what, at_));
-  }
-  [[nodiscard]] char Peek() const { return at_ < text_.size() ? text_[at_] : '\0'; }
-  void Space() {
-    while (Peek() == ' ' || Peek() == '\t' || Peek() == '\n' || Peek() == '\r') ++at_;
-  }
-  bool Take(char c) {
-    if (at_ >= text_.size() || text_[at_] != c) return false;
-    ++at_;
-    return true;
-  }
-  void Word(std::string_view word) {
-    if (text_.substr(at_, word.size()) != word) Fail("no value");
-    at_ += word.size();
+}  // namespace
+
+// ---- Reading --------------------------------------------------------------------------------
+
+void JsonParser::Fail(std::string_view what) const {
+  throw JsonError(fmt::format("{} at byte {}", what, size_));
+}
+
+void JsonParser::Feed(std::string_view piece) {
+  for (const char c : piece) {
+    Take(c);
+    ++size_;
   }
+}
+
+Json JsonParser::End() {
+  if (state_ == State::kNumber) EndOfNumber();
+  if (state_ != State::kDone) Fail(begun_ ? "the text ends too soon" : "no value");
+  return std::move(root_);
+}
 
-  Json Value(int depth) {
-    if (depth > Json::kMaxDepth) Fail("too deep");
-    Space();
-    Json value;
-    switch (Peek()) {
-      case '{': Object(value, depth); break;
-      case '[': Array(value, depth); break;
-      case '"':
-        value.type_ = Json::Type::kString;
-        value.text_ = String();
-        break;
-      case 't':
-      case 'f':
-        value.type_ = Json::Type::kBool;
-        value.boolean_ = Peek() == 't';
-        Word(value.boolean_ ? "true" : "false");
-        break;
-      case 'n': Word("null"); break;
-      default: Number(value);
+void JsonParser::Take(char c) {
+  if (state_ == State::kNumber) {
+    if (IsDigit(c) || c == '.' || c == 'e' || c == 'E' || c == '+' || c == '-') {
+      text_ += c;
+      return;
     }
-    return value;
+    EndOfNumber();  // and c is what follows it
   }
-
-  void Object(Json& value, int depth) {
-    value.type_ = Json::Type::kObject;
-    ++at_;
-    Space();
-    if (Take('}')) return;
-    do {
-      Space();
-      std::string name = String();
-      Space();
-      if (!Take(':')) Fail("no colon");
-      value.fields_.emplace_back(std::move(name), Value(depth + 1));
-      Space();
-    } while (Take(','));
-    if (!Take('}')) Fail("no end of an object");
+  const bool within = state_ == State::kString || state_ == State::kEscape ||
+                      state_ == State::kHex || state_ == State::kLow || state_ == State::kLowU ||
+                      state_ == State::kWord;
+  if (!within && IsSpace(c)) return;
+  begun_ = true;
+  switch (state_) {
+    case State::kValue: return Begin(c);
+    case State::kFirstItem: return c == ']' ? Close(c) : Begin(c);
+    case State::kFirstName:
+      if (c == '}') return Close(c);
+      [[fallthrough]];
+    case State::kName:
+      if (c != '"') Fail("no name");
+      name_ = true;
+      text_.clear();
+      state_ = State::kString;
+      return;
+    case State::kNameEnd:
+      if (c != ':') Fail("no colon");
+      state_ = State::kValue;
+      return;
+    case State::kAfter:
+      if (c != ',') return Close(c);
+      state_ = open_.back().type_ == Json::Type::kObject ? State::kName : State::kValue;
+      return;
+    case State::kString:
+      if (c == '"') return EndOfString();
+      if (static_cast<unsigned char>(c) < 0x20) Fail("control character in a string");
+      if (c == '\\') {
+        state_ = State::kEscape;
+      } else {
+        text_ += c;
+      }
+      return;
+    case State::kEscape: return Escape(c);
+    case State::kHex: return Hex(c);
+    case State::kLow:
+      if (c != '\\') Fail("half a character");
+      state_ = State::kLowU;
+      return;
+    case State::kLowU:
+      if (c != 'u') Fail("half a character");
+      state_ = State::kHex;
+      code_ = 0, digits_ = 0;
+      return;
+    case State::kWord: {
+      text_ += c;
+      for (const std::string_view word : {"true", "false", "null"}) {
+        if (!word.starts_with(text_)) continue;
+        if (word.size() > text_.size()) return;
+        Json value;
+        value.type_ = word == "null" ? Json::Type::kNull : Json::Type::kBool;
+        value.boolean_ = word == "true";
+        return Complete(std::move(value));
+      }
+      Fail("no value");
+    }
+    case State::kNumber: return;
+    case State::kDone: Fail("more after the value");
   }
+}
 
-  void Array(Json& value, int depth) {
-    value.type_ = Json::Type::kArray;
-    ++at_;
-    Space();
-    if (Take(']')) return;
-    do {
-      value.items_.push_back(Value(depth + 1));
-      Space();
-    } while (Take(','));
-    if (!Take(']')) Fail("no end of a list");
+void JsonParser::Begin(char c) {
+  text_.clear();
+  if (c == '{') return Open(Json::Type::kObject);
+  if (c == '[') return Open(Json::Type::kArray);
+  if (c == '"') {
+    name_ = false;
+    state_ = State::kString;
+  } else if (c == '-' || IsDigit(c)) {
+    text_ = c;
+    state_ = State::kNumber;
+  } else if (c == 't' || c == 'f' || c == 'n') {
+    text_ = c;
+    state_ = State::kWord;
+  } else {
+    Fail("no value");
   }
+}
+
+void JsonParser::Open(Json::Type type) {
+  if (open_.size() >= Json::kMaxDepth) Fail("too deep");
+  open_.emplace_back().type_ = type;
+  state_ = type == Json::Type::kObject ? State::kFirstName : State::kFirstItem;
+}
 
-  size_t Digits() {
-    const size_t from = at_;
-    while (Peek() >= '0' && Peek() <= '9') ++at_;
-    return at_ - from;
+void JsonParser::Close(char c) {
+  const bool object = open_.back().type_ == Json::Type::kObject;
+  if (c != (object ? '}' : ']')) Fail(object ? "no end of an object" : "no end of a list");
+  Json value = std::move(open_.back());
+  open_.pop_back();
+  Complete(std::move(value));
+}
+
+void JsonParser::Complete(Json value) {
+  if (open_.empty()) {
+    root_ = std::move(value);
+    state_ = State::kDone;
+    return;
+  }
+  Json& in = open_.back();
+  if (in.type_ == Json::Type::kObject) {
+    in.fields_.back().second = std::move(value);
+  } else {
+    in.items_.push_back(std::move(value));
   }
+  state_ = State::kAfter;
+}
 
-  void Number(Json& value) {
-    const size_t from = at_;
-    Take('-');
-    const bool zero = Peek() == '0';
-    const size_t digits = Digits();
-    if (digits == 0 || (zero && digits > 1)) Fail("no value");
-    if (Take('.') && Digits() == 0) Fail("no digits after the point");
-    if (Peek() == 'e' || Peek() == 'E') {
-      ++at_;
-      if (Peek() == '+' || Peek() == '-') ++at_;
-      if (Digits() == 0) Fail("no exponent");
-    }
-    value.type_ = Json::Type::kNumber;
-    value.text_ = text_.substr(from, at_ - from);
-    const char* const end = value.text_.data() + value.text_.size();
-    const auto result = std::from_chars(value.text_.data(), end, value.number_);
-    if (result.ec != std::errc() || !std::isfinite(value.number_)) Fail("number out of range");
+void JsonParser::EndOfString() {
+  if (name_) {
+    open_.back().fields_.emplace_back(std::move(text_), Json());
+    state_ = State::kNameEnd;
+    return;
   }
+  Json value;
+  value.type_ = Json::Type::kString;
+  value.text_ = std::move(text_);
+  Complete(std::move(value));
+}
 
-  uint32_t Hex4() {
-    uint32_t code = 0;
-    const std::string_view digits = text_.substr(std::min(at_, text_.size()), 4);
-    const auto [end, ec] = std::from_chars(digits.data(), digits.data() + digits.size(), code, 16);
-    if (digits.size() != 4 || ec != std::errc() || end != digits.data() + 4) Fail("bad escape");
-    at_ += 4;
-    return code;
+void JsonParser::EndOfNumber() {
+  const auto number = ToNumber(text_);
+  if (!number) Fail("no number");
+  Json value;
+  value.type_ = Json::Type::kNumber;
+  value.number_ = *number;
+  value.text_ = std::move(text_);
+  Complete(std::move(value));
+}
+
+void JsonParser::Escape(char c) {
+  static constexpr std::string_view kFrom = "\"\\/bfnrt", kTo = "\"\\/\b\f\n\r\t";
+  if (c == 'u') {
+    state_ = State::kHex;
+    code_ = high_ = 0, digits_ = 0;
+    return;
   }
+  const size_t place = kFrom.find(c);
+  if (place == std::string_view::npos) Fail("bad escape");
+  text_ += kTo[place];
+  state_ = State::kString;
+}
 
-  void Escape(std::string& out) {
-    static constexpr std::string_view kFrom = "\"\\/bfnrt", kTo = "\"\\/\b\f\n\r\t";
-    const char c = Peek();
-    ++at_;
-    if (const size_t place = kFrom.find(c); c != '\0' && place != std::string_view::npos) {
-      out += kTo[place];
-      return;
-    }
-    if (c != 'u') Fail("bad escape");
-    uint32_t code = Hex4();
-    if (code >= 0xd800 && code < 0xdc00) {
-      if (!Take('\\') || !Take('u')) Fail("half a character");
-      const uint32_t low = Hex4();
-      if (low < 0xdc00 || low > 0xdfff) Fail("half a character");
-      code = 0x10000 + ((code - 0xd800) << 10) + (low - 0xdc00);
-    } else if (code >= 0xdc00 && code <= 0xdfff) {
-      Fail("half a character");
-    }
-    const auto add = [&](uint32_t byte) { out += static_cast<char>(byte); };
-    if (code < 0x80) {
-      add(code);
-    } else if (code < 0x800) {
-      add(0xc0 | code >> 6), add(0x80 | (code & 0x3f));
-    } else if (code < 0x10000) {
-      add(0xe0 | code >> 12), add(0x80 | (code >> 6 & 0x3f)), add(0x80 | (code & 0x3f));
-    } else {
-      add(0xf0 | code >> 18), add(0x80 | (code >> 12 & 0x3f)), add(0x80 | (code >> 6 & 0x3f)),
-          add(0x80 | (code & 0x3f));
-    }
+void JsonParser::Hex(char c) {
+  if (std::isxdigit(static_cast<unsigned char>(c)) == 0) Fail("bad escape");
+  code_ = code_ * 16 + static_cast<uint32_t>(IsDigit(c) ? c - '0' : (c | 0x20) - 'a' + 10);
+  if (++digits_ < 4) return;
+  const bool low = code_ >= 0xdc00 && code_ <= 0xdfff;
+  if ((high_ != 0) != low) Fail("half a character");
+  if (code_ >= 0xd800 && code_ < 0xdc00) {
+    high_ = code_;
+    state_ = State::kLow;
+    return;
   }
+  Add(low ? 0x10000 + ((high_ - 0xd800) << 10) + (code_ - 0xdc00) : code_);
+  state_ = State::kString;
+}
 
-  std::string String() {
-    if (!Take('"')) Fail("no string");
-    std::string out;
-    while (true) {
-      if (at_ >= text_.size()) Fail("no end of a string");
-      const char c = text_[at_++];
-      if (c == '"') return out;
-      if (static_cast<unsigned char>(c) < 0x20) Fail("control character in a string");
-      if (c == '\\') {
-        Escape(out);
-      } else {
-        out += c;
-      }
-    }
+// As UTF-8.
+void JsonParser::Add(uint32_t code) {
+  const auto add = [&](uint32_t byte) { text_ += static_cast<char>(byte); };
+  if (code < 0x80) return add(code);
+  if (code < 0x800) {
+    add(0xc0 | code >> 6);
+  } else if (code < 0x10000) {
+    add(0xe0 | code >> 12);
+    add(0x80 | (code >> 6 & 0x3f));
+  } else {
+    add(0xf0 | code >> 18);
+    add(0x80 | (code >> 12 & 0x3f));
+    add(0x80 | (code >> 6 & 0x3f));
   }
+  add(0x80 | (code & 0x3f));
+}
 
-  std::string_view text_;
-  size_t at_ = 0;
-};
+// ---- Values ---------------------------------------------------------------------------------
 
-Json Json::Parse(std::string_view text) { return JsonParser(text).Whole(); }
+Json Json::Parse(std::string_view text) {
+  JsonParser parser;
+  parser.Feed(text);
+  return parser.End();
+}
 
 const Json* Json::Find(std::string_view name) const {
   for (const auto& [key, value] : fields_) {
--- a/src/net/json.h
+++ b/src/net/json.h
@@ -1,8 +1,9 @@
-// JSON values, with limits on depth and size.
+// JSON values, read a piece at a time if need be, with limits on depth and size.
 #ifndef PADDLESTILE_NET_JSON_H_
 #define PADDLESTILE_NET_JSON_H_
 
-#include <optional>
+#include <cstddef>
+#include <cstdint>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -19,7 +20,7 @@
 class Json {
  public:
   enum class Type { kNull, kBool, kNumber, kString, kArray, kObject };
-  static constexpr int kMaxDepth = 32;
+  static constexpr size_t kMaxDepth = 32;
 
   // The one value that a text holds; throws JsonError.
   static Json Parse(std::string_view text);
@@ -47,6 +48,58 @@
   std::vector<std::pair<std::string, Json>> fields_;
 };
 
+class JsonParser {
+ public:
+  // Goes on with the next piece of the text; throws JsonError at the first byte that is wrong, and
+  // is of no use after that.
+  void Feed(std::string_view piece);
+  // The text is over: its value. Throws JsonError where it is not whole.
+  Json End();
+
+  // Whether anything but white space has come.
+  [[nodiscard]] bool begun() const { return begun_; }
+  [[nodiscard]] size_t size() const { return size_; }  // bytes fed
+
+ private:
+  enum class State {
+    kValue,      // a value is due
+    kFirstItem,  // or the end of an empty list
+    kFirstName,  // or the end of an empty object
+    kName,       // a name is due
+    kNameEnd,    // a colon is due
+    kAfter,      // a comma or an end is due
+    kString,     // within a value's or a name's quotes
+    kEscape,     // behind a backslash
+    kHex,        // within the four digits
+    kLow,        // the backslash of a character's second half is due
+    kLowU,       // its 'u'
+    kNumber,
+    kWord,
+    kDone
+  };
+  [[noreturn]] void Fail(std::string_view what) const;
+  void Take(char c);
+  void Begin(char c);
+  void Open(Json::Type type);
+  void Close(char c);
+  void Complete(Json value);
+  void EndOfString();
+  void EndOfNumber();
+  void Escape(char c);
+  void Hex(char c);
+  void Add(uint32_t code);
+
+  State state_ = State::kValue;
+  std::vector<Json> open_;  // lists and objects not yet ended, the outermost first
+  Json root_;
+  std::string text_;   // of the string, number or word at work
+  bool name_ = false;  // the string is a field's name
+  uint32_t code_ = 0, high_ = 0;
+  int digits_ = 0;
+  bool begun_ = false;
+  size_t size_ = 0;
+};
+
 }  // namespace paddlestile::net
 
 #endif  // PADDLESTILE_NET_JSON_H_
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -71,7 +71,8 @@
     if (progress == Progress::kBad || m.status != 200) {
       return list_.Failed(*this, "malformed answer");
     }
-    if (!list_.Take(m.body.In(stream_.in().view()), true)) {
+    JsonParser parser;
+    if (!list_.Read(parser, m.body.In(stream_.in().view())) || !list_.Take(parser, true)) {
       return list_.Failed(*this, "malformed list");
     }
     list_.Close(list_.fetch_);
@@ -96,25 +97,26 @@
     // Lines are split by chunks anywhere; the chunks by reads.
     size_t read = 0, written = 0;
     const Progress progress = chunks_.Decode(in.view(), in.data(), read, written);
-    lines_.Append(in.view().substr(0, written));
-    in.Consume(in.size());
     if (written > 0) SetTimer(kSilence);
-    for (size_t end = 0; (end = lines_.view().find('\n', looked_)) != std::string_view::npos;) {
-      const std::string_view line = Trim(lines_.view().substr(0, end));
-      const bool good = line.empty() || line == "\r" || list_.Take(line, false);
+    for (std::string_view text = in.view().substr(0, written); !text.empty();) {
+      const size_t end = text.find('\n');
+      const bool good =
+          list_.Read(line_, text.substr(0, end)) && (end == std::string_view::npos || EndOfLine());
       if (!good) return list_.Failed(*this, "malformed line");
-      if (stream_.closed()) return;
-      list_.failures_ = 0;
-      lines_.Consume(end + 1);
-      looked_ = 0;
-    }
-    looked_ = lines_.size();
-    if (progress == Progress::kBad || lines_.size() > kMostLine) {
-      return list_.Failed(*this, "malformed framing");
+      text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
     }
+    in.Consume(in.size());
+    if (progress == Progress::kBad) return list_.Failed(*this, "malformed framing");
     if (progress == Progress::kDone) list_.Failed(*this, "watch ended");
   }
 
+  bool EndOfLine() {
+    list_.failures_ = 0;
+    const bool good = !line_.begun() || list_.Take(line_, false);  // an empty one keeps the watch
+    line_ = JsonParser();
+    return good;
+  }
+
   void SetTimer(Duration after) {
     loop_.Cancel(timer_);
     timer_ = loop_.After(after, [this] {
@@ -131,8 +133,7 @@
   MessageParser whole_{MessageParser::Kind::kAnswer, kMostLine};
   bool in_body_ = false;
   ChunkDecoder chunks_;
-  Buffer lines_;
-  size_t looked_ = 0;  // of the present line
+  JsonParser line_;
   EventLoop::TimerId timer_;
 };
 
@@ -207,11 +208,26 @@
   });
 }
 
-bool List::Take(std::string_view json, bool must_be_whole) {
+bool List::Malformed(std::string_view why) {
+  ++Count().list_malformed;
+  Log(Level::kWarning, "discovery: {}", why);
+  return false;
+}
+
+bool List::Read(JsonParser& parser, std::string_view piece) {
+  try {
+    parser.Feed(piece);
+  } catch (const JsonError& error) {
+    return Malformed(error.what());
+  }
+  return parser.size() <= kMostLine || Malformed("a line too long");
+}
+
+bool List::Take(JsonParser& parser, bool must_be_whole) {
   try {
     const Clock& clock = loop_.clock();
     HostList list =
-        ParseHostList(Json::Parse(json), names_, [&](double ms) { return clock.FromWall(ms); });
+        ParseHostList(parser.End(), names_, [&](double ms) { return clock.FromWall(ms); });
     if (must_be_whole && !list.complete) throw JsonError("not the whole list");
     // An older list would bring back hosts that have gone; the one held stays.
     if (list.revision < revision_) {
@@ -224,9 +240,7 @@
     listener_->OnList(std::move(list));
     return true;
   } catch (const std::exception& error) {
-    ++Count().list_malformed;
-    Log(Level::kWarning, "discovery: {}", error.what());
-    return false;
+    return Malformed(error.what());
   }
 }
 
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -9,6 +9,7 @@
 #include "net/config.h"
 #include "net/event_loop.h"
 #include "net/http.h"
+#include "net/json.h"
 #include "net/stream.h"
 
 namespace paddlestile::net {
@@ -44,7 +45,10 @@
   class Call;
   void Open(std::unique_ptr<Call>& call, bool watch);
   void Close(std::unique_ptr<Call>& call);
-  bool Take(std::string_view json, bool must_be_whole);
+  // Each false where what came is no list; that is counted and logged.
+  bool Read(JsonParser& parser, std::string_view piece);
+  bool Take(JsonParser& parser, bool must_be_whole);
+  bool Malformed(std::string_view why);
   void Failed(Call& call, std::string_view why);
   void Again();
 
--- a/tests/net/json_test.cpp
+++ b/tests/net/json_test.cpp
@@ -79,11 +79,44 @@
   }
 }
 
+TEST(Json, ReadsTheSameSplitAtEveryByte) {
+  const std::string text =
+      R"( {"revision" : 41 ,"m":["\u00e9\ud83d\ude00x",{"a":-1.5e3,"b":[true,false,null]},[]],"e":{}} )";
+  for (size_t at = 0; at <= text.size(); ++at) {
+    JsonParser parser;
+    parser.Feed(text.substr(0, at));
+    parser.Feed(text.substr(at));
+    const Json v = parser.End();
+    EXPECT_EQ(v.Find("revision")->number(), 41) << at;
+    const auto& m = v.Find("m")->items();
+    ASSERT_EQ(m.size(), 3u) << at;
+    EXPECT_EQ(m[0].text(), "\xc3\xa9\xf0\x9f\x98\x80x") << at;
+    EXPECT_EQ(m[1].Find("a")->text(), "-1.5e3") << at;
+    EXPECT_TRUE(m[1].Find("b")->items()[0].boolean()) << at;
+    EXPECT_EQ(v.Find("e")->type(), Json::Type::kObject) << at;
+  }
+}
+
+TEST(Json, KnowsABlankText) {
+  JsonParser parser;
+  parser.Feed(" \r\n\t");
+  EXPECT_FALSE(parser.begun());
+  EXPECT_THROW(parser.End(), JsonError);
+  parser.Feed("7");
+  EXPECT_TRUE(parser.begun());
+  EXPECT_EQ(parser.End().number(), 7);
+}
+
 TEST(Json, TakesAnyMutation) {
   std::mt19937 rng(7);
   const std::string good = R"({"revision":4,"members":[{"id":"a\u0041","up":-1.5e3},true,null]})";
   static constexpr char kAlphabet[] = "{}[]\",:\\u0e-.\x00\xff";
   const std::string alphabet(kAlphabet, sizeof(kAlphabet) - 1);
+  const auto by_bytes = [](const std::string& text) {
+    JsonParser parser;
+    for (const char c : text) parser.Feed(std::string(1, c));
+    return parser.End();
+  };
   int refused = 0;
   for (int round = 0; round < 20000; ++round) {
     std::string text = good;
@@ -92,8 +125,10 @@
     }
     try {
       Json::Parse(text);
+      EXPECT_NO_THROW(by_bytes(text)) << text;
     } catch (const JsonError&) {
       ++refused;
+      EXPECT_THROW(by_bytes(text), JsonError) << text;
     }
   }
   EXPECT_GT(refused, 10000);
