--- a/src/main.cpp
+++ b/src/main.cpp
@@ -78,9 +78,10 @@
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
       config.sockets = std::min<size_t>(config.sockets, limit.rlim_cur);
     }
-    Log(Level::kInfo, "{} listens on {}, {} hosts known", config.name, ToText(config.listen),
-        config.known.members.size());
+    const std::string name = config.name;
+    const size_t known = config.known.members.size();
     Gateway gateway(loop, std::move(config));
+    Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
     const Signals signals(loop, gateway, signals_set);
     loop.Run();
     PrintCounters(gateway);
