Connections come up where the settings name no time-out; idle ones looked at by their own time

Without Allowed.ConnectTimeout each connection failed at once (gateway.cpp ServerOptions). The look at idle connections came once a second, late for hosts that close within one (servers.cpp Tidy).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -301,7 +301,7 @@
       loop_.Cancel(timer_);
       state_ = State::kReading;
       // Not within the call that answers: a request that waits in the buffer is a call of its own.
-      loop_.Defer([self = shared_()] { self->Next(); });
+      loop_.Defer([self = Self()] { self->Next(); });
       return;
     }
     // Closed with something unread, the kernel would reset the connection and with it the answer.
@@ -309,7 +309,7 @@
     stream_.ShutWrite();
     stream_.in().Consume(stream_.in().size());
     SetTimer(kLinger, [this] { clients_.Drop(*this); });
-    loop_.Defer([self = shared_()] { self->stream_.Resume(); });
+    loop_.Defer([self = Self()] { self->stream_.Resume(); });
   }
 
   void Next() {
@@ -342,7 +342,7 @@
     });
   }
 
-  std::shared_ptr<Connection> shared_() { return *place; }
+  std::shared_ptr<Connection> Self() { return *place; }
 
   Clients& clients_;
   EventLoop& loop_;  // may outlive the clients, as what is put off may
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -14,7 +14,8 @@
 namespace paddlestile::net {
 namespace {
 
-constexpr Duration kDrainSpare{600'000};  // us; beyond the longest deadline, after SIGTERM
+constexpr Duration kConnectUnknown{1'000'000};  // us; where the settings name no time-out
+constexpr Duration kDrainSpare{600'000};        // us; beyond the longest deadline, after SIGTERM
 
 void CountOutcome(Outcome outcome) {
   Counters& count = Count();
@@ -33,6 +34,8 @@
 Servers::Options ServerOptions(const Config& config) {
   Servers::Options options;
   options.connect_timeout = config.settings.allowed.connect_timeout;
+  // Settings that name none would else fail each connection before it can come up.
+  if (options.connect_timeout <= Duration(0)) options.connect_timeout = kConnectUnknown;
   options.idle_close = config.idle_close;
   options.report_fields = config.names.report_fields;
   options.reports_in_answers = config.settings.report.source == ReportSource::kAnswers;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -14,7 +14,9 @@
 namespace paddlestile::net {
 namespace {
 
-constexpr Duration kTidy{1'000'000};  // us; how often idle connections are looked over
+constexpr Duration kTidyMost{1'000'000};  // us; between two looks at what idles
+constexpr Duration kTidyLeast{10'000};    // us
+constexpr int kTidyPart = 10;             // looks in an idle time
 // Of the hosts' idle time; a request that crosses their close would end as a reset.
 constexpr double kIdleShare = 0.8;
 constexpr Duration kIdleUnknown{10'000'000};  // us; where the settings name no idle time
@@ -248,7 +250,7 @@
 
 Servers::Servers(EventLoop& loop, Descriptors& budget, Options options, Listener* listener)
     : loop_(loop), budget_(budget), options_(std::move(options)), listener_(listener) {
-  tidy_ = loop_.After(kTidy, [this] { Tidy(); });
+  Tidy();
 }
 
 Servers::~Servers() {
@@ -289,7 +291,7 @@
   job->until = until;
   Host* const host = Find(endpoint);
   if (host == nullptr || until <= job->sent) {
-    return Report_(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
+    return Tell(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
   }
   Begin(std::move(job), *host);
 }
@@ -300,7 +302,7 @@
   job->sent = loop_.Now();
   job->until = job->sent + kProbeTimeouts * options_.connect_timeout;
   Host* const host = Find(endpoint);
-  if (host == nullptr) return Report_(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
+  if (host == nullptr) return Tell(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
   Begin(std::move(job), *host);
 }
 
@@ -326,8 +328,8 @@
   if (!socket) {
     // A lack of our own says nothing of the host: nothing was transmitted.
     if (!refused) ++Count().host_no_descriptor;
-    return Report_(std::move(job), refused ? Outcome::kConnectFailed : Outcome::kMoot, std::nullopt,
-                   nullptr);
+    return Tell(std::move(job), refused ? Outcome::kConnectFailed : Outcome::kMoot, std::nullopt,
+                nullptr);
   }
   ++Count().host_connects;
   const auto connection = std::make_shared<Connection>(*this, host, std::move(*socket));
@@ -335,7 +337,7 @@
   ++host.open;
   if (!connection->Open()) {
     Drop(*connection);
-    return Report_(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
+    return Tell(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
   }
   connection->Start(std::move(job));
 }
@@ -352,12 +354,12 @@
     Drop(connection);
   }
   if (PADDLESTILE_CHECK(job != nullptr)) {
-    Report_(std::move(job), outcome, std::move(report), std::move(from));
+    Tell(std::move(job), outcome, std::move(report), std::move(from));
   }
 }
 
-void Servers::Report_(std::unique_ptr<Job> job, Outcome outcome, std::optional<Report> report,
-                      std::shared_ptr<const Held> from) {
+void Servers::Tell(std::unique_ptr<Job> job, Outcome outcome, std::optional<Report> report,
+                   std::shared_ptr<const Held> from) {
   const Duration took = loop_.Now() - job->sent;
   if (!job->exchange) {
     if (outcome == Outcome::kOk) ++Count().probes_ok;
@@ -438,12 +440,12 @@
 }
 
 void Servers::Tidy() {
-  const double share = options_.idle_close > Duration(0) ? kIdleShare : 1;
-  const Duration idle = options_.idle_close > Duration(0) ? options_.idle_close : kIdleUnknown;
-  const Time before =
-      loop_.Now() + kTidy - Duration(std::llround(share * static_cast<double>(idle.count())));
-  while (!idle_.empty() && idle_.front()->idle_since < before) CloseOneIdle();
-  tidy_ = loop_.After(kTidy, [this] { Tidy(); });
+  const bool known = options_.idle_close > Duration(0);
+  const Duration idle = known ? options_.idle_close : kIdleUnknown;
+  const Duration every = std::clamp(idle / kTidyPart, kTidyLeast, kTidyMost);
+  const Duration most(std::llround((known ? kIdleShare : 1) * static_cast<double>(idle.count())));
+  while (!idle_.empty() && loop_.Now() - idle_.front()->idle_since + every > most) CloseOneIdle();
+  tidy_ = loop_.After(every, [this] { Tidy(); });
 }
 
 }  // namespace paddlestile::net
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -97,8 +97,8 @@
   void Begin(std::unique_ptr<Job> job, Host& host);
   void End(Connection& connection, Outcome outcome, std::optional<Report> report,
            std::shared_ptr<const Held> from);
-  void Report_(std::unique_ptr<Job> job, Outcome outcome, std::optional<Report> report,
-               std::shared_ptr<const Held> from);
+  void Tell(std::unique_ptr<Job> job, Outcome outcome, std::optional<Report> report,
+            std::shared_ptr<const Held> from);
   void Park(Connection& connection);
   void Drop(Connection& connection);
   void DropIdle(Host& host);
--- a/tests/net/clients_test.cpp
+++ b/tests/net/clients_test.cpp
@@ -42,7 +42,7 @@
   bool OnShort() override { return clients && clients->CloseOneIdle(); }
 
   Peer Dial() { return Peer::To(clients->address()); }
-  bool Taken_(size_t count) {
+  bool HasTaken(size_t count) {
     return RunUntil(loop, [&] { return taken.size() >= count; });
   }
   bool Hears(Peer& peer, std::string_view text) {
@@ -75,7 +75,7 @@
 TEST_F(ClientsTest, TakesARequestAndPassesTheHostsAnswerOn) {
   Peer peer = Dial();
   peer.Say(Get("a"));
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   taken[0]->Finish(
       {.status = 200,
        .from = HostAnswer("HTTP/1.1 200 OK\r\nContent-Type: t\r\nConnection: close\r\n"
@@ -88,7 +88,7 @@
 TEST_F(ClientsTest, RefusalsTellWhenToComeBack) {
   Peer peer = Dial();
   peer.Say(Get("a"));
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   taken[0]->Finish({.status = 503, .retry_after = Ms(75)});
   ASSERT_TRUE(Hears(peer, "\r\n\r\n"));
   EXPECT_EQ(peer.Heard(),
@@ -103,20 +103,20 @@
     peer.Say(std::string(1, c));
     loop.RunOnce(Duration(0));
   }
-  EXPECT_TRUE(Taken_(1));
+  EXPECT_TRUE(HasTaken(1));
 }
 
 TEST_F(ClientsTest, APipelinedRequestWaitsForItsTurn) {
   Peer peer = Dial();
   peer.Say(Get("a") + Get("b") + Get("c"));
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   RunFor(loop, Ms(20));
   EXPECT_EQ(taken.size(), 1u);
   taken[0]->Finish({.status = 502});
-  ASSERT_TRUE(Taken_(2));
+  ASSERT_TRUE(HasTaken(2));
   EXPECT_EQ(taken[1]->id(), "b");
   taken[1]->Finish({.status = 502});
-  ASSERT_TRUE(Taken_(3));
+  ASSERT_TRUE(HasTaken(3));
   taken[2]->Finish({.status = 502});
   RunFor(loop, Ms(10));
   EXPECT_EQ(clients->connections(), 1u);
@@ -156,13 +156,13 @@
   ASSERT_TRUE(Hears(peer, "HTTP/1.1 400 "));
   EXPECT_TRUE(peer.Has("Content-Length: 4\r\n\r\nbad\n"));  // and says why
   peer.Say(Get("a"));
-  EXPECT_TRUE(Taken_(1));
+  EXPECT_TRUE(HasTaken(1));
 }
 
 TEST_F(ClientsTest, ConnectionCloseIsHonoured) {
   Peer peer = Dial();
   peer.Say("GET /read/1 HTTP/1.1\r\nConnection: close\r\nX-Call-Id: a\r\n\r\n");
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   taken[0]->Finish({.status = 502});
   ASSERT_TRUE(RunUntil(loop, [&] { return peer.Ended(); }));
   EXPECT_TRUE(peer.Has("Connection: close\r\n"));
@@ -171,7 +171,7 @@
 TEST_F(ClientsTest, AClientThatClosesHasLeft) {
   Peer peer = Dial();
   peer.Say(Get("a"));
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   peer.Close();
   ASSERT_TRUE(RunUntil(loop, [&] { return left.size() == 1; }));
   EXPECT_FALSE(taken[0]->Finish({.status = 502}));
@@ -181,7 +181,7 @@
 TEST_F(ClientsTest, AClientThatResetsHasLeft) {
   Peer peer = Dial();
   peer.Say(Get("a"));
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   peer.Reset();
   EXPECT_TRUE(RunUntil(loop, [&] { return left.size() == 1; }));
 }
@@ -201,14 +201,14 @@
   Peer peer = Dial();
   peer.Say(Get("a"));
   peer.Close();
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   EXPECT_TRUE(RunUntil(loop, [&] { return left.size() == 1; }));
 }
 
 TEST_F(ClientsTest, AClientThatSendsNoEndHoldsLittleMemory) {
   Peer peer = Dial();
   peer.Say(Get("a"));
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   // It goes on sending while its request is in hand.
   testing::MakeNonBlocking(peer.fd());
   size_t sent = 0;
@@ -228,7 +228,7 @@
       "POST /read HTTP/1.1\r\nExpect: 100-continue\r\nX-Call-Id: a\r\nContent-Length: 2\r\n\r\n");
   ASSERT_TRUE(Hears(peer, "HTTP/1.1 100 Continue\r\n\r\n"));
   peer.Say("ok");
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   EXPECT_EQ(taken[0]->request().body(), "ok");
   taken[0]->Finish({.status = 502});
   EXPECT_TRUE(Hears(peer, "HTTP/1.1 502 "));
@@ -243,7 +243,7 @@
   old.Say(Get("a"));
   Peer fresh = Dial();  // still let in
   fresh.Say(Get("b"));
-  ASSERT_TRUE(Taken_(2));
+  ASSERT_TRUE(HasTaken(2));
   RunFor(loop, Ms(700));
   EXPECT_TRUE(idle.Ended());  // closed between requests
   EXPECT_FALSE(done);         // two are in hand
@@ -262,7 +262,7 @@
   EXPECT_FALSE(done);
   Peer late = Dial();
   late.Say(Get("a"));
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   taken[0]->Finish({.status = 502});
   EXPECT_TRUE(RunUntil(loop, [&] { return late.Ended(); }));
   late.Close();
@@ -283,7 +283,7 @@
 TEST_F(ClientsTest, DrainingWaitsForWhatIsInHand) {
   Peer client = Dial();
   client.Say(Get("a"));
-  ASSERT_TRUE(Taken_(1));
+  ASSERT_TRUE(HasTaken(1));
   bool done = false;
   clients->Drain(Ms(500), [&] { done = true; });
   RunFor(loop, Ms(800));
@@ -316,7 +316,7 @@
   EXPECT_GT(Count().accept_waits, waits);
   EXPECT_LT(Count().accept_waits - waits, 40u);  // and did not spin
   ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &held), 0);
-  EXPECT_TRUE(Taken_(5));
+  EXPECT_TRUE(HasTaken(5));
 }
 
 class FewDescriptors : public ClientsTest {
@@ -332,13 +332,13 @@
     peers.push_back(Dial());
     peers.back().Say(Get("id" + std::to_string(i)));
   }
-  ASSERT_TRUE(Taken_(33));
+  ASSERT_TRUE(HasTaken(33));
   const uint64_t waits = Count().accept_waits;
   RunFor(loop, Ms(60));
   EXPECT_EQ(taken.size(), 33u);
   EXPECT_LT(Count().accept_waits - waits, 40u);
   for (size_t i = 0; i < 33; ++i) taken[i]->Finish({.status = 502});
-  EXPECT_TRUE(Taken_(40));
+  EXPECT_TRUE(HasTaken(40));
 }
 
 TEST_F(FewDescriptors, IdleConnectionsMakeRoom) {
@@ -347,7 +347,7 @@
   ASSERT_TRUE(RunUntil(loop, [&] { return clients->connections() == 33; }));
   Peer fresh = Dial();
   fresh.Say(Get("a"));
-  EXPECT_TRUE(Taken_(1));
+  EXPECT_TRUE(HasTaken(1));
   EXPECT_TRUE(idle[0].Ended());  // the longest idle
   EXPECT_FALSE(idle[32].Ended());
 }
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -141,6 +141,14 @@
   EXPECT_TRUE(Until([&] { return gateway->in_hand() == 0; }));
 }
 
+TEST_F(GatewayTest, ServesWhereTheSettingsNameNoConnectTimeOut) {
+  config.settings.allowed.connect_timeout = Duration(0);
+  AddHost("h1", Ok);
+  Start();
+  Peer client = Ask(Request("a"));
+  EXPECT_TRUE(Until([&] { return client.Has("served"); }));
+}
+
 TEST_F(GatewayTest, TriesAnotherHostAfterARefusedConnection) {
   AddHost("h1", Ok).port.Close();
   AddHost("h2", Ok);
