--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -184,7 +184,7 @@
 
 size_t NameTable::Find(std::string_view name) const {
   const auto at = places_.find(name);
-  return at == places_.end() ? places_.size() : at->second;
+  return at == places_.end() ? size_ : at->second;
 }
 
 HostList ParseHostList(const Json& json, const Names& names,
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -33,13 +33,15 @@
 // The names that the sockets use, with their places in the settings' lists.
 class NameTable {
  public:
-  void Add(std::string name) { places_.emplace(std::move(name), places_.size()); }
+  // The next place; a name that stands there twice keeps its first, and those behind it theirs.
+  void Add(std::string name) { places_.emplace(std::move(name), size_++); }
   // The place of a name, or size() for one that is not there.
   [[nodiscard]] size_t Find(std::string_view name) const;
-  [[nodiscard]] size_t size() const { return places_.size(); }
+  [[nodiscard]] size_t size() const { return size_; }
 
  private:
   std::map<std::string, size_t, std::less<>> places_;
+  size_t size_ = 0;
 };
 
 struct Names {
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -149,6 +149,16 @@
   }
 }
 
+// A name twice in a list must not move the places of those behind it.
+TEST(NameTable, KeepsPlacesBehindARepeatedName) {
+  NameTable table;
+  for (const char* const name : {"a", "b", "a", "c"}) table.Add(name);
+  EXPECT_EQ(table.Find("a"), 0u);
+  EXPECT_EQ(table.Find("c"), 3u);
+  EXPECT_EQ(table.size(), 4u);
+  EXPECT_EQ(table.Find("d"), 4u);
+}
+
 TEST(HostList, PhasesAndUnknownNames) {
   Names names;
   names.zones.Add("a");
