--- a/tests/net/clients_test.cpp
+++ b/tests/net/clients_test.cpp
@@ -222,6 +222,29 @@
   EXPECT_EQ(clients->connections(), 1u);
 }
 
+// Requests behind one another and nothing read: no next one is taken before the last answer has
+// left for the kernel, so that answers do not pile up here; once it reads, it gets them all.
+TEST_F(ClientsTest, AClientThatNeverReadsHoldsOneAnswer) {
+  constexpr size_t kRequests = 300;
+  const auto answer = HostAnswer(testing::Http200(std::string(60000, 'a')));
+  Peer peer = Dial();
+  std::string all;
+  for (size_t i = 0; i < kRequests; ++i) all += Get("id" + std::to_string(i));
+  size_t answered = 0;
+  const auto serve = [&] {
+    for (; answered < taken.size(); ++answered) {
+      taken[answered]->Finish({.status = 200, .from = answer});
+    }
+  };
+  peer.Say(all);
+  RunUntil(
+      loop, [&] { return serve(), false; }, Ms(300));
+  EXPECT_GT(taken.size(), 5u);
+  EXPECT_LT(taken.size(), kRequests);  // 18 MB are more than the kernel holds
+  ASSERT_TRUE(RunUntil(loop, [&] { return serve(), peer.Heard().size() > kRequests * 60000; }));
+  EXPECT_EQ(taken.size(), kRequests);
+}
+
 TEST_F(ClientsTest, ExpectContinueIsAsked) {
   Peer peer = Dial();
   peer.Say(
--- a/tests/net/servers_test.cpp
+++ b/tests/net/servers_test.cpp
@@ -275,6 +275,28 @@
   EXPECT_EQ(ends.size(), 1u);
 }
 
+// Where the settings allow second copies: each attempt has its outcome, and the first 200 is the
+// only answer.
+TEST_F(ServersTest, TwoAttemptsOfOneRequestEndEachForItself) {
+  Make(Plain());
+  testing::Port other;
+  servers->SetAddress("h2", other.address());
+  const auto exchange = Send();
+  servers->Send(exchange, exchange->NextAttempt(), "h2", exchange->deadline());
+  Peer one = Host();
+  Peer two = other.Take(loop);
+  ASSERT_TRUE(RunUntil(loop, [&] { return two.Has("body"); }));
+  two.Say(Http200("second"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].attempt, 1u);
+  EXPECT_TRUE(exchange->Finish({.status = 200}));
+  one.Say(Http200("first"));
+  ASSERT_TRUE(Ended(2));
+  EXPECT_EQ(ends[1].attempt, 0u);
+  EXPECT_EQ(ends[1].outcome, Outcome::kOk);
+  EXPECT_FALSE(exchange->Finish({.status = 200}));
+}
+
 TEST_F(ServersTest, KeepsAConnectionForTheNextRequest) {
   Make(Plain());
   Send("id1");
