SIGHUP has the file read again and a new discovery watched at once

With the signal's default disposition it ends the program: main.cpp blocked only SIGTERM, SIGINT and SIGUSR1, and List knew one address for good.

Now main rereads (a half-written file again for 3 s), config checks the whole file, list moves its watch: the old one is kept until the new one has spoken. An older list no longer fails the watch: an agent that lags catches up on it, and one that stays behind for 15 s counts by itself and is believed.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,8 @@
 #include <cstring>
 #include <exception>
 #include <memory>
+#include <string>
+#include <utility>
 
 #include "net/config.h"
 #include "net/counters.h"
@@ -23,19 +25,25 @@
   LogLine(Level::kInfo, "counters: " + gateway.StateText());
 }
 
-// SIGTERM and SIGINT drain, SIGUSR1 prints the counters.
+// A file that is being written may make no sense at the moment of the signal, and no second signal
+// comes once it does: it is looked at again for a while.
+constexpr Duration kRereadAgain{200'000};  // us
+constexpr int kRereads = 15;
+
+// SIGTERM and SIGINT drain, SIGUSR1 prints the counters, SIGHUP has the file read again.
 class Signals final : public EventLoop::Handler {
  public:
   // Blocks them; done before anything else, so that none ends the program between.
   static sigset_t Block() {
     sigset_t set;
     sigemptyset(&set);
-    for (const int signal : {SIGTERM, SIGINT, SIGUSR1}) sigaddset(&set, signal);
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, signal);
     sigprocmask(SIG_BLOCK, &set, nullptr);
     return set;
   }
 
-  Signals(EventLoop& loop, Gateway& gateway, const sigset_t& set) : loop_(loop), gateway_(gateway) {
+  Signals(EventLoop& loop, Gateway& gateway, std::string path, const sigset_t& set)
+      : loop_(loop), gateway_(gateway), path_(std::move(path)) {
     fd_ = Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     uint64_t token = 0;
     if (!fd_ || !loop_.Watch(fd_.get(), this, token)) {
@@ -48,6 +56,8 @@
     while (read(fd_.get(), &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
       if (info.ssi_signo == SIGUSR1) {
         PrintCounters(gateway_);
+      } else if (info.ssi_signo == SIGHUP) {
+        Reread(kRereads);
       } else if (!draining_) {
         draining_ = true;
         Log(Level::kInfo, "draining");
@@ -57,8 +67,29 @@
   }
 
  private:
+  // What runs is kept where the file makes no sense. Also while draining: hosts go on changing.
+  void Reread(int more) {
+    loop_.Cancel(reread_);
+    ++Count().config_rereads;
+    try {
+      const Address discovery =
+          ReadDiscovery(path_, [&](double ms) { return loop_.clock().FromWall(ms); });
+      Log(Level::kInfo, "configuration read again: discovery at {}", ToText(discovery));
+      gateway_.Redirect(discovery);
+    } catch (const std::exception& error) {
+      ++Count().config_refused;
+      // The first try and the last say so.
+      if (more == kRereads || more == 0) {
+        Log(Level::kWarning, "configuration kept as it was: {}", error.what());
+      }
+      if (more > 0) reread_ = loop_.After(kRereadAgain, [this, more] { Reread(more - 1); });
+    }
+  }
+
   EventLoop& loop_;
   Gateway& gateway_;
+  std::string path_;
+  EventLoop::TimerId reread_;
   Fd fd_;
   bool draining_ = false;
 };
@@ -78,11 +109,11 @@
     if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
       config.sockets = std::min<size_t>(config.sockets, limit.rlim_cur);
     }
-    const std::string name = config.name;
+    const std::string name = config.name, path = config.path;
     const size_t known = config.known.members.size();
     Gateway gateway(loop, std::move(config));
     Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
-    const Signals signals(loop, gateway, signals_set);
+    const Signals signals(loop, gateway, path, signals_set);
     loop.Run();
     PrintCounters(gateway);
     return 0;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 #include <utility>
 
+#include "brain_state.h"
 #include "net/http.h"
 #include "wire/wire.h"
 
@@ -86,6 +87,13 @@
   }
 }
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  if (!file && text.empty()) throw ConfigError("LB_CONFIG: cannot read the file it names");
+  return text;
+}
+
 // A name or, on some platforms, a place.
 size_t PlaceOf(const Json* value, const NameTable& names) {
   if (value == nullptr || value->type() == Json::Type::kNull) return 0;
@@ -205,17 +213,28 @@
   return out;
 }
 
+Address ReadDiscovery(const std::string& path, const std::function<Time(double)>& from_wall) {
+  const std::string text = ReadFile(path);
+  try {
+    const Json json = Json::Parse(text);
+    const Config config = ParseConfig(json, from_wall);
+    CheckSettings(config.settings);
+    return ParseAddress(json.Need("discovery", Json::Type::kString).text());
+  } catch (const std::exception& error) {
+    throw ConfigError(fmt::format("LB_CONFIG: {}", error.what()));
+  }
+}
+
 Config ReadConfig(const std::function<const char*(const char*)>& env,
                   const std::function<Time(double)>& from_wall) {
   const std::string name = NeedVariable(env, "LB_NAME");
   const Address listen = AddressVariable(env, "LB_LISTEN");
   const Address discovery = AddressVariable(env, "LB_DISCOVERY");
   const std::string path = NeedVariable(env, "LB_CONFIG");
-  std::ifstream file(path, std::ios::binary);
-  std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
-  if (!file && text.empty()) throw ConfigError("LB_CONFIG: cannot read the file it names");
+  const std::string text = ReadFile(path);
   try {
     Config config = ParseConfig(Json::Parse(text), from_wall);
+    config.path = path;
     config.name = name;
     config.listen = listen;
     config.discovery = discovery;
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -61,7 +61,7 @@
 };
 
 struct Config {
-  std::string name;
+  std::string path, name;  // the file's path; the gateway's name
   Address listen, discovery;
   uint64_t seed = 0;
   size_t sockets = 1024;
@@ -78,6 +78,10 @@
 // The settings, nested, as the path=value pairs of the wire, which owns the mapping of names.
 std::string FlattenSettings(const Json& settings);
 
+// Where discovery is by the file at `path`, read anew. The whole file must make sense: one that is
+// half-written says nothing. Throws ConfigError with one line that names what is wrong.
+Address ReadDiscovery(const std::string& path, const std::function<Time(double)>& from_wall);
+
 // `env` gives a variable or null. Throws ConfigError with one line that names what is wrong.
 Config ReadConfig(const std::function<const char*(const char*)>& env,
                   const std::function<Time(double)>& from_wall);
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -39,6 +39,8 @@
   X(reports_malformed)  /* load reports that were not understood */    \
   X(probes)                                                            \
   X(probes_ok)                                                         \
+  X(config_rereads) /* readings of the file after SIGHUP */            \
+  X(config_refused) /* of those, without sense */                      \
   X(list_updates)   /* lists and changes taken over */                 \
   X(list_malformed) /* lists that were not understood */               \
   X(list_old)       /* lists older than the one held */                \
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -33,6 +33,9 @@
   // Takes no longer part after this: serves what still comes, then calls `done`.
   void Drain(std::function<void()> done);
 
+  // Discovery is elsewhere from now on; nothing else changes.
+  void Redirect(const Address& discovery) { list_->Redirect(discovery); }
+
   // Counters and the present state, one line.
   [[nodiscard]] std::string StateText() const;
 
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -111,10 +111,14 @@
   }
 
   bool EndOfLine() {
-    list_.failures_ = 0;
+    list_.Spoken(*this);
     const bool good = !line_.begun() || list_.Take(line_, false);  // an empty one keeps the watch
     line_ = JsonParser();
-    return good;
+    // Its numbers are others than ours: from now on they hold, and it is asked for the whole.
+    if (!good || !list_.BehindForLong()) return good;
+    list_.revision_ = 0;
+    list_.behind_since_ = Time(-1);
+    return false;
   }
 
   void SetTimer(Duration after) {
@@ -149,6 +153,7 @@
 List::~List() {
   loop_.Cancel(again_);
   if (watch_) watch_->Stop();
+  if (old_) old_->Stop();
   if (fetch_) fetch_->Stop();
 }
 
@@ -156,6 +161,23 @@
   if (own_watch_) Open(watch_, true);
 }
 
+// Where the file of the configuration names a new address the old agent closes soon, and what it
+// does not tell before that only the new one has: waiting for the old watch's end would lose
+// drains.
+void List::Redirect(const Address& discovery) {
+  if (discovery == discovery_) return;
+  discovery_ = discovery;
+  const bool watching = watch_ != nullptr || again_.number != 0;
+  if (watch_ && spoken_) {
+    Close(old_);
+    old_ = std::move(watch_);
+  }
+  failures_ = 0;
+  loop_.Cancel(again_);
+  // Where the module asks, one that failed is asked for again by the module, at the new address.
+  if (own_watch_ || watching) Open(watch_, true);
+}
+
 void List::Follow(bool on) {
   if (own_watch_) return;  // it is on already, whatever is asked
   loop_.Cancel(again_);
@@ -163,14 +185,23 @@
     Open(watch_, true);
   } else {
     Close(watch_);
+    Close(old_);
   }
 }
 
+void List::Spoken(const Call& call) {
+  if (&call != watch_.get()) return;
+  failures_ = 0;
+  spoken_ = true;
+  Close(old_);
+}
+
 void List::Fetch() { Open(fetch_, false); }
 
 void List::Open(std::unique_ptr<Call>& call, bool watch) {
   Close(call);
   if (watch) ++Count().list_watches;
+  if (watch) spoken_ = false;
   bool refused = false;
   std::optional<Socket> socket = Connect(discovery_, nullptr, refused);
   if (socket) {
@@ -193,6 +224,7 @@
 void List::Failed(Call& call, std::string_view why) {
   const bool watch = call.watch();
   Log(Level::kWarning, "discovery {}: {}", watch ? "watch" : "call", why);
+  if (&call == old_.get()) return Close(old_);  // its time was over anyway
   ++Count().list_failures;
   Close(watch ? watch_ : fetch_);
   listener_->OnListFailed();
@@ -208,6 +240,10 @@
   });
 }
 
+bool List::BehindForLong() const {
+  return behind_since_ >= Time(0) && loop_.Now() - behind_since_ >= most_behind_;
+}
+
 bool List::Malformed(std::string_view why) {
   ++Count().list_malformed;
   Log(Level::kWarning, "discovery: {}", why);
@@ -229,12 +265,16 @@
     HostList list =
         ParseHostList(parser.End(), names_, [&](double ms) { return clock.FromWall(ms); });
     if (must_be_whole && !list.complete) throw JsonError("not the whole list");
-    // An older list would bring back hosts that have gone; the one held stays.
+    // An older list would bring back hosts that have gone; the one held stays. An agent that lags
+    // catches up on the same watch. One that never does counts by itself, and to pass it over for
+    // ever would leave the list held for ever.
     if (list.revision < revision_) {
       ++Count().list_old;
       Log(Level::kWarning, "discovery: revision {:.0f} after {:.0f}", list.revision, revision_);
-      return false;
+      if (behind_since_ < Time(0)) behind_since_ = loop_.Now();
+      return !must_be_whole;
     }
+    behind_since_ = Time(-1);
     revision_ = list.revision;
     ++Count().list_updates;
     listener_->OnList(std::move(list));
--- a/src/net/list.h
+++ b/src/net/list.h
@@ -36,18 +36,25 @@
   List& operator=(const List&) = delete;
 
   void Start();  // the own watch, if so
+  // Discovery is elsewhere from now on. The watch there begins at once; the old one goes on telling
+  // until the new one has spoken, and is not begun again.
+  void Redirect(const Address& discovery);
   void Follow(bool on);
   void Fetch();
 
   [[nodiscard]] double revision() const { return revision_; }
+  // How long lists older than the one held are passed over before they are believed.
+  void set_most_behind(Duration most) { most_behind_ = most; }
 
  private:
   class Call;
   void Open(std::unique_ptr<Call>& call, bool watch);
+  void Spoken(const Call& call);
   void Close(std::unique_ptr<Call>& call);
   // Each false where what came is no list; that is counted and logged.
   bool Read(JsonParser& parser, std::string_view piece);
   bool Take(JsonParser& parser, bool must_be_whole);
+  [[nodiscard]] bool BehindForLong() const;
   bool Malformed(std::string_view why);
   void Failed(Call& call, std::string_view why);
   void Again();
@@ -59,7 +66,11 @@
   bool own_watch_;
   Listener* listener_;
   std::unique_ptr<Call> watch_, fetch_;
-  int failures_ = 0;  // of the watch, in a row
+  std::unique_ptr<Call> old_;         // the watch at the address before, until watch_ has spoken
+  bool spoken_ = false;               // watch_ has
+  Time behind_since_{-1};             // what it tells is older than the list held; -1: it is not
+  Duration most_behind_{15'000'000};  // us; agents lag by some seconds on bad days
+  int failures_ = 0;                  // of the watch, in a row
   EventLoop::TimerId again_;
 };
 
--- a/tests/main_test.cpp
+++ b/tests/main_test.cpp
@@ -150,6 +150,57 @@
   EXPECT_TRUE(client.Ended());
 }
 
+// Whether somebody has begun a watch at a port.
+bool Watched(Port& port, Peer& peer) {
+  for (int i = 0; i < 1000; ++i) {
+    if (!peer) peer = port.TryTake();
+    if (peer && peer.Has("follow=1")) return true;
+    usleep(5000);
+  }
+  return false;
+}
+
+// SIGHUP, more than once and while draining: the file is read again, and nothing else changes.
+TEST_F(Program, ReadsItsConfigurationAgainOnHangUp) {
+  const auto write = [&](const std::string& discovery_text) {
+    std::string text = kConfig;
+    text.insert(1, R"("discovery":")" + discovery_text + R"(",)");
+    std::ofstream(path_) << text;
+  };
+  Start();
+  ASSERT_TRUE(Says("listens on"));
+  Peer first, second, third;
+  ASSERT_TRUE(Watched(discovery, first));
+  first.Say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+  Peer client = Peer::To(address);
+  client.Say("GET /_health HTTP/1.1\r\n\r\n");
+  for (int i = 0; i < 2000 && !client.Has("200 OK"); ++i) usleep(5000);
+
+  std::ofstream(path_) << kConfig.substr(0, 100);  // half of it, at first
+  kill(pid(), SIGHUP);
+  ASSERT_TRUE(Says("configuration kept as it was"));
+  EXPECT_FALSE(first.Ended());
+  Port elsewhere;
+  write(elsewhere.text());
+  ASSERT_TRUE(Watched(elsewhere, second));  // without a second signal
+  second.Say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+  for (int i = 0; i < 1000 && !first.Ended(); ++i) usleep(5000);
+  EXPECT_TRUE(first.Ended());
+
+  std::remove(path_.c_str());
+  kill(pid(), SIGHUP);
+  ASSERT_TRUE(Says("cannot read the file"));
+  EXPECT_FALSE(second.Ended());
+
+  kill(pid(), SIGTERM);
+  ASSERT_TRUE(Says("draining"));
+  Port last;
+  write(last.text());
+  kill(pid(), SIGHUP);
+  EXPECT_TRUE(Watched(last, third));
+  EXPECT_EQ(Wait(), 0);
+}
+
 // Each of nine hundred clients has sent all but the last byte of the longest body.
 TEST_F(Program, HoldsAThousandLongRequestsInItsMemory) {
   rlimit files{};
