Clients: bounded in time, in turns and in their share of descriptors

Now: a whole first request within 2.5 s of connecting, later ones within 2.5 s of their first byte, 5 s between two. The silent make room first, then idle clients, then hosts' connections; clients have 0.6 of the descriptors. What makes no sense is answered once and closed. Accepting and rows of requests take turns. A lingering close throws away 1 MiB at most, without a copy, and reads no further.

Excluded: CPU (0.07 s in the worst second), parsing, the module (it refused for want of sends).

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -20,15 +20,23 @@
 namespace paddlestile::net {
 namespace {
 
-constexpr Duration kRequestTime{10'000'000};  // us; for a request once begun, and to take an answer
-constexpr Duration kLinger{1'000'000};        // us; for a client to read its last answer
-constexpr Duration kAcceptAgain{5'000};       // us; while descriptors are short
-constexpr Duration kDrainStep{20'000};        // us
+// For a whole request: from the connect on for the first, else from its first byte; never begun
+// anew, or a byte at a time would hold a descriptor for ever.
+constexpr Duration kRequestTime{2'500'000};  // us
+constexpr Duration kAnswerTime{10'000'000};  // us; to take an answer
+constexpr Duration kIdleTime{5'000'000};     // us; between two requests
+constexpr int kAcceptAtOnce = 32;            // connections before others have their turn
+// Of all descriptors: clients that say nothing come by hundreds and must leave some to the hosts.
+constexpr double kShare = 0.6;
+constexpr Duration kLinger{1'000'000};   // us; for a client to read its last answer
+constexpr Duration kAcceptAgain{5'000};  // us; while descriptors are short
+constexpr Duration kDrainStep{20'000};   // us
 // New connections go on coming for up to 0.4 s after SIGTERM; what comes on old ones from 0.7 s on
 // may find no time to be answered, so that idle ones are closed in between.
 constexpr Duration kDrainIdleAfter{450'000};  // us
 constexpr Duration kDrainQuiet{150'000};      // us; without a new connection
 constexpr int kBacklog = 4096;
+constexpr int kReceive = 1 << 17;  // bytes that the kernel may hold of a client; a request is less
 constexpr size_t kIdMost = 64;
 constexpr uint64_t kBudgetMost = 600'000;  // ms
 
@@ -157,6 +165,7 @@
     address.sin_addr.s_addr = htonl(listen.host);
     const auto* const name = reinterpret_cast<const sockaddr*>(&address);
     if (!fd_ || setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+        setsockopt(fd_.get(), SOL_SOCKET, SO_RCVBUF, &kReceive, sizeof(kReceive)) != 0 ||
         bind(fd_.get(), name, sizeof(address)) != 0 || ::listen(fd_.get(), kBacklog) != 0 ||
         !loop_.Watch(fd_.get(), this, token_)) {
       throw std::system_error(errno, std::generic_category(), "listen on " + ToText(listen));
@@ -195,7 +204,8 @@
 
   bool Start() {
     if (!stream_.Start()) return false;
-    BecomeIdle();
+    SetTimer(kRequestTime, [this] { OutOfTime(); });
+    BecomeIdle(clients_.silent_);
     return true;
   }
 
@@ -221,7 +231,6 @@
   void OnRead() override {
     if (state_ == State::kReading) Read();
     if (stream_.closed()) return;
-    if (state_ == State::kLingering) stream_.in().Consume(stream_.in().size());
     // The end of what the client sends is taken for its leaving: it closes when it has gone.
     if (stream_.ended() && state_ != State::kReading) clients_.Drop(*this);
   }
@@ -232,7 +241,8 @@
       return;
     }
     StopIdling();
-    if (!parser_.begun()) SetTimer(kRequestTime, [this] { Refuse(408, "request too slow"); });
+    if (!parser_.begun() && spoken_) SetTimer(kRequestTime, [this] { OutOfTime(); });
+    spoken_ = true;
     const Progress progress = parser_.Feed(stream_.in());
     if (progress == Progress::kBad) return Refuse(parser_.status_for_bad(), "malformed request");
     if (progress == Progress::kDone) return Take();
@@ -240,6 +250,13 @@
     Continue();
   }
 
+  void OutOfTime() {
+    if (parser_.begun()) return Refuse(408, "request too slow");
+    // One whose request has come and was not read yet is about to be read.
+    if (stream_.Quiet()) return clients_.Drop(*this);
+    SetTimer(kAcceptAgain, [this] { OutOfTime(); });
+  }
+
   // A client may wait to be asked for the body.
   void Continue() {
     const Message& m = parser_.message();
@@ -272,6 +289,8 @@
     }
     ++Count().requests_malformed;
     Log(Level::kInfo, "request answered {}: {}", taken.bad_status, taken.why);
+    // Who sends what makes no sense is not heard out: hundreds more may lie behind it.
+    keep_alive_ = keep_alive_ && taken.bad_status >= 500;
     Reply({.status = taken.bad_status, .why = taken.why + '\n'});
   }
 
@@ -290,7 +309,7 @@
     if (!PADDLESTILE_CHECK(state_ == State::kWaiting)) return;
     state_ = State::kWriting;
     keep_alive_ = keep_alive_ && !clients_.draining_;
-    SetTimer(kRequestTime, [this] { clients_.Drop(*this); });  // it never reads
+    SetTimer(kAnswerTime, [this] { clients_.Drop(*this); });  // it never reads
     stream_.Write(HeadForClient(answer, keep_alive_) + answer.why, answer.from,
                   answer.from ? answer.from->body() : std::string_view());
   }
@@ -300,22 +319,28 @@
     if (keep_alive_) {
       loop_.Cancel(timer_);
       state_ = State::kReading;
-      // Not within the call that answers: a request that waits in the buffer is a call of its own.
-      loop_.Defer([self = Self()] { self->Next(); });
+      // A request that waits in the buffer is a call of its own, and hundreds may: after others.
+      if (stream_.in().empty() && !stream_.ended()) {
+        loop_.Defer([self = Self()] { self->Next(); });
+      } else {
+        loop_.Yield([self = Self()] { self->Next(); });
+      }
       return;
     }
     // Closed with something unread, the kernel would reset the connection and with it the answer.
     state_ = State::kLingering;
     stream_.ShutWrite();
-    stream_.in().Consume(stream_.in().size());
     SetTimer(kLinger, [this] { clients_.Drop(*this); });
-    loop_.Defer([self = Self()] { self->stream_.Resume(); });
+    loop_.Yield([self = Self()] {
+      if (!self->stream_.closed()) self->stream_.Discard();
+    });
   }
 
   void Next() {
     if (stream_.closed() || state_ != State::kReading) return;
     if (stream_.in().empty() && !stream_.ended()) {
-      BecomeIdle();
+      SetTimer(kIdleTime, [this] { OutOfTime(); });
+      BecomeIdle(clients_.idle_);
     } else {
       Read();
     }
@@ -324,14 +349,14 @@
 
   void OnBroken() override { clients_.Drop(*this); }
 
-  void BecomeIdle() {
-    if (idle_) return;
-    idle_ = true;
-    idle_place_ = clients_.idle_.insert(clients_.idle_.end(), this);
+  void BecomeIdle(std::list<Connection*>& among) {
+    if (among_ != nullptr) return;
+    among_ = &among;
+    idle_place_ = among.insert(among.end(), this);
   }
   void StopIdling() {
-    if (idle_) clients_.idle_.erase(idle_place_);
-    idle_ = false;
+    if (among_ != nullptr) among_->erase(idle_place_);
+    among_ = nullptr;
   }
 
   void SetTimer(Duration after, std::function<void()> then) {
@@ -349,7 +374,9 @@
   Stream stream_;
   MessageParser parser_{MessageParser::Kind::kRequest};
   State state_ = State::kReading;
-  bool keep_alive_ = true, idle_ = false, asked_ = false;
+  bool keep_alive_ = true, asked_ = false;
+  bool spoken_ = false;                      // has sent its first byte
+  std::list<Connection*>* among_ = nullptr;  // the list it idles in
   std::list<Connection*>::iterator idle_place_;
   std::shared_ptr<Exchange> exchange_;
   EventLoop::TimerId timer_;
@@ -370,13 +397,26 @@
 }
 
 void Clients::Accept() {
-  while (listening_) {
-    if (!budget_.Take()) {
+  for (int accepted = 0; listening_; ++accepted) {
+    if (accepted == kAcceptAtOnce) {
+      if (std::exchange(accept_yielded_, true)) return;
+      loop_.Yield([this, alive = std::weak_ptr(alive_)] {
+        if (alive.expired()) return;
+        accept_yielded_ = false;
+        Accept();
+      });
+      return;
+    }
+    const bool share =
+        static_cast<double>(connections_.size()) < kShare * static_cast<double>(budget_.most());
+    if (!share || !budget_.Take()) {
       // Room is made only for somebody who waits: else the last free descriptor would cost an idle
       // connection each time.
       pollfd waiting{listening_->fd(), POLLIN, 0};
       if (poll(&waiting, 1, 0) == 0) return;
-      if (!listener_->OnShort() || !budget_.Take()) return AcceptLater();
+      if (!(share ? listener_->OnShort() : CloseOneIdle()) || !budget_.Take()) {
+        return AcceptLater();
+      }
     }
     Socket socket(Fd(accept4(listening_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)),
                   &budget_);
@@ -417,8 +457,10 @@
   connections_.erase(connection.place);
 }
 
-bool Clients::CloseOneIdle() {
-  for (Connection* const connection : idle_) {
+bool Clients::CloseOneIdle() { return CloseOne(silent_) || CloseOne(idle_); }
+
+bool Clients::CloseOne(std::list<Connection*>& among) {
+  for (Connection* const connection : among) {
     // One with a request on its way that was not read yet stays: that request is taken.
     if (!connection->stream().Quiet()) continue;
     ++Count().clients_reclaimed;
@@ -441,9 +483,11 @@
   const Time now = loop_.Now();
   const bool quiet = now - drain_since_ >= kDrainIdleAfter && now - last_accept_ >= kDrainQuiet;
   if (now - drain_since_ >= kDrainIdleAfter) {
-    for (auto at = idle_.begin(); at != idle_.end();) {
-      Connection* const connection = *at++;
-      if (connection->stream().Quiet()) Drop(*connection);
+    for (auto* const among : {&silent_, &idle_}) {
+      for (auto at = among->begin(); at != among->end();) {
+        Connection* const connection = *at++;
+        if (connection->stream().Quiet()) Drop(*connection);
+      }
     }
   }
   if (now >= drain_until_) {
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -59,7 +59,8 @@
   // for. `done` runs when none is left.
   void Drain(Duration at_most, std::function<void()> done);
 
-  // Closes the connection that has been between requests for longest; false where there is none.
+  // Closes the connection that has said nothing for longest, else the one that has been between
+  // requests for longest; false where there is none.
   bool CloseOneIdle();
 
   [[nodiscard]] size_t connections() const { return connections_.size(); }
@@ -71,6 +72,7 @@
 
   void Accept();
   void AcceptLater();
+  bool CloseOne(std::list<Connection*>& among);
   void Drop(Connection& connection);
   void DrainStep();
 
@@ -80,9 +82,11 @@
   Address address_;
   std::unique_ptr<Listening> listening_;
   std::list<std::shared_ptr<Connection>> connections_;
-  std::list<Connection*> idle_;  // between requests, the longest first
+  std::list<Connection*> silent_;  // have said nothing yet, the longest first
+  std::list<Connection*> idle_;    // between requests, the longest first
   EventLoop::TimerId accept_timer_, drain_timer_;
-  bool draining_ = false;
+  bool draining_ = false, accept_yielded_ = false;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
   Time last_accept_{0}, drain_since_{0}, drain_until_{0};
   std::function<void()> drained_;
 };
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -104,9 +104,18 @@
   }
 }
 
+void EventLoop::RunYielded() {
+  std::vector<std::function<void()>> now;
+  now.swap(yielded_);
+  for (const auto& then : now) {
+    then();
+    RunDeferred();
+  }
+}
+
 void EventLoop::RunOnce(Duration at_most) {
   RunDeferred();
-  Duration wait = std::max(at_most, Duration(0));
+  Duration wait = yielded_.empty() ? std::max(at_most, Duration(0)) : Duration(0);
   if (!timers_.empty()) {
     wait = std::clamp(timers_.begin()->first.first - Now(), Duration(0), wait);
   }
@@ -115,6 +124,7 @@
   std::array<epoll_event, 256> events;
   const int n = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), ms);
   const Time began = Now();
+  RunYielded();
   for (int i = 0; i < n; ++i) {
     const uint64_t token = events[static_cast<size_t>(i)].data.u64;
     const Slot slot = slots_[static_cast<uint32_t>(token)];
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -79,6 +79,10 @@
   // Runs after the handler now at work has returned and before any other.
   void Defer(std::function<void()> then) { deferred_.push_back(std::move(then)); }
 
+  // Runs after all that this round of the loop has still to do: for work that would go on and on
+  // and must let others have their turn.
+  void Yield(std::function<void()> then) { yielded_.push_back(std::move(then)); }
+
   // One wait, until something is due, and what it brought.
   void RunOnce(Duration at_most);
   void Run();
@@ -95,6 +99,7 @@
   };
   void RunDeferred();
   void RunTimers();
+  void RunYielded();
 
   Clock clock_;
   Fd epoll_;
@@ -102,7 +107,7 @@
   std::vector<uint32_t> free_;
   std::map<std::pair<Time, uint64_t>, std::function<void()>> timers_;
   uint64_t next_timer_ = 1;
-  std::vector<std::function<void()>> deferred_;
+  std::vector<std::function<void()>> deferred_, yielded_;
   bool stopped_ = false;
 };
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -130,7 +130,9 @@
 }
 
 bool Gateway::OnShort() {
-  return servers_->CloseOneIdle() || (clients_ && clients_->CloseOneIdle());
+  // Clients first: one that idles may never come back, and a new connection to a host costs it
+  // work.
+  return (clients_ && clients_->CloseOneIdle()) || servers_->CloseOneIdle();
 }
 
 void Gateway::OnSettled(const std::shared_ptr<Exchange>& exchange, size_t attempt,
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -322,7 +322,7 @@
   bool refused = false;
   std::optional<Socket> socket;
   if (room) socket = Connect(host.address, &budget_, refused);
-  if (room && !socket && !refused && CloseOneIdle()) {
+  if (room && !socket && !refused && listener_->OnShort()) {
     socket = Connect(host.address, &budget_, refused);
   }
   if (!socket) {
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -43,6 +43,8 @@
                                const std::string& endpoint, Duration took) = 0;
     virtual void OnProbed(const std::string& endpoint, Outcome outcome, Duration took,
                           std::optional<Report> report) = 0;
+    // Descriptors are short; true where one was set free.
+    virtual bool OnShort() = 0;
 
    protected:
     ~Listener() = default;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -18,6 +18,9 @@
 namespace {
 constexpr size_t kReadAtLeast = 2048;
 constexpr size_t kPiecesAtOnce = 16;
+// A peer may have 60 MB more to say: past so much it is left to its own full buffers.
+constexpr size_t kDiscardMost = 1 << 20;
+constexpr size_t kDiscardAtOnce = 1 << 17;
 }  // namespace
 
 std::optional<Socket> Connect(const Address& to, Descriptors* budget, bool& refused) {
@@ -60,7 +63,31 @@
   owner_->OnBroken();
 }
 
+void Stream::Discard() {
+  discarding_ = true;
+  in_.Consume(in_.size());
+  Resume();
+}
+
+bool Stream::ReadNothing() {
+  while (discarded_ < kDiscardMost) {
+    const ssize_t n = recv(socket_.get(), nullptr, kDiscardAtOnce, MSG_TRUNC);
+    if (n > 0) {
+      discarded_ += static_cast<size_t>(n);
+      continue;
+    }
+    if (n < 0 && errno == EINTR) continue;
+    readable_ = false;
+    if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return false;
+    ended_ = n == 0;
+    if (!ended_) Break();
+    return ended_;
+  }
+  return false;
+}
+
 bool Stream::ReadAll() {
+  if (discarding_) return !closed_ && !ended_ && !broken_ && ReadNothing();
   bool news = false;
   while (!closed_ && !ended_ && !broken_) {
     if (in_.size() >= most_unread_) return news;  // the edge stays open for Resume
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -103,6 +103,9 @@
              std::string_view body = {});
   // Says that no more will be written.
   void ShutWrite();
+  // From now on what comes is thrown away unseen, without a copy, up to a bound; OnRead tells only
+  // of the end.
+  void Discard();
   void Close();
 
   // Whether an idle connection is fit for use: nothing came on it, not even its end.
@@ -117,6 +120,7 @@
   void OnEvents(uint32_t events) final;
   // True where something new was read or the end was seen.
   bool ReadAll();
+  bool ReadNothing();
   void Flush();
   void Break();
 
@@ -126,6 +130,8 @@
   uint64_t token_ = 0;
   bool watched_ = false, connected_, closed_ = false, ended_ = false, broken_ = false;
   bool readable_ = false;  // an edge not yet read to its end
+  bool discarding_ = false;
+  size_t discarded_ = 0;
   size_t most_unread_ = SIZE_MAX;
   Buffer in_;
   std::deque<Piece> out_;
--- a/tests/net/servers_test.cpp
+++ b/tests/net/servers_test.cpp
@@ -55,6 +55,7 @@
                 std::optional<Report> report) override {
     probes.emplace_back(outcome, std::move(report));
   }
+  bool OnShort() override { return servers->CloseOneIdle(); }
 
   void Make(Servers::Options options) {
     servers = std::make_unique<Servers>(loop, budget, std::move(options), this);
