Spoilt answers are an outcome of their own and eject no host by themselves

Now an outcome of its own (kUnusable): may have run, weighs half of a failure, four in a row eject. A 4xx of a host blames the request: passed on at once, not tried elsewhere, no host sick for it. An answer that stops in the middle ends after 0.6 s.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -503,13 +503,13 @@
     --e.out;
     if (in.report) Learn(a.ep, *in.report);
     const bool silent = in.outcome == Outcome::kTimeout || in.outcome == Outcome::kCancelled;
-    const bool answered =
-        !silent && in.outcome != Outcome::kConnectFailed && in.outcome != Outcome::kMoot;
+    const bool answered = !silent && (a.may_have_run || in.outcome == Outcome::kFull);
     if (answered) e.silent_since = now;
     if (silent) Observe(e, a);
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError || in.outcome == Outcome::kReset) Failed(e, kErrBlend);
+    if (in.outcome == Outcome::kUnusable) Failed(e, kErrBlend / 2);  // it lives: four in a row
     if (in.outcome == Outcome::kConnectFailed) Leave(e);
     if (silent && was_silent) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
--- a/src/brain.h
+++ b/src/brain.h
@@ -131,7 +131,8 @@
   kConnectFailed,  // never reached the endpoint
   kReset,          // the connection broke; may have run
   kCancelled,      // called off; may have run
-  kMoot            // never transmitted
+  kMoot,           // never transmitted
+  kUnusable        // an answer that can't be read or blames the request; may have run
 };
 
 using Report = std::vector<double>;  // in the order that the settings gave
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -31,6 +31,7 @@
   X(settled_reset)                                                     \
   X(settled_cancelled)                                                 \
   X(settled_moot)                                                      \
+  X(settled_unusable)   /* spoilt, or the request blamed */            \
   X(host_connects)      /* connections opened to hosts */              \
   X(host_idle_closed)   /* closed by this side while idle */           \
   X(host_idle_lost)     /* closed by the host while idle */            \
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -16,6 +16,7 @@
 
 constexpr Duration kConnectUnknown{1'000'000};  // us; where the settings name no time-out
 constexpr Duration kDrainSpare{600'000};        // us; beyond the longest deadline, after SIGTERM
+constexpr size_t kRecentMost = 8192;            // ids remembered after their requests
 
 void CountOutcome(Outcome outcome) {
   Counters& count = Count();
@@ -28,6 +29,7 @@
     case Outcome::kReset: ++count.settled_reset; break;
     case Outcome::kCancelled: ++count.settled_cancelled; break;
     case Outcome::kMoot: ++count.settled_moot; break;
+    case Outcome::kUnusable: ++count.settled_unusable; break;
   }
 }
 
@@ -55,6 +57,7 @@
       budget_(config_.sockets),
       brain_(config_.settings, config_.seed) {
   servers_ = std::make_unique<Servers>(loop_, budget_, ServerOptions(config_), this);
+  for (const RequestClass& c : config_.settings.classes) longest_ = std::max(longest_, c.deadline);
   const bool own_watch = config_.settings.discovery == DiscoveryMode::kPush;
   list_ = std::make_unique<List>(loop_, config_.discovery, config_.names, config_.known.revision,
                                  own_watch, this);
@@ -65,9 +68,7 @@
 }
 
 void Gateway::Drain(std::function<void()> done) {
-  Duration longest{0};
-  for (const RequestClass& c : config_.settings.classes) longest = std::max(longest, c.deadline);
-  clients_->Drain(longest + kDrainSpare, std::move(done));
+  clients_->Drain(longest_ + kDrainSpare, std::move(done));
 }
 
 std::string Gateway::StateText() const {
@@ -89,8 +90,11 @@
   Understood understood = Understand(request, config_.names, config_.settings, now);
   if (understood.bad_status != 0) return {nullptr, understood.bad_status, understood.why};
   Submit& submit = understood.submit;
-  // The same id again while it is in hand would run under the first one's answer.
-  if (exchanges_.contains(submit.id)) return {nullptr, 409, "X-Call-Id in hand"};
+  // The same id again while it is in hand would run under the first one's answer. Shortly after, it
+  // is a copy of somebody else's that was sent while that was in hand: hosts turn it away.
+  if (exchanges_.contains(submit.id) || IsRecent(submit.id)) {
+    return {nullptr, 409, "X-Call-Id in hand"};
+  }
   const int most = config_.settings.allowed.most_held;
   if (most > 0 && held_ >= static_cast<size_t>(most)) {
     ++Count().requests_beyond;
@@ -98,6 +102,7 @@
   }
   ++Count().requests_taken;
   ++held_;
+  Remember(submit.id);
   auto exchange =
       std::make_shared<Exchange>(submit.id, std::move(request), submit.deadline,
                                  &config_.settings.classes[submit.cls], std::move(reply));
@@ -109,6 +114,23 @@
   return {std::move(exchange), 0, {}};
 }
 
+bool Gateway::IsRecent(const std::string& id) {
+  const Time now = loop_.Now();
+  while (!recent_.empty() && now - recent_.front().first > longest_) {
+    recent_ids_.erase(recent_.front().second);
+    recent_.pop_front();
+  }
+  return recent_ids_.contains(id);
+}
+
+void Gateway::Remember(const std::string& id) {
+  recent_ids_.insert(id);
+  recent_.emplace_back(loop_.Now(), id);
+  if (recent_.size() <= kRecentMost) return;
+  recent_ids_.erase(recent_.front().second);
+  recent_.pop_front();
+}
+
 void Gateway::OnClientLeft(const std::shared_ptr<Exchange>& exchange) {
   ++Count().clients_left;
   --held_;
@@ -144,6 +166,12 @@
     ++Count().answers_served;
     --held_;
   }
+  // A host that blames the request is believed: others would say the same, and none is sick for it.
+  if (outcome == Outcome::kUnusable && from &&
+      exchange->Finish({.status = from->message.status, .from = from})) {
+    ++Count().answers_failed;
+    --held_;
+  }
   // The break of a stream that had begun is the end of its request.
   if (outcome != Outcome::kOk && exchange->stream() == attempt &&
       exchange->Finish({.status = 502})) {
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -9,6 +9,8 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "brain.h"
@@ -71,6 +73,9 @@
   void Apply(const FetchList& fetch);
   void Apply(const paddlestile::Log& log);
   std::shared_ptr<Exchange> FindExchange(const std::string& id);
+  // Whether an id was taken within the longest deadline.
+  bool IsRecent(const std::string& id);
+  void Remember(const std::string& id);
   void OnOverdue(const std::shared_ptr<Exchange>& exchange);
   void MaybeForget(const std::shared_ptr<Exchange>& exchange);
   void Forget(const std::shared_ptr<Exchange>& exchange);
@@ -83,7 +88,10 @@
   std::unordered_map<std::string, std::shared_ptr<Exchange>> exchanges_;
   std::vector<std::shared_ptr<Exchange>> ending_;  // over, to be forgotten after the events
   std::unordered_map<const Exchange*, EventLoop::TimerId> overdue_;
-  size_t held_ = 0;  // exchanges without their answer
+  size_t held_ = 0;      // exchanges without their answer
+  Duration longest_{0};  // deadline of any class
+  std::deque<std::pair<Time, std::string>> recent_;
+  std::unordered_set<std::string> recent_ids_;
   std::deque<Event> events_;
   bool pumping_ = false;
   std::vector<Action> actions_;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -20,6 +20,9 @@
 // Of the hosts' idle time; a request that crosses their close would end as a reset.
 constexpr double kIdleShare = 0.8;
 constexpr Duration kIdleUnknown{10'000'000};  // us; where the settings name no idle time
+// An answer comes in one piece from a host that lives; one that stops in the middle is spoilt, and
+// to wait for its end would cost the time of the next attempt.
+constexpr Duration kPause{600'000};  // us; between two reads of one answer
 // A probe is given up after so many connect time-outs: one to connect, one to be answered.
 constexpr int kProbeTimeouts = 2;
 
@@ -59,6 +62,9 @@
   const auto rejected = message.Find(base, "X-Rejected");
   const bool turned_away = rejected && *rejected == "1";
   if ((message.status == 503 || message.status == 504) && turned_away) return Outcome::kFull;
+  // Of the request, not of the host; but for those by which a host speaks of its own state.
+  const bool own = message.status == 408 || message.status == 425 || message.status == 429;
+  if (message.status >= 400 && message.status < 500 && !own) return Outcome::kUnusable;
   return Outcome::kError;
 }
 
@@ -139,6 +145,7 @@
   void CancelTimers() {
     loop_.Cancel(limit_);
     loop_.Cancel(connect_timer_);
+    loop_.Cancel(pause_);
   }
 
   // Fit for the next request: nothing half-written and nothing unread.
@@ -183,12 +190,25 @@
     const Progress progress = parser_.Feed(stream_.in());
     if (progress == Progress::kBad) {
       ++Count().host_malformed;
-      return servers_.End(*this, written_ ? Outcome::kReset : Outcome::kConnectFailed, std::nullopt,
-                          nullptr);
+      // Such answers come from any host alike and say little of this one.
+      return servers_.End(*this, written_ ? Outcome::kUnusable : Outcome::kConnectFailed,
+                          std::nullopt, nullptr);
     }
     MaybeEstablished();
     if (progress == Progress::kDone) return Done();
-    if (stream_.ended()) OnBroken();
+    if (stream_.ended()) return OnBroken();
+    AwaitMore();
+  }
+
+  void AwaitMore() {
+    loop_.Cancel(pause_);
+    if (job_->exchange && job_->exchange->cls().streamed) return;  // its pauses are its own
+    pause_ = loop_.After(kPause, [this] {
+      pause_ = {};
+      ++Count().host_malformed;
+      servers_.End(*this, written_ ? Outcome::kUnusable : Outcome::kConnectFailed, std::nullopt,
+                   nullptr);
+    });
   }
 
   // A streamed answer has begun: it belongs to its client, and no time limit runs on.
@@ -221,8 +241,8 @@
       report = ParseReport(*text, options.report_fields);
       if (!report) ++Count().reports_malformed;
     }
-    servers_.End(*this, outcome, std::move(report),
-                 outcome == Outcome::kOk ? std::move(held) : nullptr);
+    const bool pass_on = outcome == Outcome::kOk || outcome == Outcome::kUnusable;
+    servers_.End(*this, outcome, std::move(report), pass_on ? std::move(held) : nullptr);
   }
 
   void OnBroken() override {
@@ -242,7 +262,7 @@
   Stream stream_;
   MessageParser parser_{MessageParser::Kind::kAnswer};
   std::unique_ptr<Job> job_;
-  EventLoop::TimerId limit_, connect_timer_;
+  EventLoop::TimerId limit_, connect_timer_, pause_;
   bool written_ = false, reusable_ = false;
 };
 
@@ -346,8 +366,7 @@
                   std::shared_ptr<const Held> from) {
   if (connection.idle) return;  // dropped by its host's address; ended already
   auto job = connection.Finish();
-  const bool whole =
-      outcome == Outcome::kOk || outcome == Outcome::kError || outcome == Outcome::kFull;
+  const bool whole = from || outcome == Outcome::kError || outcome == Outcome::kFull;
   if (whole && connection.Reusable()) {
     Park(connection);
   } else {
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -35,7 +35,8 @@
  public:
   class Listener {
    public:
-    // Each attempt ends once; `from` is a whole 200 of a host, or null.
+    // Each attempt ends once; `from` is a whole 200 of a host, or one that blames the request, or
+    // null.
     virtual void OnSettled(const std::shared_ptr<Exchange>& exchange, size_t attempt,
                            const std::string& endpoint, Outcome outcome, Duration took,
                            std::optional<Report> report, std::shared_ptr<const Held> from) = 0;
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -211,6 +211,46 @@
   EXPECT_EQ(Requests(), 1);
 }
 
+// A copy of somebody else's open request that comes when that is over: hosts would turn it away.
+TEST_F(GatewayTest, AnIdIsNotTakenAgainShortlyAfter) {
+  AddHost("h1", Ok);
+  Start();
+  Peer first = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return first.Has("served"); }));
+  Peer second = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return second.Has("HTTP/1.1 409"); }));
+  EXPECT_EQ(Requests(), 1);
+}
+
+// What a host blames the request for, the others would too.
+TEST_F(GatewayTest, AHostThatBlamesTheRequestIsBelieved) {
+  for (const char* const id : {"h1", "h2", "h3"}) {
+    AddHost(id, [](const std::string&) -> std::string {
+      return "HTTP/1.1 400 Bad Request\r\nContent-Length: 4\r\n\r\nwhy?";
+    });
+  }
+  Start();
+  Peer client = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return client.Has("why?"); }));
+  EXPECT_EQ(client.Heard().substr(0, 13), "HTTP/1.1 400 ");
+  RunFor(loop, Ms(30));
+  EXPECT_EQ(Requests(), 1);
+  ASSERT_TRUE(Until([&] { return gateway->in_hand() == 0; }));
+}
+
+// What spoilt answers leave undone is done again elsewhere, where that is lawful.
+TEST_F(GatewayTest, ASafeRequestIsSentAgainAfterASpoiltAnswer) {
+  for (const char* const id : {"h1", "h2", "h3"}) {
+    AddHost(id, [this](const std::string&) -> std::string {
+      return Requests() == 1 ? "noise\r\n\r\n" : Http200("served");
+    });
+  }
+  Start();
+  Peer client = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return client.Has("served"); }));
+  EXPECT_EQ(Requests(), 2);
+}
+
 TEST_F(GatewayTest, MalformedRequestsReachNoHost) {
   AddHost("h1", Ok);
   Start();
