--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -114,12 +114,6 @@
   }
 
   // ---- 1. Membership ------------------------------------------------------------------------
-  size_t Intern(const std::string& id) {
-    const auto [at, fresh] = ep_index.try_emplace(id, eps.size());
-    if (fresh) eps.emplace_back().info.id = id;
-    return at->second;
-  }
-
   void On(const Members& m) {
     if (m.kind == ListKind::kFailed) {
       // Ask again, later each time and not in step with the other gateways: the registry is small.
@@ -133,7 +127,7 @@
     }
     std::vector<size_t> fresh;
     for (const EndpointInfo& info : m.entries) {
-      const size_t ep = Intern(info.id);
+      const size_t ep = PlaceOf(info.id, eps, ep_index, open, pool);
       Endpoint& e = eps[ep];
       if (info.state == EndpointState::kUp && !e.was_up) fresh.push_back(ep);
       if (info.launched > e.info.launched) {  // a new process: nothing learned of the old one holds
@@ -507,6 +501,8 @@
     const bool answered = !silent && (a.may_have_run || in.outcome == Outcome::kFull);
     if (answered) e.silent_since = now;
     if (silent) Observe(e, a);
+    // Full, or draining unannounced: answers that quick would make it look idle and draw more.
+    if (in.outcome == Outcome::kFull) e.others = std::max(e.others, Limit(e));
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError) Failed(e, kErrBlend);
--- a/src/brain_state.cpp
+++ b/src/brain_state.cpp
@@ -1,5 +1,6 @@
 #include "brain_state.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <string>
 
@@ -20,4 +21,28 @@
   need(s.obligations.cold_from >= 0 && s.obligations.cold_from <= 1, "Obligations.ColdFrom");
 }
 
+size_t PlaceOf(const std::string& id, std::vector<Endpoint>& eps,
+               std::unordered_map<std::string, size_t>& index,
+               const std::map<uint64_t, Request>& open, const std::vector<PoolEntry>& pool) {
+  if (const auto at = index.find(id); at != index.end()) return at->second;
+  const auto unused = [&](const Endpoint& e) {
+    if (e.info.state != EndpointState::kRemoved || e.was_up || e.in_set || e.out > 0) return false;
+    const auto place = static_cast<size_t>(&e - eps.data());
+    const auto named = [&](const auto& request) {
+      return std::ranges::count(request.second.attempts, place, &Attempt::ep) > 0;
+    };
+    return std::ranges::none_of(open, named) &&
+           std::ranges::count(pool, place, &PoolEntry::ep) == 0;
+  };
+  auto at = std::ranges::find_if(eps, unused);
+  if (at == eps.end()) {
+    at = eps.insert(eps.end(), Endpoint{});
+  } else {
+    index.erase(at->info.id);
+    *at = Endpoint{};
+  }
+  at->info.id = id;
+  return index[id] = static_cast<size_t>(at - eps.begin());
+}
+
 }  // namespace paddlestile
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -5,6 +5,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "brain.h"
@@ -76,6 +79,13 @@
   int uses = 1;
 };
 
+// Where the record of an endpoint lies; a new one for an id not met before. Endpoints that are
+// replaced come with ids ever new: the place of one that is gone, and that no open request and no
+// probe answer names any more, is taken again.
+size_t PlaceOf(const std::string& id, std::vector<Endpoint>& eps,
+               std::unordered_map<std::string, size_t>& index,
+               const std::map<uint64_t, Request>& open, const std::vector<PoolEntry>& pool);
+
 }  // namespace paddlestile
 
 #endif  // PADDLESTILE_BRAIN_STATE_H_
