--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,6 +42,7 @@
 constexpr double kStretch = 0.3;        // of the limit, less for the least worth, more for the most
 constexpr double kRetryEarn = 0.2;      // further attempts earned by each request
 constexpr double kRetryMost = 10;       // further attempts saved up
+constexpr double kFullPrice = 0.2;      // further attempts; of one after a turning away
 constexpr double kColdSafety = 0.5;     // of the cold budget; sizes differ and work is random
 constexpr double kColdOverhead = 0.25;  // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;       // us; span over which an endpoint's pace is remembered
@@ -501,8 +502,6 @@
     const bool answered = !silent && (a.may_have_run || in.outcome == Outcome::kFull);
     if (answered) e.silent_since = now;
     if (silent) Observe(e, a);
-    // Full, or draining unannounced: answers that quick would make it look idle and draw more.
-    if (in.outcome == Outcome::kFull) e.others = std::max(e.others, Limit(e));
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError) Failed(e, kErrBlend);
@@ -512,10 +511,12 @@
     if (in.final || r.over) {
       r.over = true;
     } else if (r.out == 0) {
-      if (retry_tokens < 1 || Us(r.arrived + r.cls->aim - now) < *r.time / 2) {
+      // What was turned away cost its endpoint nothing; a fraction of a token keeps storms off.
+      const double price = in.outcome == Outcome::kFull ? kFullPrice : 1;
+      if (retry_tokens < price || Us(r.arrived + r.cls->aim - now) < *r.time / 2) {
         GiveUp(r);
       } else {
-        retry_tokens -= 1, r.waiting = true;
+        retry_tokens -= price, r.waiting = true;
         waiting.push_back(r.seq);
       }
     }
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -871,7 +871,7 @@
     g.Ask(id, cls);
     if (g.sends.size() > before) {
       ++sent[cls];
-      g.End(id, 0, g.sends.back().endpoint, Outcome::kMoot, Ms(1));
+      g.End(id, 0, g.sends.back().endpoint, Outcome::kFull, Ms(1));
     } else {
       g.Give(ClientLeft{id});
     }
