Idle connections of an age that breaks are not used again; what was not sent goes on another

Now Servers counts by age how reuse fares and passes over ages of which a fifth broke of late; a send that was not written whole goes on another connection to the same host; one that came up and broke before that is moot, not a failed connect. Several failed connects at once eject once (trips grew with each).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -506,7 +506,7 @@
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError) Failed(e, kErrBlend);
     if (in.outcome == Outcome::kReset || in.outcome == Outcome::kUnusable) Failed(e, kErrBlend / 2);
-    if (in.outcome == Outcome::kConnectFailed) Leave(e);
+    if (in.outcome == Outcome::kConnectFailed && e.in_set) Leave(e);  // once, however many at once
     if (silent && was_silent) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
       r.over = true;
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <bit>
 #include <charconv>
 #include <chrono>
 #include <cmath>
@@ -23,6 +24,11 @@
 // An answer comes in one piece from a host that lives; one that stops in the middle is spoilt, and
 // to wait for its end would cost the time of the next attempt.
 constexpr Duration kPause{600'000};  // us; between two reads of one answer
+// What lies between may forget a connection that idles and break it at its next request. Where so
+// many of those that idled for as long broke of late, others that old are not used.
+constexpr double kBrokenMost = 0.2;  // of those tried
+constexpr double kTriedLeast = 5;    // decayed
+constexpr double kReuseSpan = 5e6;   // us; over which what was tried is forgotten
 // A probe is given up after so many connect time-outs: one to connect, one to be answered.
 constexpr int kProbeTimeouts = 2;
 
@@ -123,7 +129,7 @@
   void Start(std::unique_ptr<Job> job) {
     job_ = std::move(job);
     parser_.Reset();
-    written_ = false;
+    written_ = heard_ = false;
     const Time now = loop_.Now();
     limit_ = loop_.After(job_->until - now, [this] {
       limit_ = {};
@@ -155,10 +161,12 @@
   }
 
   [[nodiscard]] Job* job() const { return job_.get(); }
+  [[nodiscard]] bool written() const { return written_; }
   Stream& stream() { return stream_; }
   Host& host() { return host_; }
 
   Time idle_since{0};
+  Duration idled{-1};  // before its present use; -1: this is its first
   std::list<Connection*>::iterator idle_place;
   bool idle = false;
 
@@ -187,6 +195,10 @@
       servers_.Drop(*this);
       return;
     }
+    if (!heard_ && !stream_.in().empty()) {
+      heard_ = true;
+      if (idled >= Duration(0)) servers_.CountReuse(idled, false);
+    }
     const Progress progress = parser_.Feed(stream_.in());
     if (progress == Progress::kBad) {
       ++Count().host_malformed;
@@ -251,8 +263,18 @@
       servers_.Drop(*this);
       return;
     }
-    servers_.End(*this, written_ ? Outcome::kReset : Outcome::kConnectFailed, std::nullopt,
-                 nullptr);
+    const bool came_up = stream_.connected();
+    if (came_up && !heard_ && idled >= Duration(0)) {
+      servers_.CountReuse(idled, true);
+      // Nothing whole was sent: the same send goes on a connection that lives.
+      if (!written_) return servers_.Again(*this);
+    }
+    // One that came up and broke before all was written shows no host at fault.
+    servers_.End(*this,
+                 written_  ? Outcome::kReset
+                 : came_up ? Outcome::kMoot
+                           : Outcome::kConnectFailed,
+                 std::nullopt, nullptr);
   }
 
   Servers& servers_;
@@ -264,6 +286,7 @@
   std::unique_ptr<Job> job_;
   EventLoop::TimerId limit_, connect_timer_, pause_;
   bool written_ = false, reusable_ = false;
+  bool heard_ = false;  // the first byte of the answer has come
 };
 
 // ---- Servers --------------------------------------------------------------------------------
@@ -332,9 +355,11 @@
     host.idle.pop_back();
     idle_.erase(connection.idle_place);
     connection.idle = false;
+    connection.idled = loop_.Now() - connection.idle_since;
     // The host may have closed it, and the news of that be waiting behind this event.
-    if (connection.stream().Quiet()) return connection.Start(std::move(job));
-    ++Count().host_idle_lost;
+    const bool quiet = connection.stream().Quiet();
+    if (quiet && !TooOld(connection.idled)) return connection.Start(std::move(job));
+    ++(quiet ? Count().host_idle_closed : Count().host_idle_lost);
     Drop(connection);
   }
   // Half of the descriptors are left to clients, without whom no connection to a host is of use.
@@ -377,6 +402,42 @@
   }
 }
 
+void Servers::Again(Connection& connection) {
+  auto job = connection.Finish();
+  Host& host = connection.host();
+  ++Count().host_idle_lost;
+  ++host.open;  // stays while the send looks for another connection
+  Drop(connection);
+  --host.open;
+  if (!host.listed || job->until <= loop_.Now()) {
+    Tell(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
+    return MaybeForget(host);
+  }
+  Begin(std::move(job), host);
+}
+
+Servers::Reuse& Servers::ReuseAfter(Duration idle) {
+  const auto ms = static_cast<uint64_t>(std::max<int64_t>(idle.count() / 1000, 0));
+  Reuse& reuse = reuse_[std::min<size_t>(std::bit_width(ms), reuse_.size() - 1)];
+  const Time now = loop_.Now();
+  const double left = std::exp(-static_cast<double>((now - reuse.at).count()) / kReuseSpan);
+  reuse.tried *= left;
+  reuse.broken *= left;
+  reuse.at = now;
+  return reuse;
+}
+
+void Servers::CountReuse(Duration idle, bool broken) {
+  Reuse& reuse = ReuseAfter(idle);
+  reuse.tried += 1;
+  reuse.broken += broken ? 1 : 0;
+}
+
+bool Servers::TooOld(Duration idle) {
+  const Reuse& reuse = ReuseAfter(idle);
+  return reuse.tried >= kTriedLeast && reuse.broken > kBrokenMost * reuse.tried;
+}
+
 void Servers::Tell(std::unique_ptr<Job> job, Outcome outcome, std::optional<Report> report,
                    std::shared_ptr<const Held> from) {
   const Duration took = loop_.Now() - job->sent;
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -2,6 +2,7 @@
 #ifndef PADDLESTILE_NET_SERVERS_H_
 #define PADDLESTILE_NET_SERVERS_H_
 
+#include <array>
 #include <cstdint>
 #include <list>
 #include <memory>
@@ -96,8 +97,19 @@
     std::vector<Connection*> idle;  // the last used at the end
   };
 
+  // How connections fared that were used again after idling for about as long.
+  struct Reuse {
+    double tried = 0, broken = 0;  // decayed
+    Time at{0};
+  };
+  Reuse& ReuseAfter(Duration idle);
+  void CountReuse(Duration idle, bool broken);
+  [[nodiscard]] bool TooOld(Duration idle);
+
   Host* Find(const std::string& endpoint);
   void Begin(std::unique_ptr<Job> job, Host& host);
+  // Sends what a connection could not take on another one to the same host.
+  void Again(Connection& connection);
   void End(Connection& connection, Outcome outcome, std::optional<Report> report,
            std::shared_ptr<const Held> from);
   void Tell(std::unique_ptr<Job> job, Outcome outcome, std::optional<Report> report,
@@ -117,6 +129,7 @@
   std::unordered_map<Connection*, std::shared_ptr<Connection>> connections_;
   std::list<Connection*> idle_;  // of all hosts, the longest idle first
   EventLoop::TimerId tidy_;
+  std::array<Reuse, 16> reuse_;  // by the binary logarithm of the milliseconds idle
 };
 
 }  // namespace paddlestile::net
