--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,14 +31,13 @@
 constexpr double kRemovePerProbe = 1.0 / 12;  // removals a probe; well inside the formula's domain
 constexpr double kBlend = 0.1;                // weight of one new sample in a slow average
 constexpr double kErrBlend = 0.2;             // weight of one outcome in the error share
-constexpr double kErrEject =
-    0.3;  // error share: two failures in a row, four of breaks, which hit all
-constexpr Duration kAwayFirst{1'000'000};  // us; doubles with each failed trial or connect
-constexpr int kAwayDoublings = 4;          // up to 16 s, the order of a short outage
-constexpr double kSilence = 3;             // typical times without any answer: suspect
-constexpr double kAimShare = 0.4;          // of the aim that the predicted time may take
-constexpr int kAwayPart = 16;              // a refused client comes back after the aim over this
-constexpr double kHoldShare = 0.1;         // of the aim that a request may wait here
+constexpr double kErrEject = 0.3;             // error share: two failures in a row, or seven breaks
+constexpr Duration kAwayFirst{1'000'000};     // us; doubles with each failed trial or connect
+constexpr int kAwayDoublings = 4;             // up to 16 s, the order of a short outage
+constexpr double kSilence = 3;                // typical times without any answer: suspect
+constexpr double kAimShare = 0.4;             // of the aim that the predicted time may take
+constexpr int kAwayPart = 16;                 // a refused client comes back after the aim over this
+constexpr double kHoldShare = 0.1;            // of the aim that a request may wait here
 constexpr double kStretch = 0.3;        // of the limit, less for the least worth, more for the most
 constexpr double kRetryEarn = 0.2;      // further attempts earned by each request
 constexpr double kRetryMost = 10;       // further attempts saved up
@@ -505,7 +504,7 @@
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError) Failed(e, kErrBlend);
-    if (in.outcome == Outcome::kReset || in.outcome == Outcome::kUnusable) Failed(e, kErrBlend / 2);
+    if (in.outcome == Outcome::kReset || in.outcome == Outcome::kUnusable) Failed(e, kErrBlend / 4);
     if (in.outcome == Outcome::kConnectFailed && e.in_set) Leave(e);  // once, however many at once
     if (silent && was_silent) Failed(e, 2 * kErrBlend);
     if (in.final || r.over) {
