--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -247,9 +247,7 @@
     const double like = std::min(kind.done, kind.reports) >= kFewSamples ? kind.Tput() : 0;
     const double own = e.own.done >= kFewSamples ? e.own.Tput() : 0;
     if (own <= 0 || like <= 0) return std::max(own, like);
-    // Unused for long its own evidence fades: a limit learned low in bad times would never be tried.
-    const double done = e.own.done * std::exp(-Us(now - e.out_at) / kRateSpan);
-    return like + (own - like) * done / (done + kKindWeight);
+    return like + (own - like) * e.own.done / (e.own.done + kKindWeight);
   }
 
   void TrackOut(Endpoint& e) {
