--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -24,8 +24,11 @@
 // anew, or a byte at a time would hold a descriptor for ever.
 constexpr Duration kRequestTime{2'500'000};  // us
 constexpr Duration kAnswerTime{10'000'000};  // us; to take an answer
-constexpr Duration kIdleTime{5'000'000};     // us; between two requests
-constexpr int kAcceptAtOnce = 32;            // connections before others have their turn
+// Many ask once and keep their connection for good, and some never ask: what they hold the others
+// lack, here and on their own side.
+constexpr Duration kIdleTime{2'000'000};    // us; between two requests
+constexpr Duration kSilentTime{1'000'000};  // us; until the first byte
+constexpr int kAcceptAtOnce = 32;           // connections before others have their turn
 // Of all descriptors: clients that say nothing come by hundreds and must leave some to the hosts.
 constexpr double kShare = 0.6;
 constexpr Duration kLinger{1'000'000};   // us; for a client to read its last answer
@@ -204,7 +207,8 @@
 
   bool Start() {
     if (!stream_.Start()) return false;
-    SetTimer(kRequestTime, [this] { OutOfTime(); });
+    opened_ = loop_.Now();
+    SetTimer(kSilentTime, [this] { OutOfTime(); });
     BecomeIdle(clients_.silent_);
     return true;
   }
@@ -241,7 +245,10 @@
       return;
     }
     StopIdling();
-    if (!parser_.begun() && spoken_) SetTimer(kRequestTime, [this] { OutOfTime(); });
+    if (!parser_.begun()) {
+      const Duration passed = spoken_ ? Duration(0) : loop_.Now() - opened_;
+      SetTimer(kRequestTime - passed, [this] { OutOfTime(); });
+    }
     spoken_ = true;
     const Progress progress = parser_.Feed(stream_.in());
     if (progress == Progress::kBad) return Refuse(parser_.status_for_bad(), "malformed request");
@@ -375,6 +382,7 @@
   MessageParser parser_{MessageParser::Kind::kRequest};
   State state_ = State::kReading;
   bool keep_alive_ = true, asked_ = false;
+  Time opened_{0};
   bool spoken_ = false;                      // has sent its first byte
   std::list<Connection*>* among_ = nullptr;  // the list it idles in
   std::list<Connection*>::iterator idle_place_;
