--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -162,7 +162,7 @@
                         std::optional<Report> report, std::shared_ptr<const Held> from) {
   CountOutcome(outcome);
   exchange->AttemptEnded();
-  if (outcome == Outcome::kOk && exchange->Finish({.status = 200, .from = std::move(from)})) {
+  if (outcome == Outcome::kOk && exchange->Finish({.status = 200, .from = from})) {
     ++Count().answers_served;
     --held_;
   }
