--- a/tests/net/servers_test.cpp
+++ b/tests/net/servers_test.cpp
@@ -447,6 +447,34 @@
   EXPECT_EQ(ends[0].outcome, Outcome::kMoot);  // which shows no host at fault
 }
 
+// Another host has taken over the address of one that is gone: nothing of that one serves it.
+TEST_F(ServersTest, ANewIdAtAnOldAddressHasItsOwnConnections) {
+  Make(Plain());
+  Send("id1");
+  Peer host = Host();
+  host.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  servers->Left("h1");
+  servers->SetAddress("h2", port.address());
+  const auto exchange = Request("id2");
+  servers->Send(exchange, exchange->NextAttempt(), "h2", exchange->deadline());
+  Peer next = Host();
+  EXPECT_TRUE(next.Has("body"));
+  EXPECT_TRUE(RunUntil(loop, [&] { return host.Ended(); }));
+}
+
+// Hosts are replaced all day: nothing is kept of those that are gone.
+TEST_F(ServersTest, ThousandsOfHostsThatCameAndWentLeaveNothing) {
+  Make(Plain());
+  for (int i = 0; i < 5000; ++i) {
+    servers->SetAddress("n" + std::to_string(i), port.address());
+    servers->Left("n" + std::to_string(i));
+    if (i % 100 == 0) loop.RunOnce(Duration(0));
+  }
+  loop.RunOnce(Duration(0));
+  EXPECT_EQ(servers->hosts(), 1u);
+}
+
 // A kept connection that breaks under a send says nothing of the host: the same send goes on.
 TEST_F(ServersTest, WhatAKeptConnectionDidNotTakeGoesOnAnother) {
   Make(Plain());
