--- /dev/null
+++ b/src/lab/experiment.cpp
@@ -0,0 +1,600 @@
+#include "lab/experiment.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <sstream>
+#include <utility>
+
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+namespace paddlestile::lab {
+namespace {
+
+constexpr size_t kHostsMost = 20'000;
+constexpr double kLengthMost = 3600;  // s
+constexpr double kRateMost = 200'000;
+
+template <typename Enum>
+using Words = std::vector<std::pair<std::string_view, Enum>>;
+
+const Words<BadKind> kBadKinds = {{"rubbish", BadKind::kRubbish},
+                                  {"endless-head", BadKind::kEndlessHead},
+                                  {"bad-length", BadKind::kBadLength},
+                                  {"negative-length", BadKind::kNegativeLength},
+                                  {"huge-length", BadKind::kHugeLength},
+                                  {"two-framings", BadKind::kTwoFramings},
+                                  {"unknown-class", BadKind::kUnknownClass},
+                                  {"bad-budget", BadKind::kBadBudget},
+                                  {"no-id", BadKind::kNoId},
+                                  {"half-request", BadKind::kHalfRequest},
+                                  {"silent", BadKind::kSilent},
+                                  {"trickle", BadKind::kTrickle}};
+const Words<FaultKind> kFaultKinds = {{"slow", FaultKind::kSlow},
+                                      {"silent", FaultKind::kSilent},
+                                      {"errors", FaultKind::kErrors},
+                                      {"stall", FaultKind::kStall},
+                                      {"neighbour", FaultKind::kNeighbour},
+                                      {"resets", FaultKind::kResets},
+                                      {"turned-away", FaultKind::kTurnedAway},
+                                      {"spoilt", FaultKind::kSpoilt},
+                                      {"half-dead", FaultKind::kHalfDead},
+                                      {"cut-off", FaultKind::kCutOff},
+                                      {"restart", FaultKind::kRestart},
+                                      {"drain", FaultKind::kDrain},
+                                      {"kill", FaultKind::kKill},
+                                      {"add", FaultKind::kAdd},
+                                      {"list-silent", FaultKind::kListSilent},
+                                      {"list-lag", FaultKind::kListLag},
+                                      {"list-malformed", FaultKind::kListMalformed},
+                                      {"list-old", FaultKind::kListOld},
+                                      {"list-moved", FaultKind::kListMoved},
+                                      {"gateway-term", FaultKind::kGatewayTerm},
+                                      {"gateway-kill", FaultKind::kGatewayKill},
+                                      {"gateway-hang", FaultKind::kGatewayHang}};
+const Words<Spoil> kSpoils = {{"any", Spoil::kAny},
+                              {"noise", Spoil::kNoise},
+                              {"bad-head", Spoil::kBadHead},
+                              {"endless-head", Spoil::kEndlessHead},
+                              {"short-length", Spoil::kShortLength},
+                              {"long-length", Spoil::kLongLength},
+                              {"huge", Spoil::kHuge},
+                              {"second-answer", Spoil::kSecondAnswer},
+                              {"noise-behind", Spoil::kNoiseBehind},
+                              {"interim", Spoil::kInterim},
+                              {"bad-report", Spoil::kBadReport}};
+const Words<Effect> kEffects = {
+    {"safe", Effect::kSafe}, {"keyed", Effect::kKeyed}, {"unsafe", Effect::kUnsafe}};
+const Words<DedupGroup> kGroups = {
+    {"all", DedupGroup::kAll}, {"zone", DedupGroup::kZone}, {"cell", DedupGroup::kCell}};
+
+bool OnHosts(FaultKind kind) { return kind < FaultKind::kAdd; }
+
+// Collects what is wrong, so that one reading names it all.
+class Faults {
+ public:
+  explicit Faults(std::string path) : path_(std::move(path)) {}
+  void Add(const toml::node* node, std::string_view key, std::string_view what,
+           std::string_view expected) {
+    const auto line = node != nullptr ? node->source().begin.line : 0;
+    lines_.push_back(
+        line > 0 ? fmt::format("{}:{}: {}: {}, expected {}", path_, line, key, what, expected)
+                 : fmt::format("{}: {}: {}, expected {}", path_, key, what, expected));
+  }
+  void Throw() const {
+    if (!lines_.empty()) throw ExperimentError(fmt::format("{}", fmt::join(lines_, "\n")));
+  }
+
+ private:
+  std::string path_;
+  std::vector<std::string> lines_;
+};
+
+// One table of the file: each key is asked for once; what was never asked for is a fault.
+class Table {
+ public:
+  Table(const toml::table& table, std::string at, Faults& faults)
+      : table_(table), at_(std::move(at)), faults_(faults) {}
+  Table(const Table&) = delete;
+  Table& operator=(const Table&) = delete;
+  ~Table() {
+    for (const auto& [key, node] : table_) {
+      if (known_.contains(std::string(key.str()))) continue;
+      std::vector<std::string> names(known_.begin(), known_.end());
+      faults_.Add(&node, Path(key.str()), "unknown key",
+                  fmt::format("one of {}", fmt::join(names, ", ")));
+    }
+  }
+
+  [[nodiscard]] const toml::node* Get(std::string_view key) {
+    known_.insert(std::string(key));
+    return table_.get(key);
+  }
+  void Fault(std::string_view key, std::string_view what, std::string_view expected) {
+    const toml::node* const node = table_.get(key);
+    faults_.Add(node != nullptr ? node : &table_, Path(key), what, expected);
+  }
+  void FaultAt(const toml::node* node, std::string_view key, std::string_view what,
+               std::string_view expected) {
+    faults_.Add(node, key, what, expected);
+  }
+  [[nodiscard]] std::string Path(std::string_view key) const {
+    return at_.empty() ? std::string(key) : fmt::format("{}.{}", at_, key);
+  }
+
+  void Read(std::string_view key, double& value, double least, double most) {
+    const toml::node* const node = Get(key);
+    if (node == nullptr) return;
+    const auto read = Number(*node);
+    if (!read || !(*read >= least && *read <= most)) {
+      return faults_.Add(node, Path(key), "out of range or no number",
+                         fmt::format("a number from {} to {}", least, most));
+    }
+    value = *read;
+  }
+  void Read(std::string_view key, std::optional<double>& value, double least, double most) {
+    if (Get(key) == nullptr) return;
+    double read = least;
+    Read(key, read, least, most);
+    value = read;
+  }
+  template <typename Int>
+  requires std::is_integral_v<Int> &&
+      (!std::is_same_v<Int, bool>)void Read(std::string_view key, Int& value, Int least, Int most) {
+    const toml::node* const node = Get(key);
+    if (node == nullptr) return;
+    const auto read = node->value_exact<int64_t>();
+    if (!read || *read < static_cast<int64_t>(least) ||
+        static_cast<uint64_t>(*read) > static_cast<uint64_t>(most)) {
+      return faults_.Add(node, Path(key), "out of range or no whole number",
+                         fmt::format("a whole number from {} to {}", least, most));
+    }
+    value = static_cast<Int>(*read);
+  }
+  void Read(std::string_view key, bool& value) {
+    const toml::node* const node = Get(key);
+    if (node == nullptr) return;
+    if (!node->is_boolean()) return faults_.Add(node, Path(key), "no boolean", "true or false");
+    value = *node->value_exact<bool>();
+  }
+  void Read(std::string_view key, std::string& value) {
+    const toml::node* const node = Get(key);
+    if (node == nullptr) return;
+    if (!node->is_string()) return faults_.Add(node, Path(key), "no text", "a text in quotes");
+    value = *node->value_exact<std::string>();
+  }
+  // `unit` is microseconds of one of the file's.
+  void ReadTime(std::string_view key, Duration& value, double unit, double most) {
+    double in_file = static_cast<double>(value.count()) / unit;
+    Read(key, in_file, 0, most);
+    value = Duration(std::llround(in_file * unit));
+  }
+  void ReadS(std::string_view key, Duration& value) { ReadTime(key, value, 1e6, kLengthMost); }
+  void ReadMs(std::string_view key, Duration& value) {
+    ReadTime(key, value, 1e3, kLengthMost * 1000);
+  }
+  // A number, or [low, high].
+  void Read(std::string_view key, Span& value, double least, double most) {
+    const toml::node* const node = Get(key);
+    if (node == nullptr) return;
+    std::optional<double> low, high;
+    if (const toml::array* const both = node->as_array(); both != nullptr && both->size() == 2) {
+      low = Number(*both->get(0));
+      high = Number(*both->get(1));
+    } else {
+      low = high = Number(*node);
+    }
+    if (!low || !high || !(*low >= least && *low <= *high && *high <= most)) {
+      return faults_.Add(node, Path(key), "no range",
+                         fmt::format("a number, or [low, high], from {} to {}", least, most));
+    }
+    value = {*low, *high};
+  }
+  template <typename Enum>
+  void Read(std::string_view key, Enum& value, const Words<Enum>& words) {
+    const toml::node* const node = Get(key);
+    if (node == nullptr) return;
+    const auto text = node->value_exact<std::string>().value_or("");
+    std::vector<std::string_view> expected;
+    for (const auto& [word, meaning] : words) {
+      if (word == text) {
+        value = meaning;
+        return;
+      }
+      expected.push_back(word);
+    }
+    faults_.Add(node, Path(key), fmt::format("'{}'", text),
+                fmt::format("one of {}", fmt::join(expected, ", ")));
+  }
+  // Calls `read` for each table of a list of tables.
+  template <typename Reader>
+  void Each(std::string_view key, const Reader& read) {
+    const toml::node* const node = Get(key);
+    if (node == nullptr) return;
+    const toml::array* const list = node->as_array();
+    if (list == nullptr || !list->is_array_of_tables()) {
+      return faults_.Add(node, Path(key), "no list of tables", fmt::format("[[{}]]", Path(key)));
+    }
+    size_t place = 0;
+    for (const toml::node& entry : *list) {
+      Table table(*entry.as_table(), fmt::format("{}[{}]", Path(key), place++), faults_);
+      read(table);
+    }
+  }
+  template <typename Reader>
+  void One(std::string_view key, const Reader& read) {
+    const toml::node* const node = Get(key);
+    if (node == nullptr) return;
+    if (!node->is_table()) {
+      return faults_.Add(node, Path(key), "no table", fmt::format("[{}]", Path(key)));
+    }
+    Table table(*node->as_table(), Path(key), faults_);
+    read(table);
+  }
+
+ private:
+  static std::optional<double> Number(const toml::node& node) {
+    if (node.is_integer()) return static_cast<double>(*node.value_exact<int64_t>());
+    if (node.is_floating_point()) return node.value_exact<double>();
+    return std::nullopt;
+  }
+  const toml::table& table_;
+  std::string at_;
+  Faults& faults_;
+  std::set<std::string> known_;
+};
+
+HostGroup ReadHosts(Table& t) {
+  HostGroup g;
+  t.Read("name", g.name);
+  t.Read<size_t>("count", g.count, 1, kHostsMost);
+  t.Read<int>("cores", g.cores, 1, 1024);
+  t.Read("speed", g.speed, 0.01, 100);
+  t.Read("zone", g.zone);
+  t.Read("kind", g.kind);
+  t.Read<int>("cell", g.cell, 0, 1'000'000);
+  t.Read<size_t>("held_most", g.held_most, 1, 1'000'000);
+  t.Read<size_t>("connections_most", g.connections_most, 1, 1'000'000);
+  t.ReadMs("handshake_ms", g.handshake);
+  t.ReadMs("probe_work_ms", g.probe_work);
+  t.Read("report_ms", g.report_ms, 0, 10'000);
+  t.Read("stops_work", g.stops_work);
+  if (g.name.empty()) t.Fault("name", "empty", "a name");
+  return g;
+}
+
+ClassSpec ReadClass(Table& t) {
+  ClassSpec c;
+  c.rules.aim = Duration(1'000'000);
+  c.rules.deadline = Duration(3'000'000);
+  t.Read("name", c.name);
+  if (c.name.empty() || c.name.find_first_of("/? ,") != std::string::npos) {
+    t.Fault("name", "empty or not fit for a path", "a word");
+  }
+  t.Read("effect", c.rules.effect, kEffects);
+  t.Read("group", c.rules.group, kGroups);
+  t.ReadMs("window_ms", c.rules.window);
+  t.ReadMs("aim_ms", c.rules.aim);
+  t.ReadMs("deadline_ms", c.rules.deadline);
+  t.Read("worth", c.rules.worth, 0, 1e6);
+  t.Read("late_share", c.rules.late_share, 0, 1);
+  t.Read("share", c.share, 0, 1e6);
+  t.Read("work_ms", c.work_ms, 0, 60'000);
+  t.Read("wait_ms", c.wait_ms, 0, 60'000);
+  t.Read("body_bytes", c.body_bytes, 0, 65'536);
+  t.Read("answer_bytes", c.answer_bytes, 0, 65'000);
+  if (c.rules.aim <= Duration(0)) t.Fault("aim_ms", "0", "more than 0");
+  if (c.rules.deadline < c.rules.aim) t.Fault("deadline_ms", "under aim_ms", "at least aim_ms");
+  if (c.rules.effect == Effect::kKeyed && c.rules.window <= Duration(0)) {
+    t.Fault("window_ms", "missing", "how long a keyed class's repeats are dropped");
+  }
+  return c;
+}
+
+Fault ReadFault(Table& t) {
+  Fault f;
+  if (t.Get("kind") == nullptr) t.Fault("kind", "missing", "a kind of fault");
+  t.Read("kind", f.kind, kFaultKinds);
+  t.Read("kind", f.name);
+  t.ReadS("at_s", f.at);
+  t.ReadS("for_s", f.lasts);
+  t.Read("hosts", f.hosts, 0, 1);
+  t.Read<size_t>("count", f.count, 1, kHostsMost);
+  if (const toml::node* const names = t.Get("names")) {
+    if (const toml::array* const list = names->as_array()) {
+      for (const toml::node& name : *list) {
+        f.names.push_back(name.value_exact<std::string>().value_or(""));
+      }
+    } else {
+      t.Fault("names", "no list", "a list of hosts' names");
+    }
+  }
+  t.Read("zone", f.zone);
+  t.Read("factor", f.factor, 0.01, 1000);
+  t.Read("share", f.share, 0, 1);
+  t.ReadS("down_s", f.down);
+  t.ReadS("leave_s", f.leave);
+  t.ReadMs("stop_ms", f.stop);
+  t.ReadS("every_s", f.every);
+  t.ReadMs("lag_ms", f.lag);
+  t.Read("how", f.spoil, kSpoils);
+  t.Read<size_t>("gateway", f.gateway, 0, 10'000);
+  const int ways = (f.hosts > 0 ? 1 : 0) + (f.count > 0 ? 1 : 0) + (f.names.empty() ? 0 : 1);
+  if (OnHosts(f.kind) && ways != 1) {
+    t.Fault("hosts", ways == 0 ? "no host named" : "named twice over",
+            "one of hosts (a share), count or names");
+  }
+  if (f.kind == FaultKind::kNeighbour && f.factor >= 1) {
+    t.Fault("factor", "all cores or more", "the share of the cores taken, under 1");
+  }
+  if (f.kind == FaultKind::kStall && f.every <= f.stop) {
+    t.Fault("every_s", "no longer than stop_ms", "more");
+  }
+  return f;
+}
+
+void ReadLoad(Table& t, LoadSpec& load) {
+  const toml::node* const rate = t.Get("rate");
+  if (rate == nullptr) {
+    t.Fault("rate", "missing", "requests a second, or [[second, rate], ...]");
+  } else if (rate->is_array()) {
+    for (const toml::node& step : *rate->as_array()) {
+      const toml::array* const pair = step.as_array();
+      const auto at = pair != nullptr && pair->size() == 2 ? pair->get(0)->value<double>()
+                                                           : std::optional<double>();
+      const auto per_s = at ? pair->get(1)->value<double>() : std::optional<double>();
+      if (!per_s || *at < 0 || *at > kLengthMost || *per_s < 0 || *per_s > kRateMost ||
+          (!load.rate.empty() && *at * 1e6 <= static_cast<double>(load.rate.back().at.count()))) {
+        t.Fault("rate", "a step that makes no sense",
+                fmt::format("[second, rate] with growing seconds and rates to {}", kRateMost));
+        break;
+      }
+      load.rate.push_back({Duration(std::llround(*at * 1e6)), *per_s});
+    }
+  } else {
+    double per_s = 0;
+    t.Read("rate", per_s, 0, kRateMost);
+    load.rate.push_back({Duration(0), per_s});
+  }
+  t.Read<size_t>("connections_most", load.connections_most, 1, 100'000);
+  t.Read<size_t>("idle_connections", load.idle_connections, 0, 100'000);
+  t.Read<int>("retries", load.retries, 0, 10);
+  t.Read("retry_wait_ms", load.retry_wait_ms, 0, 60'000);
+  t.Read("leave_share", load.leave_share, 0, 1);
+  t.Read("trickle_share", load.trickle_share, 0, 1);
+  t.Read("once_share", load.once_share, 0, 1);
+  t.Each("bad", [&](Table& b) {
+    BadClients bad;
+    bad.to = Duration(std::llround(kLengthMost * 1e6));
+    if (b.Get("kind") == nullptr) b.Fault("kind", "missing", "a kind of bad client");
+    b.Read("kind", bad.kind, kBadKinds);
+    b.Read("per_s", bad.per_s, 0.01, 10'000);
+    b.ReadS("from_s", bad.from);
+    b.ReadS("to_s", bad.to);
+    load.bad.push_back(bad);
+  });
+}
+
+void ReadMust(Table& t, Must& must) {
+  t.Read("worth_share_least", must.worth_share_least, 0, 1);
+  t.Read("served_share_least", must.served_share_least, 0, 1);
+  t.Read("refused_share_most", must.refused_share_most, 0, 1);
+  t.Read("failed_share_most", must.failed_share_most, 0, 1);
+  t.Read("late_share_most", must.late_share_most, 0, 1);
+  t.Read("p50_ms_most", must.p50_ms_most, 0, 1e6);
+  t.Read("p99_ms_most", must.p99_ms_most, 0, 1e6);
+  t.Read("cpu_us_most", must.cpu_us_most, 0, 1e6);
+  t.Read("rss_mb_most", must.rss_mb_most, 0, 1e6);
+  t.Read("rss_growth_mb_most", must.rss_growth_mb_most, 0, 1e6);
+  t.Read("descriptors_most", must.descriptors_most, 0, 1e6);
+  t.Read("bad_unanswered_share_most", must.bad_unanswered_share_most, 0, 1);
+  t.Each("window", [&](Table& w) {
+    WindowMust window;
+    w.ReadS("from_s", window.from);
+    w.ReadS("to_s", window.to);
+    w.Read("worth_share_least", window.worth_share_least, 0, 1);
+    if (window.to <= window.from) w.Fault("to_s", "not after from_s", "a later second");
+    must.windows.push_back(window);
+  });
+}
+
+void ReadRules(Table& t, Experiment& e) {
+  t.ReadS("drain_grace_s", e.drain_grace);
+  t.Read("cold_from", e.cold_from, 0.01, 1);
+  t.ReadS("warm_s", e.warm_within);
+  t.Read("fall_multiple", e.fall_multiple, 1, 100);
+  t.ReadS("fall_s", e.fall);
+  t.Read<int>("send_cap", e.send_cap, 1, 100);
+  t.ReadMs("connect_timeout_ms", e.connect_timeout);
+  t.ReadS("idle_close_s", e.idle_close);
+  t.ReadS("list_every_s", e.list_every);
+  t.Read("probes", e.probes);
+  t.Read("retry_after", e.retry_after);
+  t.Read("marks_retry", e.marks_retry);
+}
+
+void CheckTogether(Table& t, Experiment& e) {
+  if (e.hosts.empty()) t.Fault("hosts", "missing", "at least one [[hosts]]");
+  if (e.classes.empty()) t.Fault("classes", "missing", "at least one [[classes]]");
+  if (e.host_count() > kHostsMost) {
+    t.Fault("hosts", fmt::format("{} in all", e.host_count()),
+            fmt::format("{} at most", kHostsMost));
+  }
+  std::set<std::string> names, classes;
+  for (const ClassSpec& c : e.classes) {
+    if (!classes.insert(c.name).second) t.Fault("classes", c.name + " twice", "names that differ");
+  }
+  for (const HostGroup& g : e.hosts) {
+    for (size_t i = 0; i < g.count; ++i) {
+      if (!names.insert(fmt::format("{}-{}", g.name, i + 1)).second) {
+        t.Fault("hosts", fmt::format("{}-{} twice", g.name, i + 1), "names that differ");
+        break;
+      }
+    }
+    if (std::ranges::count(e.zones, g.zone) == 0) e.zones.push_back(g.zone);
+    if (std::ranges::count(e.kinds, g.kind) == 0) e.kinds.push_back(g.kind);
+  }
+  for (size_t i = 0; i < e.faults.size(); ++i) {
+    const Fault& f = e.faults[i];
+    const std::string at = fmt::format("faults[{}]", i);
+    const toml::node* where = t.Get("faults");
+    if (where != nullptr && where->is_array()) where = where->as_array()->get(i);
+    const auto fault = [&](std::string_view key, std::string_view what, std::string_view expected) {
+      t.FaultAt(where, fmt::format("{}.{}", at, key), what, expected);
+    };
+    if (f.at > e.length) fault("at_s", "after the end", "a second of the experiment");
+    for (const std::string& name : f.names) {
+      if (!names.contains(name)) fault("names", fmt::format("no host '{}'", name), "a host's name");
+    }
+    if (!f.zone.empty() && std::ranges::count(e.zones, f.zone) == 0) {
+      fault("zone", fmt::format("no host in '{}'", f.zone), "a zone of [[hosts]]");
+    }
+    if (f.count > e.host_count() && f.kind != FaultKind::kAdd) {
+      fault("count", fmt::format("{} of {} hosts", f.count, e.host_count()),
+            "no more than there are");
+    }
+    if (f.kind >= FaultKind::kGatewayTerm && f.gateway >= e.gateway.count) {
+      fault("gateway", fmt::format("no gateway {}", f.gateway),
+            fmt::format("0 to {}", e.gateway.count - 1));
+    }
+  }
+}
+
+nlohmann::json ToJson(const toml::node& node) {
+  if (const toml::table* const table = node.as_table()) {
+    nlohmann::json out = nlohmann::json::object();
+    for (const auto& [key, value] : *table) out[std::string(key.str())] = ToJson(value);
+    return out;
+  }
+  if (const toml::array* const array = node.as_array()) {
+    nlohmann::json out = nlohmann::json::array();
+    for (const toml::node& value : *array) out.push_back(ToJson(value));
+    return out;
+  }
+  if (node.is_integer()) return *node.value_exact<int64_t>();
+  if (node.is_floating_point()) return *node.value_exact<double>();
+  if (node.is_boolean()) return *node.value_exact<bool>();
+  return node.value_exact<std::string>().value_or("");
+}
+
+}  // namespace
+
+size_t Experiment::host_count() const {
+  size_t count = 0;
+  for (const HostGroup& group : hosts) count += group.count;
+  return count;
+}
+
+Experiment ParseExperiment(std::string_view text, const std::string& path) {
+  Experiment e;
+  e.path = path;
+  toml::table root;
+  try {
+    root = toml::parse(text);
+  } catch (const toml::parse_error& error) {
+    throw ExperimentError(fmt::format("{}:{}: {}, expected TOML", path, error.source().begin.line,
+                                      error.description()));
+  }
+  Faults faults(path);
+  {
+    Table t(root, "", faults);
+    t.Read("name", e.name);
+    t.Read("about", e.about);
+    t.Read<uint64_t>("seed", e.seed, 0, INT64_MAX);
+    t.ReadS("seconds", e.length);
+    if (e.name.empty()) t.Fault("name", "missing", "the experiment's name");
+    if (e.length < Duration(1'000'000)) t.Fault("seconds", "under 1", "1 to 3600");
+    t.Each("hosts", [&](Table& h) { e.hosts.push_back(ReadHosts(h)); });
+    t.Each("classes", [&](Table& c) { e.classes.push_back(ReadClass(c)); });
+    t.Each("tenants", [&](Table& n) {
+      TenantSpec tenant;
+      n.Read("name", tenant.name);
+      n.Read("share", tenant.share, 0, 1);
+      if (tenant.name.empty()) n.Fault("name", "missing", "a tenant's name");
+      e.tenants.push_back(tenant);
+    });
+    if (t.Get("load") == nullptr) t.Fault("load", "missing", "[load]");
+    t.One("load", [&](Table& l) { ReadLoad(l, e.load); });
+    t.One("gateway", [&](Table& g) {
+      g.Read<size_t>("count", e.gateway.count, 1, 200);
+      g.Read<size_t>("sockets", e.gateway.sockets, 64, 1'000'000);
+      g.Read("listen", e.gateway.listen);
+      if (const toml::node* const settings = g.Get("settings")) {
+        e.gateway.settings_json = ToJson(*settings).dump();
+      }
+    });
+    t.One("rules", [&](Table& r) { ReadRules(r, e); });
+    t.Each("faults", [&](Table& f) { e.faults.push_back(ReadFault(f)); });
+    t.One("must", [&](Table& m) { ReadMust(m, e.must); });
+    CheckTogether(t, e);
+  }
+  faults.Throw();
+  return e;
+}
+
+Experiment ReadExperiment(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw ExperimentError(fmt::format("{}: cannot read it, expected a file", path));
+  const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  return ParseExperiment(text, path);
+}
+
+std::string SettingsJson(const Experiment& e, size_t gateway) {
+  using nlohmann::json;
+  const auto ms = [](Duration d) { return static_cast<double>(d.count()) / 1000; };
+  json classes = json::array(), tenants = json::array();
+  for (const ClassSpec& c : e.classes) {
+    json entry = {
+        {"Name", c.name},         {"Effect", kEffects[static_cast<size_t>(c.rules.effect)].first},
+        {"Slo", ms(c.rules.aim)}, {"Deadline", ms(c.rules.deadline)},
+        {"Worth", c.rules.worth}, {"LateShare", c.rules.late_share}};
+    if (c.rules.effect == Effect::kKeyed) {
+      entry["Group"] = kGroups[static_cast<size_t>(c.rules.group)].first;
+      entry["Window"] = ms(c.rules.window);
+    }
+    classes.push_back(std::move(entry));
+  }
+  for (const TenantSpec& t : e.tenants) tenants.push_back({{"Name", t.name}, {"Share", t.share}});
+  json settings = {
+      {"Me", gateway},
+      {"NInstances", e.gateway.count},
+      {"Zone", gateway % std::max<size_t>(e.zones.size(), 1)},
+      {"FailureDomains", e.zones},
+      {"Kinds", e.kinds},
+      {"Classes", classes},
+      {"Tenants", tenants},
+      {"RegistryMode", "automatic"},
+      {"Callers", {{"MarksRetry", e.marks_retry}}},
+      {"Allowed",
+       {{"Cancel", true},
+        {"ParallelTries", false},
+        {"Probes", e.probes},
+        {"RetryAfter", e.retry_after},
+        {"MaxRetryAfter", 1000.0},
+        {"ConnectTimeout", ms(e.connect_timeout)},
+        {"SendCap", e.send_cap},
+        {"IdleClose", ms(e.idle_close)}}},
+      {"Charges", {{"CrossZone", 0.01}, {"Handshake", 0.02}, {"Probe", 0.04}, {"Waste", 0.04}}},
+      {"ResultMix",
+       {{"Whole", 0.25}, {"WorstWindow", 0.45}, {"WorstClass", 0.2}, {"WorstTenant", 0.1}}},
+      {"Obligations",
+       {{"AnswerSlack", 50.0},
+        {"DrainGrace", ms(e.drain_grace)},
+        {"ColdFrom", e.cold_from},
+        {"WarmWithin", ms(e.warm_within)},
+        {"FallMultiple", e.fall_multiple},
+        {"Fall", ms(e.fall)}}},
+      {"Stats", {{"Source", e.probes ? "probe" : "none"}, {"Fields", {"inflight", "latency_ms"}}}}};
+  if (!e.gateway.settings_json.empty()) {
+    settings.merge_patch(json::parse(e.gateway.settings_json));
+  }
+  return settings.dump();
+}
+
+}  // namespace paddlestile::lab
--- /dev/null
+++ b/src/lab/experiment.h
@@ -0,0 +1,217 @@
+// One experiment as its file tells it: a fleet, its gateways, the clients, a script of faults in
+// time, and what must hold. Times in the file are seconds where a name ends in _s and milliseconds
+// where it ends in _ms; here they are Durations.
+#ifndef PADDLESTILE_LAB_EXPERIMENT_H_
+#define PADDLESTILE_LAB_EXPERIMENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "brain.h"
+
+namespace paddlestile::lab {
+
+// A value drawn evenly between two bounds, both of the file.
+struct Span {
+  double low = 0, high = 0;
+};
+
+// Hosts that are alike but for what is drawn.
+struct HostGroup {
+  std::string name = "h";
+  size_t count = 1;
+  int cores = 3;
+  Span speed{1, 1};  // work a core does in a second, in seconds of work
+  std::string zone = "a", kind = "std";
+  int cell = 0;
+  size_t held_most = 256;          // requests held, beyond which it turns away
+  size_t connections_most = 2000;  // its connection table
+  Duration handshake{1000};        // work of a new connection
+  Duration probe_work{200};        // work of a probe
+  Span report_ms{7, 37};           // how often its report is refreshed
+  bool stops_work = false;         // work that runs ends with its connection
+};
+
+struct ClassSpec {
+  std::string name;
+  RequestClass rules;
+  double share = 1;      // of the arrivals, beside the other classes
+  Span work_ms{10, 10};  // on a core of speed 1
+  Span wait_ms{0, 0};    // on others
+  Span body_bytes{0, 0}, answer_bytes{200, 200};
+};
+
+struct TenantSpec {
+  std::string name;
+  double share = 0;
+};
+
+struct RateStep {
+  Duration at{0};
+  double per_s = 0;
+};
+
+// Clients that do not do as they should.
+enum class BadKind {
+  kRubbish,
+  kEndlessHead,
+  kBadLength,
+  kNegativeLength,
+  kHugeLength,
+  kTwoFramings,
+  kUnknownClass,
+  kBadBudget,
+  kNoId,
+  kHalfRequest,
+  kSilent,
+  kTrickle
+};
+struct BadClients {
+  BadKind kind = BadKind::kRubbish;
+  double per_s = 1;
+  Duration from{0}, to{0};
+};
+
+struct LoadSpec {
+  std::vector<RateStep> rate;        // arrivals a second, over all gateways, from each time on
+  size_t connections_most = 20'000;  // open at once, over all gateways
+  size_t idle_connections = 0;       // opened at the start and kept without a request
+  int retries = 0;                   // of a client whose try was refused or failed
+  Span retry_wait_ms{50, 100};
+  double leave_share = 0;    // of the requests whose client leaves before the answer
+  double trickle_share = 0;  // of the requests that come in three pieces, 20 ms apart
+  double once_share = 0;     // of the requests after which the client closes
+  std::vector<BadClients> bad;
+};
+
+enum class FaultKind {
+  // On hosts.
+  kSlow,
+  kSilent,
+  kErrors,
+  kStall,
+  kNeighbour,
+  kResets,
+  kTurnedAway,
+  kSpoilt,
+  kHalfDead,
+  kCutOff,
+  kRestart,
+  kDrain,
+  kKill,
+  kAdd,
+  // On the source of the list.
+  kListSilent,
+  kListLag,
+  kListMalformed,
+  kListOld,
+  kListMoved,
+  // On a gateway.
+  kGatewayTerm,
+  kGatewayKill,
+  kGatewayHang
+};
+// How an answer is spoilt.
+enum class Spoil {
+  kAny,
+  kNoise,
+  kBadHead,
+  kEndlessHead,
+  kShortLength,
+  kLongLength,
+  kHuge,
+  kSecondAnswer,
+  kNoiseBehind,
+  kInterim,
+  kBadReport
+};
+
+struct Fault {
+  FaultKind kind = FaultKind::kSlow;
+  std::string name;  // as the file has it
+  Duration at{0}, lasts{0};
+  double hosts = 0;  // share of those present; 0: by `count` or `names`
+  size_t count = 0;
+  std::vector<std::string> names;
+  std::string zone;   // only hosts of this zone
+  double factor = 4;  // kSlow: times slower; kNeighbour: share of the cores taken
+  double share = 1;   // kErrors, kResets, kTurnedAway, kSpoilt, kHalfDead: of the requests
+  Duration down{0};   // kRestart, kGatewayTerm, kGatewayKill: until it is back
+  Duration leave{0};  // kDrain: until the process ends; 0: it stays
+  Duration stop{300'000}, every{2'000'000};  // kStall
+  Duration lag{0};  // kListLag; kRestart, kDrain, kKill: until the list tells
+  Spoil spoil = Spoil::kAny;
+  size_t gateway = 0;
+};
+
+struct WindowMust {
+  Duration from{0}, to{0};
+  double worth_share_least = 0;
+};
+
+// What must hold beside the rules, which always must.
+struct Must {
+  std::optional<double> worth_share_least, served_share_least, refused_share_most,
+      failed_share_most, late_share_most, p50_ms_most, p99_ms_most, cpu_us_most, rss_mb_most,
+      rss_growth_mb_most, descriptors_most, bad_unanswered_share_most;
+  std::vector<WindowMust> windows;
+};
+
+struct GatewaySpec {
+  size_t count = 1;
+  size_t sockets = 1024;
+  std::string listen;         // of the first; empty: an address of the lab's own
+  std::string settings_json;  // laid over the settings that the lab makes; empty: none
+};
+
+struct Experiment {
+  std::string path, name, about;
+  uint64_t seed = 1;
+  Duration length{10'000'000};
+  std::vector<std::string> zones;  // in the order of their first host
+  std::vector<std::string> kinds;
+  std::vector<HostGroup> hosts;
+  std::vector<ClassSpec> classes;
+  std::vector<TenantSpec> tenants;
+  LoadSpec load;
+  GatewaySpec gateway;
+  std::vector<Fault> faults;
+  Must must;
+  // The rules' figures.
+  Duration drain_grace{1'000'000};
+  double cold_from = 0.31;
+  Duration warm_within{9'000'000};
+  double fall_multiple = 3;
+  Duration fall{1'500'000};
+  int send_cap = 5;
+  Duration connect_timeout{250'000};
+  Duration idle_close{60'000'000};
+  Duration list_every{2'000'000};  // an empty line of the watch
+  bool probes = true;
+  bool retry_after = true;
+  bool marks_retry = false;
+
+  [[nodiscard]] size_t host_count() const;
+};
+
+class ExperimentError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Reads the file; throws ExperimentError with a line for each fault: "FILE:LINE: KEY: what,
+// expected ...". `text` is the file's content, `path` its name in the faults.
+Experiment ParseExperiment(std::string_view text, const std::string& path);
+Experiment ReadExperiment(const std::string& path);
+
+// The settings that a gateway of this experiment is given (its LB_CONFIG's "settings"), as JSON.
+std::string SettingsJson(const Experiment& experiment, size_t gateway);
+
+}  // namespace paddlestile::lab
+
+#endif  // PADDLESTILE_LAB_EXPERIMENT_H_
--- /dev/null
+++ b/src/lab/fleet.cpp
@@ -0,0 +1,594 @@
+#include "lab/fleet.h"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cmath>
+#include <list>
+#include <unordered_map>
+#include <utility>
+
+#include "lab/host_model.h"
+#include "lab/listener.h"
+#include "net/http.h"
+#include "net/stream.h"
+
+namespace paddlestile::lab {
+namespace {
+
+using net::MessageParser;
+using net::Progress;
+using net::Stream;
+
+constexpr size_t kUnreadMost = 1 << 17;
+constexpr size_t kHugePiece = 1 << 18;     // bytes at once of an answer without end
+constexpr Duration kResetAfter{5'000};     // us; a host that dies on a request
+constexpr Duration kErrorAfter{2'000};     // us; a host that fails fast
+constexpr uint64_t kHuge = 3'000'000'000;  // bytes that an answer claims to have
+
+// Even in [0, 1), from the seed and what it is for alone: the order of arrivals does not matter.
+double Draw(uint64_t seed, uint64_t a, uint64_t b) {
+  uint64_t x = seed ^ (a * 0x9e3779b97f4a7c15ULL) ^ (b * 0xc2b2ae3d27d4eb4fULL);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return static_cast<double>((x ^ (x >> 31)) >> 11) * 0x1.0p-53;
+}
+
+std::string Head(int status, size_t length, std::string_view more = {}) {
+  return fmt::format("HTTP/1.1 {} {}\r\n{}Content-Length: {}\r\n\r\n", status,
+                     status == 200 ? "OK" : "No", more, length);
+}
+
+int64_t WallMs() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch()).count();
+}
+
+}  // namespace
+
+// ---- A connection of a gateway to a host --------------------------------------------------------
+
+class Fleet::Connection final : public Stream::Owner {
+ public:
+  Connection(Host& host, net::EventLoop& loop, net::Fd fd)
+      : host_(host),
+        fd_(fd.get()),
+        stream_(loop, net::Socket(std::move(fd), nullptr), this, false) {
+    stream_.set_most_unread(kUnreadMost);
+  }
+
+  bool Start() { return stream_.Start(); }
+  [[nodiscard]] bool busy() const { return receipt_ != kNoReceipt; }
+  [[nodiscard]] uint64_t receipt() const { return receipt_; }
+  [[nodiscard]] bool closed() const { return stream_.closed(); }
+
+  void Answer(std::string text, bool over = true) {
+    stream_.Write(std::move(text));
+    if (over) Over();
+  }
+  // The answer to the request in hand is out; what waits behind it may come.
+  void Over();
+  // An answer that goes on for as long as anybody reads.
+  void Flood() {
+    flooding_ = true;
+    OnFlushed();
+  }
+  void Reset() {
+    const linger now{1, 0};
+    if (!stream_.closed()) setsockopt(fd_, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    stream_.Close();
+  }
+  void Close() { stream_.Close(); }
+  void Look() { OnRead(); }
+
+  void OnRead() override;
+  void OnBroken() override;
+  void OnFlushed() override;
+
+  static constexpr uint64_t kNoReceipt = UINT64_MAX;
+  std::list<std::shared_ptr<Connection>>::iterator place;
+
+ private:
+  friend class Host;
+  Host& host_;
+  int fd_;
+  Stream stream_;
+  MessageParser parser_{MessageParser::Kind::kRequest, 1 << 20};
+  bool begun_ = false, flooding_ = false, waits_ = false;
+  Time first_{0};  // the first byte of the request that is read
+  uint64_t receipt_ = kNoReceipt;
+  size_t try_ = 0;
+};
+
+// ---- A host -------------------------------------------------------------------------------------
+
+class Fleet::Host {
+ public:
+  Host(Fleet& fleet, size_t place, const Profile& profile, std::string id, net::Address address,
+       std::optional<Time> started)
+      : fleet_(fleet), place_(place), profile_(profile), model_(TraitsOf(fleet, profile), started) {
+    listed_ = {place,
+               std::move(id),
+               address,
+               profile.group->zone,
+               profile.group->kind,
+               profile.group->cell,
+               Phase::kActive,
+               started ? WallMs() : 0};
+    listener_ = std::make_unique<Listener>(fleet.loop_, address,
+                                           [this](net::Fd fd) { Accept(std::move(fd)); });
+  }
+  ~Host() { fleet_.loop_.Cancel(timer_); }
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  static HostTraits TraitsOf(const Fleet& fleet, const Profile& profile) {
+    const Experiment& e = fleet.experiment_;
+    HostTraits traits;
+    traits.cores = profile.group->cores;
+    traits.speed = profile.speed;
+    traits.held_most = profile.group->held_most;
+    traits.stops_work = profile.group->stops_work;
+    traits.report_every = Duration(std::llround(profile.report_ms * 1000));
+    traits.cold_from = e.cold_from;
+    traits.warm_within = e.warm_within;
+    traits.fall_multiple = e.fall_multiple;
+    traits.fall = e.fall;
+    return traits;
+  }
+
+  [[nodiscard]] Time Now() const { return fleet_.Now(); }
+  [[nodiscard]] bool up() const { return listener_ != nullptr; }
+  [[nodiscard]] size_t connections() const { return connections_.size(); }
+
+  void Accept(net::Fd fd) {
+    if (connections_.size() >= profile_.group->connections_most) return;  // closed at once
+    connections_.push_back(std::make_shared<Connection>(*this, fleet_.loop_, std::move(fd)));
+    Connection& connection = *connections_.back();
+    connection.place = std::prev(connections_.end());
+    if (!connection.Start()) return Drop(connection);
+    model_.Burden(Now(), profile_.group->handshake);
+    Plan();
+  }
+
+  void Drop(Connection& connection) {
+    if (connection.receipt() != Connection::kNoReceipt) {
+      model_.Leave(Now(), connection.receipt() + 1);
+      jobs_.erase(connection.receipt() + 1);
+      fleet_.ledger_.Done(connection.receipt());
+      connection.receipt_ = Connection::kNoReceipt;
+      Plan();
+    }
+    connection.Close();
+    fleet_.loop_.Defer([kept = *connection.place] {});
+    connections_.erase(connection.place);
+  }
+
+  void OnRequest(Connection& connection, const net::Message& m, std::string_view base) {
+    const std::string_view target = m.target.In(base);
+    if (target == "/_load" || target == "/ping") return OnProbe(connection, target == "/_load");
+    const auto id = m.Find(base, "X-Call-Id");
+    if (!id) return connection.Answer(Head(404, 0));
+    Ledger& ledger = fleet_.ledger_;
+    const size_t n = ledger.Find(*id);
+    if (n == SIZE_MAX) {
+      ledger.Invented(Now(), *id, fmt::format("{} received {}", listed_.id, target));
+      return connection.Answer(Head(400, 0));
+    }
+    const uint64_t receipt =
+        ledger.Received(Now(), n, place_, ZonePlace(), listed_.cell, connection.first_);
+    connection.receipt_ = receipt;
+    connection.try_ = n;
+    if (silent > 0 || Befalls(n, half_dead, 1)) return;  // swallowed: nobody ever answers
+    if (Befalls(n, turned_away, 2)) return TurnAway(connection);
+    if (Befalls(n, errors, 3)) {
+      return Later(kErrorAfter, connection, [](Connection& c) { c.Answer(Head(500, 0)); });
+    }
+    if (Befalls(n, resets, 4)) {
+      return Later(kResetAfter, connection, [this](Connection& c) {
+        c.Reset();
+        Drop(c);
+      });
+    }
+    const AskFacts& facts = ledger.FactsOf(n);
+    switch (model_.Arrive(Now(), receipt + 1, facts.work, facts.wait)) {
+      case HostModel::Arrival::kFull: return TurnAway(connection);
+      case HostModel::Arrival::kFell:
+        ledger.FellOver(Now(), listed_.id);
+        fleet_.loop_.Defer([this] { Die(); });
+        return;
+      case HostModel::Arrival::kTaken: break;
+    }
+    jobs_[receipt + 1] = &connection;
+    Plan();
+  }
+
+  void Die() {
+    listener_.reset();
+    model_.Advance(Now());
+    while (!connections_.empty()) {
+      Connection& connection = *connections_.front();
+      connection.Reset();
+      Drop(connection);
+    }
+    fleet_.loop_.Cancel(timer_);
+  }
+
+  // A link that is cut: nothing comes or goes. When it is back, the old connections are reset.
+  void CutOff(bool off) {
+    if (!up()) return;
+    cut_off = off;
+    if (!off) {
+      while (!connections_.empty()) {
+        Connection& connection = *connections_.front();
+        connection.Reset();
+        Drop(connection);
+      }
+    }
+    listener_->CutOff(off);
+  }
+
+  void Stand(bool still) {
+    model_.Stand(Now(), still);
+    Plan();
+    if (still) return;
+    for (auto at = connections_.begin(); at != connections_.end();) {
+      const std::shared_ptr<Connection> connection = *at++;
+      if (connection->waits_) connection->Look();
+    }
+  }
+
+  void Plan() {
+    fleet_.loop_.Cancel(timer_);
+    const auto next = model_.Next();
+    if (!next) return;
+    timer_ = fleet_.loop_.After(*next - Now(), [this] {
+      timer_ = {};
+      Finish();
+    });
+  }
+
+  void Finish() {
+    for (const uint64_t job : model_.Advance(Now())) {
+      const auto at = jobs_.find(job);
+      if (at == jobs_.end()) continue;  // its client side has gone
+      Connection& connection = *at->second;
+      jobs_.erase(at);
+      if (!cut_off) Serve(connection);
+    }
+    Plan();
+  }
+
+  ListedHost& listed() { return listed_; }
+  HostModel& model() { return model_; }
+  [[nodiscard]] const Profile& profile() const { return profile_; }
+
+  int silent = 0, stalls = 0;
+  double half_dead = 0, turned_away = 0, errors = 0, resets = 0, spoilt = 0;
+  Spoil spoil = Spoil::kAny;
+  bool cut_off = false;
+
+ private:
+  friend class Connection;
+  [[nodiscard]] int ZonePlace() const {
+    const auto& zones = fleet_.experiment_.zones;
+    return static_cast<int>(std::ranges::find(zones, listed_.zone) - zones.begin());
+  }
+  [[nodiscard]] bool Befalls(size_t n, double share, uint64_t salt) const {
+    return share > 0 && Draw(fleet_.seed_, n, place_ * 16 + salt) < share;
+  }
+
+  void OnProbe(Connection& connection, bool with_report) {
+    model_.Burden(Now(), profile_.group->probe_work);
+    const HostModel::Load load = model_.Report(Now());
+    const std::string body =
+        with_report ? fmt::format("inflight={},latency_ms={:.3f}", load.inflight, load.latency_ms)
+                    : "";
+    connection.Answer(Head(200, body.size()) + body);
+    Plan();
+  }
+
+  void TurnAway(Connection& connection) {
+    fleet_.ledger_.TurnedAway(connection.receipt());
+    connection.Answer(Head(503, 0, "X-Rejected: 1\r\n"));
+  }
+
+  void Later(Duration after, Connection& connection, std::function<void(Connection&)> then) {
+    fleet_.loop_.After(
+        after, [kept = *connection.place, receipt = connection.receipt(), then = std::move(then)] {
+          if (!kept->closed() && kept->receipt() == receipt) then(*kept);
+        });
+  }
+
+  void Serve(Connection& connection) {
+    const size_t n = connection.try_;
+    Ledger& ledger = fleet_.ledger_;
+    const std::string body =
+        MakeAnswerBody(ledger.IdOf(n), connection.receipt(), ledger.FactsOf(n).answer_bytes);
+    const std::string good = Head(200, body.size()) + body;
+    if (!Befalls(n, spoilt, 5)) return connection.Answer(good);
+    Spoil how = spoil;
+    if (how == Spoil::kAny) {
+      // Not a length too short with its rest behind it: that is a good answer and noise, to
+      // anybody.
+      constexpr std::array kAll = {Spoil::kNoise,       Spoil::kBadHead, Spoil::kEndlessHead,
+                                   Spoil::kLongLength,  Spoil::kHuge,    Spoil::kSecondAnswer,
+                                   Spoil::kNoiseBehind, Spoil::kInterim, Spoil::kBadReport};
+      how = kAll[static_cast<size_t>(Draw(fleet_.seed_, n, 77) * kAll.size())];
+    }
+    // What is of no further use stays open, and its receipt is out until the other side ends it.
+    switch (how) {
+      case Spoil::kAny:
+      case Spoil::kNoise: {
+        std::string noise;
+        for (uint64_t i = 0; i < 200; ++i) {
+          noise += static_cast<char>(Draw(fleet_.seed_, n, 1000 + i) * 256);
+        }
+        return connection.Answer(noise, false);
+      }
+      case Spoil::kBadHead: return connection.Answer("HTTP/1.1 2x0 OK\r\n" + good, false);
+      case Spoil::kEndlessHead:
+        return connection.Answer("HTTP/1.1 200 OK\r\nX-Long: " + std::string(1 << 16, 'y'), false);
+      case Spoil::kShortLength: return connection.Answer(Head(200, body.size() / 2) + body);
+      case Spoil::kLongLength: return connection.Answer(Head(200, body.size() + 100) + body, false);
+      case Spoil::kHuge:
+        connection.Answer(Head(200, kHuge) + body, false);
+        return connection.Flood();
+      case Spoil::kSecondAnswer: return connection.Answer(good + good);
+      case Spoil::kNoiseBehind: return connection.Answer(good + "noise that nobody asked for");
+      case Spoil::kInterim:
+        return connection.Answer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nX: y\r\n\r\n" +
+                                 good);
+      case Spoil::kBadReport:
+        return connection.Answer(
+            Head(200, body.size(), "X-Load-Report: inflight=?,latency_ms\r\n") + body);
+    }
+  }
+
+  Fleet& fleet_;
+  size_t place_;
+  Profile profile_;
+  HostModel model_;
+  ListedHost listed_;
+  std::unique_ptr<Listener> listener_;
+  std::list<std::shared_ptr<Connection>> connections_;
+  std::unordered_map<uint64_t, Connection*> jobs_;  // by receipt + 1
+  net::EventLoop::TimerId timer_;
+};
+
+void Fleet::Connection::Over() {
+  begun_ = waits_ = false;
+  if (receipt_ != kNoReceipt) host_.fleet_.ledger_.Done(std::exchange(receipt_, kNoReceipt));
+  // What came meanwhile is looked at after the handler at work.
+  host_.fleet_.loop_.Defer([kept = *place] {
+    if (!kept->closed()) kept->OnRead();
+  });
+}
+
+void Fleet::Connection::OnRead() {
+  if (host_.cut_off || busy() || stream_.closed()) {
+    // A request in hand whose connection ends is over for its host.
+    if (!host_.cut_off && busy() && stream_.ended()) host_.Drop(*this);
+    return;
+  }
+  if (!stream_.in().empty() && !std::exchange(begun_, true)) first_ = host_.Now();
+  if (!stream_.in().empty()) {
+    if ((waits_ = host_.model_.standing())) return;
+    switch (parser_.Feed(stream_.in())) {
+      case Progress::kBad: return host_.Drop(*this);
+      case Progress::kDone: {
+        const net::Message message = parser_.message();
+        net::Buffer bytes = stream_.in().TakeFront(message.size);
+        parser_.Reset();
+        begun_ = false;
+        host_.OnRequest(*this, message, bytes.view());
+        if (!stream_.closed()) stream_.Resume();
+        return;
+      }
+      case Progress::kMore: break;
+    }
+  }
+  if (stream_.ended()) host_.Drop(*this);
+}
+
+void Fleet::Connection::OnFlushed() {
+  if (!flooding_ || stream_.closed()) return;
+  host_.fleet_.loop_.Yield([kept = *place] {
+    if (!kept->closed()) kept->stream_.Write(std::string(kHugePiece, 'x'));
+  });
+}
+
+void Fleet::Connection::OnBroken() { host_.Drop(*this); }
+
+// ---- The fleet ----------------------------------------------------------------------------------
+
+Fleet::Fleet(net::EventLoop& loop, const Experiment& experiment, Ledger& ledger, uint64_t seed,
+             Changed changed)
+    : loop_(loop),
+      experiment_(experiment),
+      ledger_(ledger),
+      seed_(seed),
+      changed_(std::move(changed)),
+      rng_(seed ^ 0x5f1ee7) {}
+
+Fleet::~Fleet() = default;
+
+void Fleet::Start() {
+  for (const HostGroup& group : experiment_.hosts) {
+    for (size_t i = 0; i < group.count; ++i) {
+      const auto draw = [&](const Span& span) {
+        return std::uniform_real_distribution<double>(
+            span.low, std::nextafter(span.high, span.high + 1))(rng_);
+      };
+      Profile profile{&group, 1, 20};
+      profile.speed = draw(group.speed);
+      profile.report_ms = draw(group.report_ms);
+      Add(profile, fmt::format("{}-{}", group.name, i + 1), OwnAddress(100 + addresses_++),
+          std::nullopt);
+    }
+  }
+}
+
+size_t Fleet::Add(const Profile& profile, const std::string& name, const net::Address& address,
+                  std::optional<Time> started) {
+  const size_t place = hosts_.size();
+  hosts_.push_back(std::make_unique<Host>(*this, place, profile, name, address, started));
+  return place;
+}
+
+std::vector<ListedHost> Fleet::List() const {
+  std::vector<ListedHost> out;
+  for (const auto& host : hosts_) {
+    if (host->listed().phase != Phase::kLeft) out.push_back(host->listed());
+  }
+  return out;
+}
+
+std::vector<size_t> Fleet::Choose(const Fault& fault) {
+  std::vector<size_t> there;
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    const ListedHost& listed = hosts_[i]->listed();
+    if (listed.phase != Phase::kActive || !hosts_[i]->up()) continue;
+    if (!fault.zone.empty() && listed.zone != fault.zone) continue;
+    // A host's successors go by its name.
+    const std::string name = listed.id.substr(0, listed.id.find('.'));
+    if (!fault.names.empty() && std::ranges::count(fault.names, name) == 0) continue;
+    there.push_back(i);
+  }
+  if (!fault.names.empty()) return there;
+  std::ranges::shuffle(there, rng_);
+  const auto share =
+      static_cast<size_t>(std::ceil(fault.hosts * static_cast<double>(there.size()) - 1e-9));
+  there.resize(std::min(there.size(), fault.count > 0 ? fault.count : share));
+  return there;
+}
+
+void Fleet::Restart(size_t place, Duration down, Duration lag) {
+  Host& host = *hosts_[place];
+  const Profile profile = host.profile();
+  const net::Address address = host.listed().address;
+  std::string id = host.listed().id;
+  const size_t dot = id.find('.');
+  const int life = dot == std::string::npos ? 2 : std::stoi(id.substr(dot + 1)) + 1;
+  id = fmt::format("{}.{}", id.substr(0, dot), life);
+  host.Die();
+  host.listed().phase = Phase::kLeft;
+  changed_(host.listed(), lag);
+  loop_.After(down, [this, profile, id, address, lag, alive = std::weak_ptr(alive_)] {
+    if (alive.expired()) return;
+    const size_t next = Add(profile, id, address, Now());
+    changed_(hosts_[next]->listed(), lag);
+  });
+}
+
+void Fleet::Begin(const Fault& fault, const std::vector<size_t>& chosen) {
+  const Time now = Now();
+  if (fault.kind == FaultKind::kAdd) {
+    const size_t count = std::max<size_t>(fault.count, 1);
+    for (size_t i = 0; i < count; ++i) {
+      const HostGroup& group = experiment_.hosts[added_ % experiment_.hosts.size()];
+      const double middle = (group.speed.low + group.speed.high) / 2;
+      const size_t place =
+          Add({&group, middle, group.report_ms.low}, fmt::format("added-{}", ++added_),
+              OwnAddress(100 + addresses_++), now);
+      changed_(hosts_[place]->listed(), fault.lag);
+    }
+    return;
+  }
+  for (const size_t place : chosen) {
+    Host& host = *hosts_[place];
+    switch (fault.kind) {
+      case FaultKind::kSlow: host.model().Slow(now, fault.factor); break;
+      case FaultKind::kSilent: ++host.silent; break;
+      case FaultKind::kErrors: host.errors = fault.share; break;
+      case FaultKind::kNeighbour: host.model().Neighbour(now, fault.factor); break;
+      case FaultKind::kResets: host.resets = fault.share; break;
+      case FaultKind::kTurnedAway: host.turned_away = fault.share; break;
+      case FaultKind::kSpoilt:
+        host.spoilt = fault.share;
+        host.spoil = fault.spoil;
+        break;
+      case FaultKind::kHalfDead: host.half_dead = fault.share; break;
+      case FaultKind::kCutOff: host.CutOff(true); break;
+      case FaultKind::kRestart: Restart(place, fault.down, fault.lag); break;
+      case FaultKind::kKill:
+        host.Die();
+        host.listed().phase = Phase::kLeft;
+        changed_(host.listed(), fault.lag);
+        break;
+      case FaultKind::kDrain:
+        host.listed().phase = Phase::kLeaving;
+        changed_(host.listed(), fault.lag);
+        if (fault.leave > Duration(0)) {
+          loop_.After(fault.leave, [this, place, lag = fault.lag, alive = std::weak_ptr(alive_)] {
+            if (alive.expired()) return;
+            hosts_[place]->Die();
+            hosts_[place]->listed().phase = Phase::kLeft;
+            changed_(hosts_[place]->listed(), lag);
+          });
+        }
+        break;
+      case FaultKind::kStall: {
+        // Stands still for a while, again and again until the fault ends.
+        const int turn = ++host.stalls;
+        const auto stall = [this, place, turn, fault,
+                            alive = std::weak_ptr(alive_)](const auto& again) -> void {
+          if (alive.expired() || hosts_[place]->stalls != turn || !hosts_[place]->up()) return;
+          hosts_[place]->Stand(true);
+          loop_.After(fault.stop, [this, place, alive] {
+            if (!alive.expired() && hosts_[place]->up()) hosts_[place]->Stand(false);
+          });
+          loop_.After(fault.every, [again] { again(again); });
+        };
+        // Not all in step.
+        const double part = Draw(seed_, place, 99);
+        loop_.After(Duration(static_cast<int64_t>(part * static_cast<double>(fault.every.count()))),
+                    [stall] { stall(stall); });
+        break;
+      }
+      default: break;
+    }
+    host.Plan();
+  }
+}
+
+void Fleet::End(const Fault& fault, const std::vector<size_t>& chosen) {
+  const Time now = Now();
+  for (const size_t place : chosen) {
+    Host& host = *hosts_[place];
+    if (!host.up()) continue;
+    switch (fault.kind) {
+      case FaultKind::kSlow: host.model().Slow(now, 1); break;
+      case FaultKind::kSilent: --host.silent; break;
+      case FaultKind::kErrors: host.errors = 0; break;
+      case FaultKind::kNeighbour: host.model().Neighbour(now, 0); break;
+      case FaultKind::kResets: host.resets = 0; break;
+      case FaultKind::kTurnedAway: host.turned_away = 0; break;
+      case FaultKind::kSpoilt: host.spoilt = 0; break;
+      case FaultKind::kHalfDead: host.half_dead = 0; break;
+      case FaultKind::kCutOff: host.CutOff(false); break;
+      case FaultKind::kStall: ++host.stalls; break;
+      default: break;
+    }
+    host.Plan();
+  }
+}
+
+std::vector<std::pair<std::string, size_t>> Fleet::InFlight() const {
+  std::vector<std::pair<std::string, size_t>> out;
+  for (const auto& host : hosts_) {
+    if (host->up()) out.emplace_back(host->listed().id, host->model().inflight());
+  }
+  return out;
+}
+
+size_t Fleet::connections() const {
+  size_t count = 0;
+  for (const auto& host : hosts_) count += host->connections();
+  return count;
+}
+
+}  // namespace paddlestile::lab
--- /dev/null
+++ b/src/lab/ledger.h
@@ -0,0 +1,177 @@
+// The account of an experiment: what was asked, received, answered and told, and which of the four
+// rules was broken by whom and when. No I/O; all times are the experiment's own.
+#ifndef PADDLESTILE_LAB_LEDGER_H_
+#define PADDLESTILE_LAB_LEDGER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "brain.h"
+
+namespace paddlestile::lab {
+
+// What a client asks for: one request with all its tries.
+struct AskFacts {
+  size_t cls = 0, tenant = 0;
+  uint64_t key = 0;  // of a keyed class
+  Duration work{0}, wait{0};
+  size_t body_bytes = 0, answer_bytes = 0;
+};
+
+enum class Rule {
+  kLost,
+  kAnsweredTwice,
+  kNotItsAnswer,
+  kTwice,
+  kRefusedAfterRun,
+  kDrain,
+  kCold,
+  kInvented
+};
+inline constexpr size_t kRules = 8;
+std::string_view NameOf(Rule rule);
+
+struct Breach {
+  Rule rule = Rule::kLost;
+  Time at{0};
+  std::string id;  // the request's, or the host's
+  std::string what;
+};
+
+// What a rule needs to know.
+struct LedgerRules {
+  std::vector<RequestClass> classes;
+  Duration drain_grace{1'000'000};
+  Duration slack{50'000};  // beyond each limit in time, for the way there
+  std::string id_prefix = "r";
+};
+
+// The body that a host answers a request with; no two are alike.
+std::string MakeAnswerBody(std::string_view id, uint64_t receipt, size_t size);
+
+class Ledger {
+ public:
+  explicit Ledger(LedgerRules rules) : rules_(std::move(rules)) {}
+
+  // ---- The clients' side --------------------------------------------------------------------
+  // A request is asked for; its place.
+  size_t Ask(Time now, const AskFacts& facts);
+  // A try of it is handed to a gateway; the try's number, which its id holds.
+  size_t Try(Time now, size_t ask, size_t gateway, Time deadline);
+  // Its last byte is written to a connection that the gateway accepted.
+  void Taken(size_t n) { tries_[n].taken = true; }
+  // A whole answer has come. `body` is looked at for 200.
+  void Answered(Time now, size_t n, int status, std::string_view body);
+  // Its connection ended without a whole answer. `whose`: kLost counts; the others are excused.
+  enum class Ended { kByGateway, kGatewayKilled, kClientLeft };
+  void Broken(Time now, size_t n, Ended how, std::string_view why);
+  // No try of it will follow.
+  void Over(Time now, size_t ask);
+  // More came on a connection than was asked for.
+  void Extra(Time now, size_t n, std::string_view what);
+
+  // ---- The hosts' side ----------------------------------------------------------------------
+  // The try with this id; SIZE_MAX for an id that no client sent.
+  [[nodiscard]] size_t Find(std::string_view id) const;
+  [[nodiscard]] std::string IdOf(size_t n) const;
+  [[nodiscard]] int ReceiptsOf(size_t n) const { return tries_[n].receipts; }
+  [[nodiscard]] const AskFacts& FactsOf(size_t n) const { return asks_[tries_[n].ask].facts; }
+  // A host has a try's last byte; its first came at `first`. The receipt's number.
+  uint64_t Received(Time now, size_t n, size_t host, int zone, int cell, Time first);
+  // The host did not run it and says so.
+  void TurnedAway(uint64_t receipt);
+  // What it was received on is over: answered, or the connection ended.
+  void Done(uint64_t receipt);
+  // A request with an id that no client sent, or one hidden in another's body.
+  void Invented(Time now, std::string_view id, std::string_view what);
+  void FellOver(Time now, const std::string& host);
+
+  // ---- The source's side --------------------------------------------------------------------
+  // A gateway was told that a host drains or is gone.
+  void Told(Time now, size_t gateway, size_t host);
+  // A gateway that starts anew knows nothing.
+  void Forgets(size_t gateway);
+
+  // ---- The account --------------------------------------------------------------------------
+  // Looks at what is due: answers that never came, copies still out. `lag`: what the lab itself was
+  // late of late, which nobody else is blamed for.
+  void Advance(Time now, Duration lag);
+
+  struct Counts {
+    uint64_t asked = 0, served = 0, late = 0, refused = 0, failed = 0, lost = 0, answered_twice = 0;
+    uint64_t tries = 0, left = 0, killed = 0;
+    double worth_asked = 0, worth_served = 0;
+    uint64_t receipts = 0, twice_unlawful = 0, late_sends = 0, fell_over = 0;
+    // Keys whose effect came about twice over all of a client's tries, whoever's doing it was.
+    uint64_t keys_run_again = 0;
+    std::array<uint64_t, kRules> breaches{};
+  };
+  [[nodiscard]] const Counts& counts() const { return counts_; }
+  // The first ones of each rule.
+  [[nodiscard]] const std::vector<Breach>& breaches() const { return breaches_; }
+  [[nodiscard]] bool broken() const { return !breaches_.empty(); }
+
+  // By the second in which a request was asked for.
+  struct Window {
+    uint64_t asked = 0, served = 0, late = 0, refused = 0, failed = 0;
+    double worth_asked = 0, worth_served = 0;
+    std::vector<uint32_t> latency_us;  // of the answers served, from the first try on
+  };
+  [[nodiscard]] const std::vector<Window>& windows() const { return windows_; }
+  [[nodiscard]] size_t open() const { return open_; }
+
+ private:
+  struct AskState {
+    AskFacts facts;
+    Time asked{0};
+    bool over = false, served = false;
+    int last_status = 0;
+  };
+  struct TryState {
+    size_t ask = 0, gateway = 0;
+    Time deadline{0};
+    bool taken = false, over = false;
+    int receipts = 0;
+    uint64_t last_receipt = 0;  // number + 1
+  };
+  struct Receipt {
+    size_t n = 0, host = 0;
+    Time at{0};
+    int zone = 0, cell = 0;
+    bool open = true, may_have_run = true;
+    uint64_t before = 0;  // the one before of the same try, number + 1
+  };
+  void Break(Rule rule, Time at, std::string id, std::string what);
+  Window& WindowOf(Time asked);
+  void CountKey(const Receipt& receipt);
+
+  LedgerRules rules_;
+  std::vector<AskState> asks_;
+  std::vector<TryState> tries_;
+  std::vector<Receipt> receipts_;
+  std::deque<std::pair<Time, size_t>> due_;  // tries by deadline, nearly in order
+  struct Suspect {
+    Time at{0};
+    uint64_t first = 0, second = 0;
+  };
+  std::deque<Suspect> suspects_;                    // copies received while an earlier one was out
+  std::map<std::pair<size_t, size_t>, Time> told_;  // by gateway and host
+  std::unordered_map<uint64_t, Time> keys_;         // when each key's effect last came about
+  Duration lag_{0};
+  Counts counts_;
+  std::vector<Breach> breaches_;
+  std::vector<Window> windows_;
+  size_t open_ = 0;
+};
+
+}  // namespace paddlestile::lab
+
+#endif  // PADDLESTILE_LAB_LEDGER_H_
--- /dev/null
+++ b/src/lab/load.cpp
@@ -0,0 +1,488 @@
+#include "lab/load.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <random>
+#include <utility>
+
+#include "net/http.h"
+#include "net/stream.h"
+
+namespace paddlestile::lab {
+namespace {
+
+using net::MessageParser;
+using net::Progress;
+using net::Stream;
+
+constexpr Duration kPiecePause{20'000};      // us; between the pieces of one that trickles
+constexpr Duration kSpare{300'000};          // us; that a client waits beyond its budget
+constexpr Duration kBadOwed{3'000'000};      // us; within which a bad client is owed an end
+constexpr Duration kBadOwedLong{6'000'000};  // us; the same where it has much to send
+constexpr size_t kAnswerMost = 1 << 20;
+constexpr int kConnectsMost = 4;
+constexpr size_t kHugeBody = 60'000'000;
+
+std::string Pattern(size_t size) { return std::string(size, 'b'); }
+
+Duration RetryAfter(const net::Message& m, std::string_view base) {
+  const auto text = m.Find(base, "Retry-After");
+  double seconds = 0;
+  if (!text) return Duration(0);
+  std::from_chars(text->data(), text->data() + text->size(), seconds);
+  return Duration(std::llround(std::clamp(seconds, 0.0, 60.0) * 1e6));
+}
+
+}  // namespace
+
+// ---- A client's connection ----------------------------------------------------------------------
+
+class Load::Connection final : public Stream::Owner {
+ public:
+  Connection(Load& load, size_t gateway, net::Socket socket)
+      : load_(load), gateway_(gateway), stream_(load.loop_, std::move(socket), this, true) {
+    stream_.set_most_unread(kAnswerMost);
+  }
+  bool Start() { return stream_.Start(); }
+  [[nodiscard]] bool closed() const { return stream_.closed(); }
+  [[nodiscard]] size_t gateway() const { return gateway_; }
+  [[nodiscard]] bool idle() const { return trying_ == nullptr; }
+  [[nodiscard]] bool Quiet() const { return stream_.Quiet(); }
+
+  void Ask(std::shared_ptr<Trying> trying) {
+    trying_ = std::move(trying);
+    answered_ = false;
+    ++asked_;
+    const Arrival& a = trying_->asking->arrival;
+    std::string text = load_.HeadOf(*trying_) + Pattern(a.facts.body_bytes);
+    const Duration left = trying_->deadline + kSpare - load_.Now();
+    timer_ = load_.loop_.After(left, [this] {
+      timer_ = {};
+      OutOfTime();
+    });
+    if (a.leaves && trying_->asking->tries == 1) {
+      const auto part = static_cast<int64_t>(a.leave_part * static_cast<double>(left.count()));
+      leave_timer_ = load_.loop_.After(Duration(part), [this] {
+        leave_timer_ = {};
+        Leave();
+      });
+    }
+    if (a.trickles && text.size() > 8) {
+      return Trickle(std::make_shared<std::string>(std::move(text)), 3);
+    }
+    stream_.Write(std::move(text));
+    LookWritten();
+  }
+
+  void Close() {
+    load_.loop_.Cancel(timer_);
+    load_.loop_.Cancel(leave_timer_);
+    stream_.Close();
+  }
+
+  void OnConnected() override {
+    connected_ = true;
+    LookWritten();
+  }
+  void OnFlushed() override { LookWritten(); }
+  void OnRead() override;
+  void OnBroken() override { Ended("reset"); }
+
+  std::list<std::shared_ptr<Connection>>::iterator place;
+
+ private:
+  // Its last byte is with the kernel of a connection that the gateway's machine accepted.
+  void LookWritten() {
+    if (trying_ != nullptr && connected_ && stream_.flushed() && !trickling_) {
+      load_.ledger_.Taken(trying_->n);
+    }
+  }
+  void Trickle(std::shared_ptr<std::string> text, int pieces) {
+    trickling_ = pieces > 1;
+    const size_t size = pieces > 1 ? text->size() / static_cast<size_t>(pieces) : text->size();
+    stream_.Write(text->substr(0, size));
+    text->erase(0, size);
+    if (!trickling_) return LookWritten();
+    load_.loop_.After(kPiecePause, [kept = *place, text, pieces, n = trying_->n] {
+      if (kept->closed() || kept->trying_ == nullptr || kept->trying_->n != n) return;
+      kept->Trickle(text, pieces - 1);
+    });
+  }
+  void Done(int status, Duration come_back, bool keep) {
+    load_.loop_.Cancel(timer_);
+    load_.loop_.Cancel(leave_timer_);
+    last_ = trying_->n;
+    const auto trying = std::exchange(trying_, nullptr);
+    trickling_ = false;
+    if (!keep || trying->asking->arrival.once) {
+      load_.Drop(*this);
+    } else {
+      load_.targets_[gateway_].idle.push_back(this);
+    }
+    load_.End(trying, status, come_back);
+  }
+  void OutOfTime() {
+    // The ledger has looked at the deadline itself; here the client only stops waiting.
+    Done(0, Duration(0), false);
+  }
+  void Leave() {
+    load_.ledger_.Broken(load_.Now(), trying_->n, Ledger::Ended::kClientLeft, "");
+    trying_->asking->arrival.retry_waits.clear();
+    Done(0, Duration(0), false);
+  }
+  void Ended(std::string_view how);
+
+  Load& load_;
+  size_t gateway_;
+  Stream stream_;
+  MessageParser parser_{MessageParser::Kind::kAnswer, kAnswerMost};
+  std::shared_ptr<Trying> trying_;
+  net::EventLoop::TimerId timer_, leave_timer_;
+  size_t last_ = SIZE_MAX;  // the try that was answered last
+  int asked_ = 0;
+  bool connected_ = false, trickling_ = false, answered_ = false;
+};
+
+void Load::Connection::OnRead() {
+  while (!stream_.closed() && !stream_.in().empty()) {
+    if (trying_ == nullptr) {
+      // Nothing was asked for. A gateway that closes may say why.
+      if (!stream_.in().view().starts_with("HTTP/1.1 408")) {
+        load_.ledger_.Extra(load_.Now(), last_,
+                            fmt::format("{} bytes behind its answer", stream_.in().size()));
+      }
+      return load_.Drop(*this);
+    }
+    const Progress progress = parser_.Feed(stream_.in());
+    if (progress == Progress::kMore) break;
+    if (progress == Progress::kBad) return Ended("an answer that can't be read");
+    const net::Message m = parser_.message();
+    const net::Buffer bytes = stream_.in().TakeFront(m.size);
+    parser_.Reset();
+    load_.ledger_.Answered(load_.Now(), trying_->n, m.status, m.body.In(bytes.view()));
+    Done(m.status, RetryAfter(m, bytes.view()), m.keep_alive);
+  }
+  if (!stream_.closed() && stream_.ended()) Ended("closed");
+}
+
+void Load::Connection::Ended(std::string_view how) {
+  if (stream_.closed()) return;
+  const auto trying = std::exchange(trying_, nullptr);
+  const bool connected = connected_;
+  const bool reused = asked_ > 1;
+  load_.loop_.Cancel(timer_);
+  load_.loop_.Cancel(leave_timer_);
+  const bool answer_begun = parser_.begun();
+  load_.Drop(*this);
+  if (trying == nullptr) return;
+  const bool killed = load_.targets_[gateway_].killed;
+  // Not accepted, or closed between requests just as this one was written: once more, elsewhere.
+  const bool crossed = reused && !answer_begun && trying->connects < kConnectsMost;
+  if (!connected || (crossed && !killed && load_.ledger_.ReceiptsOf(trying->n) == 0)) {
+    if (trying->connects < kConnectsMost) return load_.Send(trying);
+    ++load_.counts_.no_gateway;
+    load_.ledger_.Broken(load_.Now(), trying->n, Ledger::Ended::kGatewayKilled, "");
+    return load_.End(trying, 0, Duration(0));
+  }
+  load_.ledger_.Broken(load_.Now(), trying->n,
+                       killed ? Ledger::Ended::kGatewayKilled : Ledger::Ended::kByGateway,
+                       fmt::format("its connection ended without a whole answer: {}", how));
+  load_.End(trying, 0, Duration(0));
+}
+
+// ---- A client that does not do as it should -----------------------------------------------------
+
+class Load::BadConnection final : public Stream::Owner {
+ public:
+  BadConnection(Load& load, const BadClients& bad, uint64_t number, net::Socket socket)
+      : load_(load),
+        kind_(bad.kind),
+        number_(number),
+        stream_(load.loop_, std::move(socket), this, true) {}
+  bool Start() {
+    if (!stream_.Start()) return false;
+    const bool long_one = kind_ == BadKind::kHugeLength;
+    timer_ = load_.loop_.After(long_one ? kBadOwedLong : kBadOwed, [this] {
+      timer_ = {};
+      Over(false);
+    });
+    Speak();
+    return true;
+  }
+  void OnRead() override {
+    if (parser_.Feed(stream_.in()) == Progress::kDone) {
+      const int status = parser_.message().status;
+      if (status == 200) ++load_.counts_.bad_served;
+      return Over(true);
+    }
+    if (stream_.ended()) Over(true);
+  }
+  void OnBroken() override { Over(true); }
+  void OnFlushed() override {
+    if (kind_ == BadKind::kHalfRequest && sent_) Over(true);  // it closes itself
+    if (more_ > 0) {
+      const size_t piece = std::min<size_t>(more_, 1 << 16);
+      more_ -= piece;
+      load_.loop_.Yield([kept = *place, piece] {
+        if (!kept->stream_.closed()) kept->stream_.Write(std::string(piece, 'x'));
+      });
+    }
+  }
+  std::list<std::shared_ptr<BadConnection>>::iterator place;
+
+ private:
+  void Speak() {
+    const std::string& cls = load_.e_.classes[0].name;
+    const std::string id = fmt::format("bad-{:x}", number_);
+    const std::string caller =
+        load_.e_.tenants.empty() ? "" : fmt::format("X-Caller: {}\r\n", load_.e_.tenants[0].name);
+    const auto head = [&](std::string_view path, std::string_view more, std::string_view budget) {
+      return fmt::format(
+          "POST /{} HTTP/1.1\r\nHost: lab\r\nX-Call-Id: {}\r\n{}X-Budget-Ms: {}\r\n"
+          "Idempotency-Key: {}\r\n{}",
+          path, id, caller, budget, id, more);
+    };
+    std::string text;
+    switch (kind_) {
+      case BadKind::kRubbish: {
+        std::mt19937_64 rng(number_);
+        for (int i = 0; i < 400; ++i) text += static_cast<char>(rng() & 0xff);
+        text += "\r\n\r\n";
+        break;
+      }
+      case BadKind::kEndlessHead:
+        text = head(cls, "X-Long: ", "1000");
+        more_ = 1 << 20;
+        break;
+      case BadKind::kBadLength: text = head(cls, "Content-Length: abc\r\n\r\n", "1000"); break;
+      case BadKind::kNegativeLength: text = head(cls, "Content-Length: -5\r\n\r\n", "1000"); break;
+      case BadKind::kHugeLength:
+        text = head(cls, fmt::format("Content-Length: {}\r\n\r\n", kHugeBody), "1000");
+        more_ = kHugeBody;
+        break;
+      case BadKind::kTwoFramings: {
+        // What hides in its body must never reach a host.
+        const std::string hidden =
+            fmt::format("GET /{} HTTP/1.1\r\nX-Call-Id: hidden-{:x}\r\n{}X-Budget-Ms: 1000\r\n\r\n",
+                        cls, number_, caller);
+        text = head(cls,
+                    fmt::format("Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                hidden.size() + 5),
+                    "1000") +
+               "0\r\n\r\n" + hidden;
+        break;
+      }
+      case BadKind::kUnknownClass:
+        text = head("no-such-class", "Content-Length: 0\r\n\r\n", "1000");
+        break;
+      case BadKind::kBadBudget: text = head(cls, "Content-Length: 0\r\n\r\n", "soon"); break;
+      case BadKind::kNoId:
+        text = fmt::format("GET /{} HTTP/1.1\r\n{}X-Budget-Ms: 1000\r\n\r\n", cls, caller);
+        break;
+      case BadKind::kHalfRequest:
+        text = head(cls, "Content-Length: 100\r\n\r\nhalf", "1000");
+        break;
+      case BadKind::kSilent: break;
+      case BadKind::kTrickle: Trickle(head(cls, "Content-Length: 0\r\n\r\n", "1000")); return;
+    }
+    sent_ = true;
+    if (!text.empty()) stream_.Write(std::move(text));
+  }
+  void Trickle(std::string text) {
+    stream_.Write(text.substr(0, 1));
+    text.erase(0, 1);
+    load_.loop_.After(Duration(200'000), [kept = *place, text] {
+      if (!kept->stream_.closed() && !text.empty()) kept->Trickle(text);
+    });
+  }
+  void Over(bool answered) {
+    if (stream_.closed()) return;
+    load_.loop_.Cancel(timer_);
+    ++(answered ? load_.counts_.bad_answered : load_.counts_.bad_unanswered);
+    stream_.Close();
+    load_.loop_.Defer([kept = *place] {});
+    load_.bad_.erase(place);
+  }
+
+  Load& load_;
+  BadKind kind_;
+  uint64_t number_;
+  Stream stream_;
+  MessageParser parser_{MessageParser::Kind::kAnswer, kAnswerMost};
+  net::EventLoop::TimerId timer_;
+  size_t more_ = 0;
+  bool sent_ = false;
+};
+
+// ---- The load -----------------------------------------------------------------------------------
+
+Load::Load(net::EventLoop& loop, const Experiment& experiment, Ledger& ledger, uint64_t seed,
+           std::vector<net::Address> targets)
+    : loop_(loop), e_(experiment), ledger_(ledger), arrivals_(experiment, seed), seed_(seed) {
+  for (const net::Address& address : targets) targets_.push_back({address, true, false, {}});
+}
+
+Load::~Load() {
+  for (const auto& connection : connections_) connection->Close();
+}
+
+void Load::Begin(Time zero) {
+  zero_ = zero;
+  for (size_t i = 0; i < e_.load.idle_connections; ++i) Open(i % targets_.size());
+  for (size_t i = 0; i < e_.load.bad.size(); ++i) BeginBad(e_.load.bad[i], i);
+  drawn_out_ = !arrivals_.Next(next_);
+  Arrive();
+}
+
+void Load::SetIn(size_t gateway, bool in) {
+  Target& target = targets_[gateway];
+  target.in = in;
+}
+
+void Load::SetKilled(size_t gateway, bool killed) { targets_[gateway].killed = killed; }
+
+void Load::Arrive() {
+  while (!drawn_out_ && next_.at <= Now()) {
+    auto asking = std::make_shared<Asking>();
+    asking->arrival = next_;
+    asking->first = Now();
+    asking->ask = ledger_.Ask(Now(), next_.facts);
+    TryOnce(asking);
+    drawn_out_ = !arrivals_.Next(next_);
+  }
+  if (drawn_out_) return;
+  loop_.After(next_.at - Now(), [this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) Arrive();
+  });
+}
+
+size_t Load::PickGateway(double part, int further) const {
+  std::vector<size_t> in;
+  for (size_t i = 0; i < targets_.size(); ++i) {
+    if (targets_[i].in) in.push_back(i);
+  }
+  if (in.empty()) return SIZE_MAX;
+  const auto place = static_cast<size_t>(part * static_cast<double>(in.size()));
+  return in[(place + static_cast<size_t>(further)) % in.size()];
+}
+
+void Load::TryOnce(const std::shared_ptr<Asking>& asking) {
+  const Time now = Now();
+  const size_t gateway = PickGateway(asking->arrival.gateway, asking->tries++);
+  const Time deadline = now + e_.classes[asking->arrival.facts.cls].rules.deadline;
+  auto trying = std::make_shared<Trying>();
+  trying->asking = asking;
+  trying->deadline = deadline;
+  trying->gateway = gateway == SIZE_MAX ? 0 : gateway;
+  trying->n = ledger_.Try(now, asking->ask, trying->gateway, deadline);
+  if (gateway == SIZE_MAX) {
+    ++counts_.no_gateway;
+    ledger_.Broken(now, trying->n, Ledger::Ended::kGatewayKilled, "");
+    return End(trying, 0, Duration(0));
+  }
+  Send(std::move(trying));
+}
+
+void Load::Send(std::shared_ptr<Trying> trying) {
+  Target& target = targets_[trying->gateway];
+  Connection* connection = nullptr;
+  // After a break only a new connection tells whether the gateway is there.
+  while (trying->connects == 0 && !target.idle.empty() && connection == nullptr) {
+    Connection* const kept = target.idle.back();
+    target.idle.pop_back();
+    if (!kept->closed() && kept->Quiet()) connection = kept;
+    else if (!kept->closed()) Drop(*kept);
+  }
+  ++trying->connects;
+  if (connection == nullptr) connection = Open(trying->gateway);
+  if (connection == nullptr) {
+    ++counts_.beyond;
+    ledger_.Broken(Now(), trying->n, Ledger::Ended::kGatewayKilled, "");
+    return End(trying, 0, Duration(0));
+  }
+  std::erase(target.idle, connection);
+  connection->Ask(std::move(trying));
+}
+
+std::string Load::HeadOf(const Trying& trying) const {
+  const Arrival& a = trying.asking->arrival;
+  const ClassSpec& cls = e_.classes[a.facts.cls];
+  const bool keyed = cls.rules.effect == Effect::kKeyed;
+  const bool body = keyed || cls.rules.effect == Effect::kUnsafe || a.facts.body_bytes > 0;
+  const auto budget = std::max<int64_t>(1, (trying.deadline - Now()).count() / 1000);
+  std::string head =
+      fmt::format("{} /{} HTTP/1.1\r\nHost: lab\r\nX-Call-Id: {}\r\nX-Budget-Ms: {}\r\n",
+                  body ? "POST" : "GET", cls.name, ledger_.IdOf(trying.n), budget);
+  if (!e_.tenants.empty()) {
+    head += fmt::format("X-Caller: {}\r\n", e_.tenants[a.facts.tenant].name);
+  }
+  if (keyed) head += fmt::format("Idempotency-Key: {:016x}{:016x}\r\n", seed_, a.facts.key);
+  if (e_.marks_retry && trying.asking->tries > 1) head += "X-Again: 1\r\n";
+  if (body) head += fmt::format("Content-Length: {}\r\n", a.facts.body_bytes);
+  return head + "\r\n";
+}
+
+void Load::End(const std::shared_ptr<Trying>& trying, int status, Duration come_back) {
+  const auto& asking = trying->asking;
+  const size_t place = static_cast<size_t>(asking->tries) - 1;
+  const auto& waits = asking->arrival.retry_waits;
+  if (status == 200 || place >= waits.size()) return ledger_.Over(Now(), asking->ask);
+  loop_.After(std::max(waits[place], come_back), [this, asking, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) TryOnce(asking);
+  });
+}
+
+Load::Connection* Load::Open(size_t gateway) {
+  if (connections_.size() >= e_.load.connections_most) return nullptr;
+  bool refused = false;
+  auto socket = net::Connect(targets_[gateway].address, nullptr, refused);
+  if (!socket) return nullptr;
+  connections_.push_back(std::make_shared<Connection>(*this, gateway, std::move(*socket)));
+  Connection& connection = *connections_.back();
+  connection.place = std::prev(connections_.end());
+  ++counts_.connections;
+  counts_.open_most = std::max(counts_.open_most, connections_.size());
+  if (connection.Start()) return &connection;
+  Drop(connection);
+  return nullptr;
+}
+
+void Load::Drop(Connection& connection) {
+  if (connection.closed()) return;
+  std::erase(targets_[connection.gateway()].idle, &connection);
+  connection.Close();
+  loop_.Defer([kept = *connection.place] {});
+  connections_.erase(connection.place);
+}
+
+void Load::BeginBad(const BadClients& bad, size_t place) {
+  // Evenly, begun at a place of its own.
+  const auto every = Duration(std::llround(1e6 / bad.per_s));
+  const auto step = [this, &bad, place, every, alive = std::weak_ptr(alive_)](
+                        uint64_t number, const auto& again) -> void {
+    if (alive.expired()) return;
+    const Time now = Now();
+    if (now >= bad.to || now >= e_.length) return;
+    if (now >= bad.from) SendBad(bad, place << 40 | number);
+    loop_.After(every, [number, again] { again(number + 1, again); });
+  };
+  loop_.After(every / 2, [step] { step(0, step); });
+}
+
+void Load::SendBad(const BadClients& bad, uint64_t number) {
+  const size_t gateway = PickGateway(static_cast<double>(number % 97) / 97, 0);
+  if (gateway == SIZE_MAX) return;
+  bool refused = false;
+  auto socket = net::Connect(targets_[gateway].address, nullptr, refused);
+  if (!socket) return;
+  ++counts_.bad_sent;
+  bad_.push_back(std::make_shared<BadConnection>(*this, bad, number, std::move(*socket)));
+  BadConnection& connection = *bad_.back();
+  connection.place = std::prev(bad_.end());
+  if (!connection.Start()) bad_.pop_back();
+}
+
+}  // namespace paddlestile::lab
--- /dev/null
+++ b/src/lab/process.cpp
@@ -0,0 +1,123 @@
+#include "lab/process.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <string_view>
+#include <system_error>
+
+namespace paddlestile::lab {
+namespace {
+namespace fs = std::filesystem;
+}  // namespace
+
+Process::Process(const std::vector<std::string>& words,
+                 const std::vector<std::pair<std::string, std::string>>& env,
+                 const std::string& log_path) {
+  // All memory is taken before the fork.
+  std::vector<std::string> variables;
+  for (const auto& [name, value] : env) variables.push_back(fmt::format("{}={}", name, value));
+  for (char** at = environ; *at != nullptr; ++at) {
+    if (!std::string_view(*at).starts_with("LB_")) variables.emplace_back(*at);
+  }
+  std::vector<char*> args, vars;
+  for (const std::string& word : words) args.push_back(const_cast<char*>(word.c_str()));
+  for (const std::string& variable : variables) vars.push_back(const_cast<char*>(variable.c_str()));
+  args.push_back(nullptr);
+  vars.push_back(nullptr);
+  const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  if (log < 0) throw std::system_error(errno, std::generic_category(), log_path);
+  const pid_t parent = getpid();
+  pid_ = fork();
+  if (pid_ == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) _exit(127);
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execve(args[0], args.data(), vars.data());
+    _exit(127);
+  }
+  const int error = errno;
+  close(log);
+  if (pid_ < 0) throw std::system_error(error, std::generic_category(), "fork");
+}
+
+Process::~Process() {
+  if (Ended()) return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+}
+
+void Process::Signal(int signal) const {
+  if (!ended_) kill(pid_, signal);
+}
+
+std::optional<int> Process::Ended() {
+  int status = 0;
+  if (!ended_ && waitpid(pid_, &status, WNOHANG) == pid_) {
+    ended_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+  }
+  return ended_;
+}
+
+Process::Usage Process::Measure() const {
+  Usage usage;
+  const std::string proc = fmt::format("/proc/{}", pid_);
+  std::error_code error;
+  for (const auto& task : fs::directory_iterator(proc + "/task", error)) {
+    std::ifstream schedule(task.path() / "schedstat");
+    double ns = 0;
+    if (schedule >> ns) usage.cpu_us += ns / 1000;
+  }
+  std::ifstream memory(proc + "/statm");
+  uint64_t size = 0, resident = 0;
+  if (memory >> size >> resident) {
+    usage.rss_kb = resident * static_cast<uint64_t>(sysconf(_SC_PAGESIZE)) / 1024;
+  }
+  for (const auto& fd : fs::directory_iterator(proc + "/fd", error)) {
+    (void)fd;
+    ++usage.descriptors;
+  }
+  return usage;
+}
+
+std::string TailOf(const std::string& path, size_t lines) {
+  std::ifstream file(path);
+  std::deque<std::string> last;
+  for (std::string line; std::getline(file, line);) {
+    constexpr size_t kLineMost = 400;
+    if (line.size() > kLineMost) line = line.substr(0, kLineMost) + "...";
+    last.push_back(line);
+    if (last.size() > lines) last.pop_front();
+  }
+  std::string out;
+  for (const std::string& line : last) out += line + "\n";
+  return out;
+}
+
+Folder::Folder() {
+  std::string name = (fs::temp_directory_path() / "paddlestile-lab-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr) {
+    throw std::system_error(errno, std::generic_category(), name);
+  }
+  path_ = name;
+}
+
+Folder::~Folder() {
+  std::error_code error;
+  fs::remove_all(path_, error);
+}
+
+}  // namespace paddlestile::lab
--- /dev/null
+++ b/src/lab/process.h
@@ -0,0 +1,61 @@
+// A gateway as a process of its own: started, signalled, measured, and never left behind.
+#ifndef PADDLESTILE_LAB_PROCESS_H_
+#define PADDLESTILE_LAB_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace paddlestile::lab {
+
+class Process {
+ public:
+  // Runs the words with these variables added to the environment; both its outputs go to a file.
+  // Throws std::system_error. It dies with this process, whatever becomes of this one.
+  Process(const std::vector<std::string>& words,
+          const std::vector<std::pair<std::string, std::string>>& env, const std::string& log_path);
+  ~Process();  // killed, if it still runs
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Signal(int signal) const;
+  // How it ended: its exit code, or 128 and the signal; nothing while it runs.
+  std::optional<int> Ended();
+
+  struct Usage {
+    double cpu_us = 0;  // since its start
+    uint64_t rss_kb = 0;
+    uint64_t descriptors = 0;
+  };
+  [[nodiscard]] Usage Measure() const;
+  [[nodiscard]] pid_t pid() const { return pid_; }
+
+ private:
+  pid_t pid_ = -1;
+  std::optional<int> ended_;
+};
+
+// The last lines of a file, the longest first cut off.
+std::string TailOf(const std::string& path, size_t lines);
+
+// A folder of this run alone, gone with this object.
+class Folder {
+ public:
+  Folder();  // throws std::system_error
+  ~Folder();
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  [[nodiscard]] const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+}  // namespace paddlestile::lab
+
+#endif  // PADDLESTILE_LAB_PROCESS_H_
--- /dev/null
+++ b/src/lab/result.cpp
@@ -0,0 +1,298 @@
+#include "lab/result.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <stdexcept>
+
+namespace paddlestile::lab {
+namespace {
+
+using nlohmann::json;
+
+// The lab's own lateness past which its figures say nothing of the gateway.
+constexpr double kLagMostMs = 300;
+constexpr double kLagP99MostMs = 30;
+constexpr size_t kHostsInWindow = 64;  // beyond, a window holds the spread alone
+
+double Share(uint64_t part, uint64_t all) {
+  return all > 0 ? static_cast<double>(part) / static_cast<double>(all) : 0;
+}
+
+}  // namespace
+
+std::string_view NameOf(Verdict verdict) {
+  switch (verdict) {
+    case Verdict::kHeld: return "held";
+    case Verdict::kBroken: return "broken";
+    case Verdict::kVoid: return "void";
+  }
+  return "";
+}
+
+uint32_t Quantile(std::vector<uint32_t>& values, double part) {
+  if (values.empty()) return 0;
+  const auto rank = static_cast<size_t>(std::ceil(part * static_cast<double>(values.size())));
+  const auto at =
+      values.begin() + static_cast<long>(std::clamp<size_t>(rank, 1, values.size()) - 1);
+  std::nth_element(values.begin(), at, values.end());
+  return *at;
+}
+
+void Judge(const Experiment& e, const std::vector<Breach>& breaches, Result& r) {
+  const Ledger::Counts& c = r.counts;
+  for (const Breach& b : breaches) {
+    r.broken.push_back(fmt::format("rule: {} at {:.3f} s, {}: {}", NameOf(b.rule),
+                                   static_cast<double>(b.at.count()) / 1e6, b.id, b.what));
+  }
+  for (size_t i = 0; i < kRules; ++i) {
+    const auto told = std::ranges::count(breaches, static_cast<Rule>(i), &Breach::rule);
+    if (c.breaches[i] > static_cast<uint64_t>(told)) {
+      r.broken.push_back(fmt::format("rule: {}: {} more", NameOf(static_cast<Rule>(i)),
+                                     c.breaches[i] - static_cast<uint64_t>(told)));
+    }
+  }
+  const auto least = [&](const std::optional<double>& bound, double value, std::string_view name) {
+    if (bound && value < *bound) {
+      r.broken.push_back(fmt::format("must: {} {:.4g}, at least {:.4g}", name, value, *bound));
+    }
+  };
+  const auto most = [&](const std::optional<double>& bound, double value, std::string_view name) {
+    if (bound && value > *bound) {
+      r.broken.push_back(fmt::format("must: {} {:.4g}, at most {:.4g}", name, value, *bound));
+    }
+  };
+  const Must& m = e.must;
+  least(m.worth_share_least, r.worth_share(), "worth_share");
+  least(m.served_share_least, Share(c.served, c.asked), "served_share");
+  most(m.refused_share_most, Share(c.refused, c.asked), "refused_share");
+  most(m.failed_share_most, Share(c.failed, c.asked), "failed_share");
+  most(m.late_share_most, Share(c.late, c.asked), "late_share");
+  most(m.p50_ms_most, r.p50_us / 1000.0, "p50_ms");
+  most(m.p99_ms_most, r.p99_us / 1000.0, "p99_ms");
+  most(m.cpu_us_most, r.cpu_us_per_request, "cpu_us");
+  most(m.rss_mb_most, static_cast<double>(r.rss_kb_max) / 1024, "rss_mb");
+  most(m.rss_growth_mb_most, static_cast<double>(r.rss_kb_growth) / 1024, "rss_growth_mb");
+  most(m.descriptors_most, static_cast<double>(r.descriptors_max), "descriptors");
+  most(m.bad_unanswered_share_most, Share(r.bad_unanswered, r.bad_sent), "bad_unanswered_share");
+  if (r.bad_served > 0) {
+    r.broken.push_back(fmt::format("must: {} requests served that can't be read", r.bad_served));
+  }
+  for (const WindowMust& w : m.windows) {
+    double asked = 0, served = 0;
+    for (const WindowResult& window : r.windows) {
+      if (window.at_s * 1e6 < static_cast<double>(w.from.count()) ||
+          window.at_s * 1e6 >= static_cast<double>(w.to.count())) {
+        continue;
+      }
+      asked += window.counts.worth_asked;
+      served += window.counts.worth_served;
+    }
+    const double share = asked > 0 ? served / asked : 0;
+    least(w.worth_share_least, share,
+          fmt::format("worth_share from {:.0f} to {:.0f} s",
+                      static_cast<double>(w.from.count()) / 1e6,
+                      static_cast<double>(w.to.count()) / 1e6));
+  }
+  if (r.lab_lag_ms_max > kLagMostMs) {
+    r.late.push_back(fmt::format("the lab was {:.0f} ms late once, {:.0f} at most",
+                                 r.lab_lag_ms_max, kLagMostMs));
+  }
+  if (r.lab_lag_ms_p99 > kLagP99MostMs) {
+    r.late.push_back(fmt::format("the lab was {:.0f} ms late at p99, {:.0f} at most",
+                                 r.lab_lag_ms_p99, kLagP99MostMs));
+  }
+  r.verdict = !r.late.empty()     ? Verdict::kVoid
+              : !r.broken.empty() ? Verdict::kBroken
+                                  : Verdict::kHeld;
+}
+
+std::string ToJson(const Result& r) {
+  const Ledger::Counts& c = r.counts;
+  json windows = json::array();
+  for (const WindowResult& w : r.windows) {
+    std::vector<size_t> held;
+    json hosts = json::object();
+    for (const auto& [name, inflight] : w.inflight) {
+      held.push_back(inflight);
+      if (w.inflight.size() <= kHostsInWindow) hosts[name] = inflight;
+    }
+    std::ranges::sort(held);
+    const auto at = [&](double part) {
+      return held.empty() ? 0
+                          : held[static_cast<size_t>(part * static_cast<double>(held.size() - 1))];
+    };
+    windows.push_back(
+        {{"at_s", w.at_s},
+         {"asked", w.counts.asked},
+         {"served", w.counts.served},
+         {"late", w.counts.late},
+         {"refused", w.counts.refused},
+         {"failed", w.counts.failed},
+         {"worth", {{"asked", w.counts.worth_asked}, {"served", w.counts.worth_served}}},
+         {"latency_us", {{"p50", w.p50_us}, {"p99", w.p99_us}}},
+         {"inflight", {{"least", at(0)}, {"median", at(0.5)}, {"most", at(1)}}},
+         {"hosts", hosts},
+         {"cpu_share", w.cpu_share},
+         {"rss_kb", w.rss_kb},
+         {"descriptors", w.descriptors}});
+  }
+  json faults = json::array();
+  for (const MarkedFault& f : r.faults) {
+    faults.push_back(
+        {{"name", f.name}, {"from_s", f.from_s}, {"to_s", f.to_s}, {"hosts", f.hosts}});
+  }
+  json out = {{"experiment", r.experiment},
+              {"about", r.about},
+              {"file", r.path},
+              {"world", "sockets"},
+              {"seed", r.seed},
+              {"seconds", r.seconds},
+              {"verdict", NameOf(r.verdict)},
+              {"broken", r.broken},
+              {"lab_late", r.late},
+              {"requests",
+               {{"asked", c.asked},
+                {"served", c.served},
+                {"late", c.late},
+                {"refused", c.refused},
+                {"failed", c.failed},
+                {"lost", c.lost},
+                {"answered_twice", c.answered_twice},
+                {"tries", c.tries},
+                {"left", c.left},
+                {"with_a_killed_gateway", c.killed}}},
+              {"receipts",
+               {{"total", c.receipts},
+                {"twice_unlawful", c.twice_unlawful},
+                {"keys_run_again", c.keys_run_again}}},
+              {"drains", {{"late_sends", c.late_sends}}},
+              {"cold", {{"fell_over", c.fell_over}}},
+              {"worth", {{"asked", c.worth_asked}, {"served", c.worth_served}}},
+              {"latency_us", {{"p50", r.p50_us}, {"p99", r.p99_us}, {"p999", r.p999_us}}},
+              {"gateway",
+               {{"cpu_us_per_request", r.cpu_us_per_request},
+                {"rss_kb_max", r.rss_kb_max},
+                {"rss_kb_growth", r.rss_kb_growth},
+                {"descriptors_max", r.descriptors_max}}},
+              {"fleet", {{"hosts", r.hosts}, {"gateways", r.gateways}}},
+              {"clients",
+               {{"connections", r.client_connections},
+                {"connections_most", r.client_connections_most},
+                {"no_gateway", r.no_gateway},
+                {"bad_sent", r.bad_sent},
+                {"bad_unanswered", r.bad_unanswered},
+                {"bad_served", r.bad_served},
+                {"arrivals_digest", fmt::format("{:016x}", r.arrivals_digest)}}},
+              {"lab",
+               {{"cpu_share", r.lab_cpu_share},
+                {"lag_ms_max", r.lab_lag_ms_max},
+                {"lag_ms_p99", r.lab_lag_ms_p99}}},
+              {"faults", faults},
+              {"windows", windows},
+              {"logs", r.logs}};
+  return out.dump(1, ' ', false, json::error_handler_t::replace) + "\n";
+}
+
+Result ResultFromJson(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw std::runtime_error(path + ": cannot read it, expected a result of lab run");
+  try {
+    const json j = json::parse(file);
+    Result r;
+    r.experiment = j.at("experiment");
+    r.about = j.value("about", "");
+    r.path = path;
+    r.seed = j.at("seed");
+    r.seconds = j.at("seconds");
+    const std::string verdict = j.at("verdict");
+    r.verdict = verdict == "held"     ? Verdict::kHeld
+                : verdict == "broken" ? Verdict::kBroken
+                                      : Verdict::kVoid;
+    r.broken = j.at("broken").get<std::vector<std::string>>();
+    r.late = j.at("lab_late").get<std::vector<std::string>>();
+    const json& q = j.at("requests");
+    Ledger::Counts& c = r.counts;
+    c.asked = q.at("asked"), c.served = q.at("served"), c.late = q.at("late");
+    c.refused = q.at("refused"), c.failed = q.at("failed"), c.lost = q.at("lost");
+    c.answered_twice = q.at("answered_twice"), c.tries = q.at("tries");
+    c.receipts = j.at("receipts").at("total");
+    c.twice_unlawful = j.at("receipts").at("twice_unlawful");
+    c.late_sends = j.at("drains").at("late_sends");
+    c.fell_over = j.at("cold").at("fell_over");
+    c.worth_asked = j.at("worth").at("asked"), c.worth_served = j.at("worth").at("served");
+    r.p50_us = j.at("latency_us").at("p50"), r.p99_us = j.at("latency_us").at("p99");
+    r.p999_us = j.at("latency_us").at("p999");
+    r.cpu_us_per_request = j.at("gateway").at("cpu_us_per_request");
+    r.rss_kb_max = j.at("gateway").at("rss_kb_max");
+    r.descriptors_max = j.at("gateway").at("descriptors_max");
+    r.hosts = j.at("fleet").at("hosts"), r.gateways = j.at("fleet").at("gateways");
+    r.lab_cpu_share = j.at("lab").at("cpu_share");
+    r.lab_lag_ms_max = j.at("lab").at("lag_ms_max");
+    for (const json& f : j.at("faults")) {
+      r.faults.push_back({f.at("from_s"), f.at("to_s"), f.at("name"),
+                          f.at("hosts").get<std::vector<std::string>>()});
+    }
+    for (const json& w : j.at("windows")) {
+      WindowResult window;
+      window.at_s = w.at("at_s");
+      window.counts.asked = w.at("asked"), window.counts.served = w.at("served");
+      window.counts.late = w.at("late"), window.counts.refused = w.at("refused");
+      window.counts.failed = w.at("failed");
+      window.counts.worth_asked = w.at("worth").at("asked");
+      window.counts.worth_served = w.at("worth").at("served");
+      window.p50_us = w.at("latency_us").at("p50"), window.p99_us = w.at("latency_us").at("p99");
+      for (const auto& [name, value] : w.at("hosts").items()) {
+        window.inflight.emplace_back(name, value.get<size_t>());
+      }
+      if (window.inflight.empty()) {
+        for (const char* const name : {"least", "median", "most"}) {
+          window.inflight.emplace_back(name, w.at("inflight").at(name).get<size_t>());
+        }
+      }
+      window.cpu_share = w.at("cpu_share");
+      window.rss_kb = w.at("rss_kb"), window.descriptors = w.at("descriptors");
+      r.windows.push_back(std::move(window));
+    }
+    r.logs = j.at("logs").get<std::vector<std::string>>();
+    return r;
+  } catch (const json::exception& error) {
+    throw std::runtime_error(
+        fmt::format("{}: {}, expected a result of lab run", path, error.what()));
+  }
+}
+
+std::string Summary(const Result& r) {
+  const Ledger::Counts& c = r.counts;
+  std::string out = fmt::format(
+      "{}: {} (seed {}, {:.0f} s, {} hosts, {} gateway{}; emulated hosts)\n", r.experiment,
+      NameOf(r.verdict), r.seed, r.seconds, r.hosts, r.gateways, r.gateways == 1 ? "" : "s");
+  out += fmt::format(
+      "  requests: {} asked, {} served ({} late), {} refused, {} failed, {} lost, {} answered "
+      "twice\n",
+      c.asked, c.served, c.late, c.refused, c.failed, c.lost, c.answered_twice);
+  out += fmt::format("  worth: {:.3f} of what was asked for\n", r.worth_share());
+  out += fmt::format("  latency: p50 {:.1f} ms, p99 {:.1f} ms, p99.9 {:.1f} ms\n",
+                     r.p50_us / 1000.0, r.p99_us / 1000.0, r.p999_us / 1000.0);
+  out += fmt::format(
+      "  receipts: {}, {} unlawful; {} late sends to draining hosts; {} cold hosts fell over\n",
+      c.receipts, c.twice_unlawful, c.late_sends, c.fell_over);
+  out += fmt::format(
+      "  gateway: {:.0f} us of CPU a request, {:.1f} MB, {} descriptors; lab: {:.2f} cores, "
+      "{:.0f} ms late at most\n",
+      r.cpu_us_per_request, static_cast<double>(r.rss_kb_max) / 1024, r.descriptors_max,
+      r.lab_cpu_share, r.lab_lag_ms_max);
+  constexpr size_t kShown = 8;
+  for (const auto* const list : {&r.late, &r.broken}) {
+    for (size_t i = 0; i < list->size() && i < kShown; ++i)
+      out += fmt::format("  {}\n", (*list)[i]);
+    if (list->size() > kShown) out += fmt::format("  and {} more\n", list->size() - kShown);
+  }
+  return out;
+}
+
+}  // namespace paddlestile::lab
--- /dev/null
+++ b/src/lab/runner.cpp
@@ -0,0 +1,600 @@
+#include "lab/runner.h"
+
+#include <fmt/format.h>
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <deque>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+#include "lab/directory.h"
+#include "lab/fleet.h"
+#include "lab/ledger.h"
+#include "lab/listener.h"
+#include "lab/load.h"
+#include "lab/process.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "net/stream.h"
+
+namespace paddlestile::lab {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr size_t kGatewayPlaces = 40'000;     // addresses behind those of the sources
+constexpr Duration kUpWithin{10'000'000};     // us; for a gateway to come up
+constexpr Duration kHangAfter{3'000'000};     // us; without an answer to /_health
+constexpr Duration kHealthEvery{500'000};     // us
+constexpr Duration kFrontTakesOut{300'000};   // us; after SIGTERM
+constexpr Duration kFrontNotices{1'000'000};  // us; that one has died
+constexpr Duration kSampleEvery{250'000};     // us
+constexpr Duration kLagEvery{5'000};          // us
+constexpr Duration kLookEvery{20'000};        // us; at the ledger and the processes
+constexpr Duration kLagSpan{1'000'000};       // us; lateness is excused for so long after it
+constexpr Duration kEndSpare{3'000'000};      // us; beyond the last deadline
+constexpr size_t kTailLines = 20;
+
+double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
+
+// One GET /_health on a connection of its own.
+class HealthCall final : public net::Stream::Owner {
+ public:
+  HealthCall(net::EventLoop& loop, const net::Address& to, std::function<void(bool)> done)
+      : loop_(loop), done_(std::move(done)) {
+    bool refused = false;
+    auto socket = net::Connect(to, nullptr, refused);
+    if (socket) stream_ = std::make_unique<net::Stream>(loop, std::move(*socket), this, true);
+    if (stream_ && stream_->Start()) {
+      stream_->Write("GET /_health HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n");
+    } else {
+      Later(false);
+    }
+  }
+  void OnRead() override {
+    if (parser_.Feed(stream_->in()) == net::Progress::kDone) {
+      return Later(parser_.message().status == 200);
+    }
+    if (stream_->ended()) Later(false);
+  }
+  void OnBroken() override { Later(false); }
+
+ private:
+  void Later(bool good) {
+    if (std::exchange(told_, true)) return;
+    if (stream_) stream_->Close();
+    loop_.Defer([done = done_, good] { done(good); });
+  }
+  net::EventLoop& loop_;
+  std::function<void(bool)> done_;
+  std::unique_ptr<net::Stream> stream_;
+  net::MessageParser parser_{net::MessageParser::Kind::kAnswer};
+  bool told_ = false;
+};
+
+class SignalWatch final : public net::EventLoop::Handler {
+ public:
+  SignalWatch(net::EventLoop& loop, std::function<void()> then)
+      : loop_(loop), then_(std::move(then)) {
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGTERM);
+    sigprocmask(SIG_BLOCK, &set, &before_);
+    fd_ = net::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+    loop_.Watch(fd_.get(), this, token_);
+  }
+  SignalWatch(const SignalWatch&) = delete;
+  SignalWatch& operator=(const SignalWatch&) = delete;
+  virtual ~SignalWatch() {
+    loop_.Unwatch(fd_.get(), token_);
+    sigprocmask(SIG_SETMASK, &before_, nullptr);
+  }
+  void OnEvents(uint32_t) override {
+    signalfd_siginfo info{};
+    while (read(fd_.get(), &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) then_();
+  }
+
+ private:
+  net::EventLoop& loop_;
+  std::function<void()> then_;
+  net::Fd fd_;
+  uint64_t token_ = 0;
+  sigset_t before_{};
+};
+
+struct GatewayState {
+  net::Address address;
+  std::string config_path, log_path;
+  std::unique_ptr<Process> process;
+  bool expected_to_end = false;  // the script has it so
+  bool stopped = false;          // the script has stopped it
+  bool up = false;
+  std::unique_ptr<HealthCall> health;
+  Time asked{0};          // when /_health was asked
+  Process::Usage used;    // at the last look
+  double cpu_before = 0;  // of processes that have ended, less what was used before time 0
+};
+
+class Runner {
+ public:
+  Runner(Experiment experiment, const RunOptions& options)
+      : e_(std::move(experiment)),
+        options_(options),
+        seed_(options.seed.value_or(e_.seed)),
+        ledger_(RulesOf(e_, seed_)),
+        fleet_(loop_, e_, ledger_, seed_,
+               [this](const ListedHost& host, Duration lag) { directory_.Change(host, lag); }),
+        directory_(loop_, ledger_, e_.gateway.count, e_.list_every),
+        signals_(loop_, [this] {
+          interrupted_ = true;
+          loop_.Stop();
+        }) {}
+
+  Result Run() {
+    RaiseLimits();
+    fleet_.Start();
+    directory_.Start(fleet_.List());
+    std::vector<net::Address> targets;
+    if (options_.straight) {
+      for (const ListedHost& host : fleet_.List()) targets.push_back(host.address);
+    } else {
+      for (size_t i = 0; i < e_.gateway.count; ++i) targets.push_back(Prepare(i));
+      for (size_t i = 0; i < e_.gateway.count; ++i) StartGateway(i);
+      if (!AwaitGateways()) return Finish();
+    }
+    load_ = std::make_unique<Load>(loop_, e_, ledger_, seed_ ^ 0x10ad, targets);
+    if (options_.straight) result_.faults.clear();
+    zero_ = loop_.Now();
+    for (GatewayState& g : gateways_) {
+      g.used = g.process->Measure();
+      g.cpu_before = -g.used.cpu_us;
+    }
+    rusage own{};
+    getrusage(RUSAGE_SELF, &own);
+    lab_cpu_before_ = CpuUs(own);
+    fleet_.Begin(zero_);
+    directory_.Begin(zero_);
+    lag_due_ = loop_.Now() + kLagEvery;
+    loop_.After(kLagEvery, [this] { MeasureLag(); });
+    Every(kSampleEvery, [this] { Sample(); });
+    Every(kLookEvery, [this] { Look(); });
+    if (!options_.straight) Every(kHealthEvery, [this] { AskHealth(); });
+    // Drawn now and in their order, whatever happens meanwhile.
+    for (const Fault& fault : e_.faults) Script(fault);
+    load_->Begin(zero_);
+    loop_.Run();
+    if (interrupted_) throw Interrupted("interrupted; nothing is left running");
+    return Finish();
+  }
+
+ private:
+  static LedgerRules RulesOf(const Experiment& e, uint64_t seed) {
+    LedgerRules rules;
+    for (const ClassSpec& c : e.classes) rules.classes.push_back(c.rules);
+    rules.drain_grace = e.drain_grace;
+    rules.id_prefix = fmt::format("r{:x}", seed);
+    return rules;
+  }
+  static double CpuUs(const rusage& u) {
+    return static_cast<double>(u.ru_utime.tv_sec + u.ru_stime.tv_sec) * 1e6 +
+           static_cast<double>(u.ru_utime.tv_usec + u.ru_stime.tv_usec);
+  }
+  static void RaiseLimits() {
+    rlimit files{};
+    if (getrlimit(RLIMIT_NOFILE, &files) != 0) return;
+    files.rlim_cur = files.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &files);
+    std::signal(SIGPIPE, SIG_IGN);
+  }
+
+  [[nodiscard]] Time Now() const { return loop_.Now() - zero_; }
+  void Every(Duration every, std::function<void()> then) {
+    loop_.After(every, [this, every, then = std::move(then)] {
+      then();
+      Every(every, then);
+    });
+  }
+  void At(Duration at, std::function<void()> then) { loop_.After(at - Now(), std::move(then)); }
+
+  // ---- Gateways -----------------------------------------------------------------------------
+  net::Address Prepare(size_t i) {
+    GatewayState& g = gateways_.emplace_back();
+    g.address = i == 0 && !e_.gateway.listen.empty() ? net::ParseAddress(e_.gateway.listen)
+                                                     : OwnAddress(kGatewayPlaces + i);
+    g.config_path = fmt::format("{}/gateway-{}.json", folder_.path(), i);
+    g.log_path = fmt::format("{}/gateway-{}.log", folder_.path(), i);
+    return g.address;
+  }
+
+  void WriteConfig(size_t i) {
+    using nlohmann::json;
+    GatewayState& g = gateways_[i];
+    const json config = {{"name", fmt::format("g{}", i)},
+                         {"listen", net::ToText(g.address)},
+                         {"discovery", net::ToText(directory_.AddressOf(i))},
+                         {"seed", fmt::format("{:x}", seed_ * 1000 + i + starts_)},
+                         {"limits", {{"cores", 1.0}, {"sockets", e_.gateway.sockets}}},
+                         {"known", json::parse(directory_.Whole(i))},
+                         {"settings", json::parse(SettingsJson(e_, i))}};
+    // Whole or not at all: the gateway may read it at any time.
+    const std::string part = g.config_path + ".part";
+    std::ofstream(part) << config.dump();
+    std::filesystem::rename(part, g.config_path);
+  }
+
+  void StartGateway(size_t i) {
+    GatewayState& g = gateways_[i];
+    ledger_.Forgets(i);
+    WriteConfig(i);
+    ++starts_;
+    std::vector<std::string> words = options_.gateway;
+    if (words.empty()) words = {std::filesystem::read_symlink("/proc/self/exe").string(), "serve"};
+    g.process =
+        std::make_unique<Process>(words,
+                                  std::vector<std::pair<std::string, std::string>>{
+                                      {"LB_NAME", fmt::format("g{}", i)},
+                                      {"LB_LISTEN", net::ToText(g.address)},
+                                      {"LB_DISCOVERY", net::ToText(directory_.AddressOf(i))},
+                                      {"LB_CONFIG", g.config_path}},
+                                  g.log_path);
+    g.expected_to_end = g.up = false;
+    g.health.reset();
+    g.used = {};
+  }
+
+  bool AwaitGateways() {
+    const Time until = loop_.Now() + kUpWithin;
+    while (!interrupted_) {
+      bool all = true;
+      for (size_t i = 0; i < gateways_.size(); ++i) {
+        GatewayState& g = gateways_[i];
+        if (const auto code = g.process->Ended()) {
+          Broken(i, fmt::format("gateway {} ended with {} before it was up", i, *code));
+          return false;
+        }
+        if (!g.up && !g.health) AskHealth(i);
+        all = all && g.up;
+      }
+      if (all) return true;
+      if (loop_.Now() > until) {
+        result_.broken.emplace_back("a gateway did not come up within 10 s");
+        AddLogs();
+        return false;
+      }
+      loop_.RunOnce(Duration(10'000));
+    }
+    throw Interrupted("interrupted; nothing is left running");
+  }
+
+  void AskHealth(size_t i) {
+    GatewayState& g = gateways_[i];
+    g.asked = loop_.Now();
+    g.health = std::make_unique<HealthCall>(loop_, g.address, [this, i](bool good) {
+      GatewayState& at = gateways_[i];
+      at.health.reset();
+      if (good && !std::exchange(at.up, true) && load_) {
+        // The front takes it in again.
+        load_->SetKilled(i, false);
+        load_->SetIn(i, true);
+      }
+    });
+  }
+  void AskHealth() {
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      GatewayState& g = gateways_[i];
+      if (g.expected_to_end || g.stopped || !g.process) continue;
+      if (!g.health) {
+        AskHealth(i);
+      } else if (loop_.Now() - g.asked > kHangAfter + lag_recent_) {
+        Broken(i, fmt::format("gateway {} hangs: no answer to /_health for 3 s", i));
+        loop_.Stop();
+      }
+    }
+  }
+
+  void Broken(size_t gateway, const std::string& what) {
+    result_.broken.push_back(
+        fmt::format("{} at {:.1f} s", what, zero_ > Time(0) ? Seconds(Now()) : 0));
+    result_.logs.push_back(
+        fmt::format("gateway {}:\n{}", gateway, TailOf(gateways_[gateway].log_path, kTailLines)));
+  }
+  void AddLogs() {
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      result_.logs.push_back(
+          fmt::format("gateway {}:\n{}", i, TailOf(gateways_[i].log_path, kTailLines)));
+    }
+  }
+
+  // ---- The script ---------------------------------------------------------------------------
+  void Script(const Fault& fault) {
+    if (fault.at > e_.length) return;
+    const double to = Seconds(fault.at + fault.lasts);
+    result_.faults.push_back({Seconds(fault.at), to, fault.name, {}});
+    const size_t place = result_.faults.size() - 1;
+    At(fault.at, [this, &fault, place] { Play(fault, place); });
+  }
+
+  void Play(const Fault& fault, size_t place) {
+    switch (fault.kind) {
+      case FaultKind::kListSilent:
+        directory_.Silent(true);
+        return At(fault.at + fault.lasts, [this] { directory_.Silent(false); });
+      case FaultKind::kListLag:
+        directory_.Lag(fault.lag);
+        return At(fault.at + fault.lasts, [this] { directory_.Lag(Duration(0)); });
+      case FaultKind::kListMalformed:
+        directory_.Malformed(true);
+        return At(fault.at + fault.lasts, [this] { directory_.Malformed(false); });
+      case FaultKind::kListOld:
+        directory_.Old(true);
+        return At(fault.at + fault.lasts, [this] { directory_.Old(false); });
+      case FaultKind::kListMoved:
+        directory_.Move();
+        for (size_t i = 0; i < gateways_.size(); ++i) {
+          WriteConfig(i);
+          if (gateways_[i].process) gateways_[i].process->Signal(SIGHUP);
+        }
+        return;
+      case FaultKind::kGatewayTerm:
+      case FaultKind::kGatewayKill:
+      case FaultKind::kGatewayHang: return PlayGateway(fault);
+      default: break;
+    }
+    const std::vector<size_t> chosen = fleet_.Choose(fault);
+    const auto listed = fleet_.List();
+    for (const size_t host : chosen) {
+      const auto at = std::ranges::find(listed, host, &ListedHost::host);
+      if (at != listed.end()) result_.faults[place].hosts.push_back(at->id);
+    }
+    fleet_.Begin(fault, chosen);
+    if (fault.lasts > Duration(0)) {
+      At(fault.at + fault.lasts, [this, &fault, chosen] { fleet_.End(fault, chosen); });
+    }
+  }
+
+  void PlayGateway(const Fault& fault) {
+    const size_t i = fault.gateway;
+    GatewayState& g = gateways_[i];
+    if (!g.process) return;
+    if (fault.kind == FaultKind::kGatewayHang) {
+      g.stopped = true;
+      g.process->Signal(SIGSTOP);
+      loop_.After(fault.lasts, [this, i] {
+        gateways_[i].stopped = false;
+        gateways_[i].health.reset();
+        if (gateways_[i].process) gateways_[i].process->Signal(SIGCONT);
+      });
+      return;
+    }
+    g.used = g.process->Measure();
+    g.expected_to_end = true;
+    if (fault.kind == FaultKind::kGatewayKill) {
+      load_->SetKilled(i, true);
+      g.process->Signal(SIGKILL);
+      loop_.After(kFrontNotices, [this, i] { load_->SetIn(i, gateways_[i].up); });
+    } else {
+      g.process->Signal(SIGTERM);
+      loop_.After(kFrontTakesOut, [this, i] { load_->SetIn(i, false); });
+    }
+    g.up = false;
+    const Duration longest = Longest();
+    loop_.After(fault.down,
+                [this, i, until = loop_.Now() + longest + seconds(1)] { Restart(i, until); });
+  }
+
+  void Restart(size_t i, Time until) {
+    GatewayState& g = gateways_[i];
+    if (!g.process->Ended()) {
+      if (loop_.Now() > until) {
+        Broken(i, fmt::format("gateway {} did not end after SIGTERM", i));
+        return loop_.Stop();
+      }
+      loop_.After(Duration(50'000), [this, i, until] { Restart(i, until); });
+      return;
+    }
+    CheckEnd(i);
+    g.cpu_before += g.used.cpu_us;
+    StartGateway(i);
+  }
+
+  // After SIGTERM it leaves with 0; killed, with what SIGKILL gives.
+  void CheckEnd(size_t i) {
+    const int code = gateways_[i].process->Ended().value_or(0);
+    if (code != 0 && code != 128 + SIGKILL)
+      Broken(i, fmt::format("gateway {} ended with {}", i, code));
+  }
+
+  [[nodiscard]] Duration Longest() const {
+    Duration longest{0};
+    for (const ClassSpec& c : e_.classes) longest = std::max(longest, c.rules.deadline);
+    return longest;
+  }
+
+  // ---- What is looked at --------------------------------------------------------------------
+  void MeasureLag() {
+    const Duration late = std::max(Duration(0), loop_.Now() - lag_due_);
+    lags_.push_back(static_cast<uint32_t>(late.count()));
+    lag_max_ = std::max(lag_max_, late);
+    recent_.emplace_back(loop_.Now(), late);
+    while (loop_.Now() - recent_.front().first > kLagSpan) recent_.pop_front();
+    lag_recent_ = Duration(0);
+    for (const auto& [at, lag] : recent_) lag_recent_ = std::max(lag_recent_, lag);
+    lag_due_ = loop_.Now() + kLagEvery;
+    loop_.After(kLagEvery, [this] { MeasureLag(); });
+  }
+
+  void Look() {
+    const Time now = Now();
+    ledger_.Advance(now, lag_recent_);
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      GatewayState& g = gateways_[i];
+      if (g.expected_to_end || !g.process) continue;
+      if (const auto code = g.process->Ended()) {
+        Broken(i, fmt::format("gateway {} crashed with {}", i, *code));
+        return loop_.Stop();
+      }
+    }
+    const Time last = e_.length + Longest() + kEndSpare;
+    if ((now >= e_.length && load_->finished()) || now > last) loop_.Stop();
+  }
+
+  void Sample() {
+    const Time now = Now();
+    double cpu = 0;
+    uint64_t rss = 0, descriptors = 0;
+    for (GatewayState& g : gateways_) {
+      if (g.process && !g.process->Ended() && !g.expected_to_end) g.used = g.process->Measure();
+      cpu += g.cpu_before + g.used.cpu_us;
+      rss += g.used.rss_kb;
+      descriptors += g.used.descriptors;
+      result_.rss_kb_max = std::max(result_.rss_kb_max, g.used.rss_kb);
+      result_.descriptors_max = std::max(result_.descriptors_max, g.used.descriptors);
+    }
+    const auto second = static_cast<size_t>(now.count() / 1'000'000);
+    if (second >= samples_.size()) samples_.resize(second + 1);
+    WindowResult& w = samples_[second];
+    w.rss_kb = std::max(w.rss_kb, rss);
+    w.descriptors = std::max(w.descriptors, descriptors);
+    w.inflight = fleet_.InFlight();
+    cpu_at_.resize(samples_.size(), cpu);
+    cpu_at_[second] = cpu;
+  }
+
+  Result Finish() {
+    rusage own{};
+    getrusage(RUSAGE_SELF, &own);
+    const Time now = Now();
+    if (zero_ > Time(0)) {
+      ledger_.Advance(now, lag_recent_);
+      Sample();
+    }
+    double cpu = 0;
+    for (GatewayState& g : gateways_) cpu += g.cpu_before + g.used.cpu_us;
+    StopGateways();
+    Result& r = result_;
+    r.experiment = e_.name;
+    r.about = e_.about;
+    r.path = e_.path;
+    r.seed = seed_;
+    r.seconds = Seconds(e_.length);
+    r.hosts = e_.host_count();
+    r.gateways = options_.straight ? 0 : e_.gateway.count;
+    r.counts = ledger_.counts();
+    if (load_) {
+      const Load::Counts& l = load_->counts();
+      r.arrivals_digest = load_->digest();
+      r.client_connections = l.connections;
+      r.client_connections_most = l.open_most;
+      r.no_gateway = l.no_gateway;
+      r.bad_sent = l.bad_sent, r.bad_unanswered = l.bad_unanswered, r.bad_served = l.bad_served;
+      if (l.beyond > 0) {
+        r.late.push_back(fmt::format("the lab had no connection left for {} tries", l.beyond));
+      }
+      r.cpu_us_per_request = r.counts.tries > 0 ? cpu / static_cast<double>(r.counts.tries) : 0;
+      r.lab_cpu_share =
+          (CpuUs(own) - lab_cpu_before_) / std::max(1.0, static_cast<double>(now.count()));
+    }
+    std::vector<uint32_t> latencies;
+    for (const Ledger::Window& w : ledger_.windows()) {
+      latencies.insert(latencies.end(), w.latency_us.begin(), w.latency_us.end());
+    }
+    r.p50_us = Quantile(latencies, 0.5);
+    r.p99_us = Quantile(latencies, 0.99);
+    r.p999_us = Quantile(latencies, 0.999);
+    r.lab_lag_ms_max = Seconds(lag_max_) * 1000;
+    r.lab_lag_ms_p99 = Quantile(lags_, 0.99) / 1000.0;
+    FillWindows();
+    if (r.broken.empty() && ledger_.broken()) AddLogs();
+    Judge(e_, ledger_.breaches(), r);
+    return std::move(r);
+  }
+
+  void FillWindows() {
+    const auto& counted = ledger_.windows();
+    const auto end = static_cast<size_t>(Seconds(e_.length) + 0.999);
+    uint64_t middle = 0, last = 0;
+    for (size_t i = 0; i < std::min(end, std::max(counted.size(), samples_.size())); ++i) {
+      WindowResult w = i < samples_.size() ? samples_[i] : WindowResult{};
+      w.at_s = static_cast<double>(i);
+      if (i < counted.size()) {
+        w.counts = counted[i];
+        w.p50_us = Quantile(w.counts.latency_us, 0.5);
+        w.p99_us = Quantile(w.counts.latency_us, 0.99);
+        w.counts.latency_us.clear();
+      }
+      const double before = i > 0 && i - 1 < cpu_at_.size() ? cpu_at_[i - 1] : 0;
+      if (i < cpu_at_.size()) w.cpu_share = std::max(0.0, cpu_at_[i] - before) / 1e6;
+      if (i * 4 >= end && i * 2 < end) middle = std::max(middle, w.rss_kb);
+      if (i * 4 >= end * 3) last = std::max(last, w.rss_kb);
+      result_.windows.push_back(std::move(w));
+    }
+    result_.rss_kb_growth = last > middle ? last - middle : 0;
+  }
+
+  void StopGateways() {
+    for (GatewayState& g : gateways_) {
+      if (g.process) g.process->Signal(SIGCONT), g.process->Signal(SIGTERM);
+    }
+    const Time until = loop_.Now() + Longest() + seconds(3);
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      GatewayState& g = gateways_[i];
+      // The stand-ins go on meanwhile: a host that answers nobody would keep a gateway waiting.
+      while (g.process && !g.process->Ended() && loop_.Now() < until) {
+        loop_.RunOnce(Duration(10'000));
+      }
+      if (!g.process || !result_.broken.empty()) continue;
+      if (!g.process->Ended()) {
+        Broken(i, fmt::format("gateway {} did not end after SIGTERM", i));
+      } else {
+        CheckEnd(i);
+      }
+    }
+  }
+
+  Experiment e_;
+  RunOptions options_;
+  uint64_t seed_;
+  net::EventLoop loop_;
+  Ledger ledger_;
+  Fleet fleet_;
+  Directory directory_;
+  SignalWatch signals_;
+  Folder folder_;
+  std::deque<GatewayState> gateways_;
+  std::unique_ptr<Load> load_;
+  Result result_;
+  Time zero_{0};
+  uint64_t starts_ = 0;
+  bool interrupted_ = false;
+  double lab_cpu_before_ = 0;
+  Time lag_due_{0};
+  Duration lag_max_{0}, lag_recent_{0};
+  std::deque<std::pair<Time, Duration>> recent_;
+  std::vector<uint32_t> lags_;
+  std::vector<WindowResult> samples_;
+  std::vector<double> cpu_at_;
+};
+
+}  // namespace
+
+Result RunExperiment(Experiment e, const RunOptions& options) {
+  if (options.seconds) {
+    e.length = Duration(static_cast<int64_t>(*options.seconds * 1e6));
+    std::erase_if(e.faults, [&](const Fault& f) { return f.at >= e.length; });
+    std::erase_if(e.must.windows, [&](const WindowMust& w) { return w.to > e.length; });
+  }
+  Runner runner(std::move(e), options);
+  return runner.Run();
+}
+
+}  // namespace paddlestile::lab
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,129 +1,133 @@
-// One gateway: reads what it is told, serves, and leaves in good order on SIGTERM.
-#include <sys/resource.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
+// The program: one binary for the gateway, the checks and the lab. With no arguments it serves, as
+// the platform starts it.
+#include <fmt/format.h>
 
-#include <algorithm>
-#include <csignal>
+#include <CLI/CLI.hpp>
+#include <cstdio>
 #include <cstdlib>
-#include <cstring>
 #include <exception>
-#include <memory>
+#include <fstream>
+#include <optional>
 #include <string>
-#include <utility>
+#include <string_view>
+#include <vector>
 
+#include "lab/experiment.h"
+#include "lab/result.h"
+#include "lab/runner.h"
 #include "net/config.h"
-#include "net/counters.h"
-#include "net/event_loop.h"
-#include "net/gateway.h"
 #include "net/log.h"
+#include "net/serve.h"
 
-namespace paddlestile::net {
+namespace paddlestile {
 namespace {
 
-void PrintCounters(const Gateway& gateway) {
-  LogLine(Level::kInfo, "counters: " + gateway.StateText());
-}
+// Exit codes of all commands.
+constexpr int kDone = 0;
+constexpr int kDidNotHold = 1;
+constexpr int kWrongUsage = 2;
 
-// A file that is being written may make no sense at the moment of the signal, and no second signal
-// comes once it does: it is looked at again for a while.
-constexpr Duration kRereadAgain{200'000};  // us
-constexpr int kRereads = 15;
+#ifndef PADDLESTILE_VERSION
+#define PADDLESTILE_VERSION "unknown"
+#endif
 
-// SIGTERM and SIGINT drain, SIGUSR1 prints the counters, SIGHUP has the file read again.
-class Signals final : public EventLoop::Handler {
- public:
-  // Blocks them; done before anything else, so that none ends the program between.
-  static sigset_t Block() {
-    sigset_t set;
-    sigemptyset(&set);
-    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, signal);
-    sigprocmask(SIG_BLOCK, &set, nullptr);
-    return set;
+int CheckFile(const std::string& path) {
+  std::vector<std::string> faults;
+  try {
+    faults = net::CheckConfig(path);
+  } catch (const std::exception& error) {
+    faults = {error.what()};
   }
+  for (const std::string& fault : faults) fmt::print(stderr, "{}: {}\n", path, fault);
+  if (faults.empty()) fmt::print("{}: good\n", path);
+  return faults.empty() ? kDone : kWrongUsage;
+}
 
-  Signals(EventLoop& loop, Gateway& gateway, std::string path, const sigset_t& set)
-      : loop_(loop), gateway_(gateway), path_(std::move(path)) {
-    fd_ = Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
-    uint64_t token = 0;
-    if (!fd_ || !loop_.Watch(fd_.get(), this, token)) {
-      throw std::runtime_error("cannot watch for signals");
-    }
-  }
+int Main(int argc, char** argv) {
+  CLI::App app{"An HTTP load balancer: each proxy decides alone, by Prequal's hot-cold choice.",
+               "paddlestile"};
+  app.footer(
+      "Without a command: serve, as the platform starts it.\n"
+      "Exit codes: 0 done, 1 it did not hold or could not start, 2 wrong usage.\n\n"
+      "Examples:\n"
+      "  LB_NAME=n1 LB_LISTEN=127.0.0.4:5000 LB_DISCOVERY=127.0.0.9:8500 LB_CONFIG=c.json "
+      "paddlestile\n"
+      "  paddlestile check c.json");
+  app.require_subcommand(0, 1);
 
-  void OnEvents(uint32_t) override {
-    signalfd_siginfo info{};
-    while (read(fd_.get(), &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
-      if (info.ssi_signo == SIGUSR1) {
-        PrintCounters(gateway_);
-      } else if (info.ssi_signo == SIGHUP) {
-        Reread(kRereads);
-      } else if (!draining_) {
-        draining_ = true;
-        Log(Level::kInfo, "draining");
-        gateway_.Drain([this] { loop_.Stop(); });
-      }
-    }
+  std::string log_format = "text", log_level = "info";
+  if (const char* const level = std::getenv("LB_LOG"); level != nullptr) {
+    if (std::string_view(level) == "debug") log_level = level;
   }
+  app.add_option("--log-format", log_format, "text, or json: one object a line")
+      ->check(CLI::IsMember({"text", "json"}));
+  app.add_option("--log-level", log_level, "the least that is logged; LB_LOG=debug does the same")
+      ->check(CLI::IsMember({"debug", "info", "warning", "error"}));
 
- private:
-  // What runs is kept where the file makes no sense. Also while draining: hosts go on changing.
-  void Reread(int more) {
-    loop_.Cancel(reread_);
-    ++Count().config_rereads;
-    try {
-      const Address discovery =
-          ReadDiscovery(path_, [&](double ms) { return loop_.clock().FromWall(ms); });
-      Log(Level::kInfo, "configuration read again: discovery at {}", ToText(discovery));
-      gateway_.Redirect(discovery);
-    } catch (const std::exception& error) {
-      ++Count().config_refused;
-      // The first try and the last say so.
-      if (more == kRereads || more == 0) {
-        Log(Level::kWarning, "configuration kept as it was: {}", error.what());
-      }
-      if (more > 0) reread_ = loop_.After(kRereadAgain, [this, more] { Reread(more - 1); });
-    }
-  }
+  CLI::App* const serve = app.add_subcommand("serve", "Run one gateway until SIGTERM");
+  serve->footer(
+      "Reads LB_NAME, LB_LISTEN, LB_DISCOVERY and LB_CONFIG from the environment.\n"
+      "SIGTERM drains, SIGHUP reads the configuration again, SIGUSR1 prints the counters.\n\n"
+      "Example:\n  paddlestile --log-format json serve");
 
-  EventLoop& loop_;
-  Gateway& gateway_;
-  std::string path_;
-  EventLoop::TimerId reread_;
-  Fd fd_;
-  bool draining_ = false;
-};
+  std::string file;
+  CLI::App* const check = app.add_subcommand("check", "Say what is wrong in a file, all of it");
+  check->add_option("FILE", file, "a gateway's configuration (JSON)")->required();
+  check->footer("Example:\n  paddlestile check config.json");
+
+  CLI::App* const lab = app.add_subcommand("lab", "Play experiments on emulated hosts");
+  lab->require_subcommand(1);
+  CLI::App* const run = lab->add_subcommand("run", "Play one experiment and judge it");
+  std::string experiment, json_out, html_out;
+  std::optional<uint64_t> seed;
+  std::optional<double> seconds;
+  std::vector<std::string> gateway;
+  run->add_option("FILE", experiment, "an experiment (TOML)")->required();
+  run->add_option("--seed", seed, "instead of the file's");
+  run->add_option("--seconds", seconds, "its first seconds only")->check(CLI::Range(1.0, 3600.0));
+  run->add_option("--json", json_out, "write the result here");
+  run->add_option("--html", html_out, "write the report here");
+  run->add_option("--gateway", gateway, "the words that start a gateway, instead of this program");
+
+  CLI::App* const version = app.add_subcommand("version", "Print the version");
 
-int Main() {
-  if (const char* const level = std::getenv("LB_LOG"); level && std::strcmp(level, "debug") == 0) {
-    SetLogLevel(Level::kDebug);
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  const sigset_t signals_set = Signals::Block();
   try {
-    EventLoop loop;
-    Config config = ReadConfig([](const char* name) { return std::getenv(name); },
-                               [&](double ms) { return loop.clock().FromWall(ms); });
-    // What the system grants may be less than what was promised.
-    rlimit limit{};
-    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
-      config.sockets = std::min<size_t>(config.sockets, limit.rlim_cur);
-    }
-    const std::string name = config.name, path = config.path;
-    const size_t known = config.known.members.size();
-    Gateway gateway(loop, std::move(config));
-    Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
-    const Signals signals(loop, gateway, path, signals_set);
-    loop.Run();
-    PrintCounters(gateway);
-    return 0;
-  } catch (const std::exception& error) {
-    LogLine(Level::kError, std::string("paddlestile: ") + error.what());
-    return 1;
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    // Help is no error; all else gets one plain line.
+    if (error.get_exit_code() == 0) return app.exit(error);
+    fmt::print(stderr, "paddlestile: {}; see paddlestile --help\n", error.what());
+    return kWrongUsage;
+  }
+  net::SetLogFormat(log_format == "json" ? net::LogFormat::kJson : net::LogFormat::kText);
+  net::SetLogLevel(log_level == "debug"     ? net::Level::kDebug
+                   : log_level == "warning" ? net::Level::kWarning
+                   : log_level == "error"   ? net::Level::kError
+                                            : net::Level::kInfo);
+  if (version->parsed()) {
+    fmt::print("paddlestile {}\n", PADDLESTILE_VERSION);
+    return kDone;
   }
+  if (check->parsed()) return CheckFile(file);
+  if (run->parsed()) {
+    const lab::Result result =
+        lab::RunExperiment(lab::ReadExperiment(experiment), {seed, seconds, gateway, false});
+    fmt::print("{}", lab::Summary(result));
+    if (!json_out.empty()) std::ofstream(json_out) << lab::ToJson(result);
+    for (const auto& log : result.logs) fmt::print("{}", log);
+    return result.verdict == lab::Verdict::kHeld ? kDone : kDidNotHold;
+  }
+  return net::Serve();
 }
 
 }  // namespace
-}  // namespace paddlestile::net
+}  // namespace paddlestile
 
-int main() { return paddlestile::net::Main(); }
+int main(int argc, char** argv) {
+  try {
+    return paddlestile::Main(argc, argv);
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "paddlestile: %s\n", error.what());
+    return 1;
+  }
+}
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 #include <fstream>
@@ -170,6 +171,28 @@
   return config;
 }
 
+// The settings' faults: each one that is found is taken out and the rest looked at again.
+void CheckAllSettings(const Json& json, std::vector<std::string>& faults) {
+  std::string text = FlattenSettings(json);
+  while (faults.size() < kMostFaults) {
+    try {
+      CheckSettings(wire::ParseSettings(text));
+      return;
+    } catch (const std::exception& error) {
+      const std::string what = error.what();
+      faults.push_back(fmt::format("settings: {}", what));
+      constexpr std::string_view kBad = "bad ";
+      if (!what.starts_with(kBad)) return;
+      const std::string name = what.substr(kBad.size(), what.find(' ', kBad.size()) - kBad.size());
+      size_t at = text.starts_with(name + "=") ? 0 : text.find(" " + name + "=");
+      if (at == std::string::npos) return;
+      const size_t end = text.find(' ', at + 1);
+      text.erase(at, end == std::string::npos ? end : end - at);
+      if (text.starts_with(' ')) text.erase(0, 1);
+    }
+  }
+}
+
 }  // namespace
 
 Address ParseAddress(std::string_view text) {
@@ -225,6 +248,54 @@
   }
 }
 
+std::vector<std::string> CheckConfig(const std::string& path) {
+  std::vector<std::string> faults;
+  const std::string text = ReadFile(path);
+  Json json;
+  JsonParser parser;
+  try {
+    parser.Feed(text);
+    json = parser.End();
+  } catch (const JsonError& error) {
+    const auto read = text.begin() + static_cast<long>(std::min(parser.size(), text.size()));
+    return {fmt::format("line {}: {}, expected JSON", 1 + std::count(text.begin(), read, '\n'),
+                        error.what())};
+  }
+  const auto look = [&](std::string_view where, const auto& at) {
+    if (faults.size() >= kMostFaults) return;
+    try {
+      at();
+    } catch (const std::exception& error) {
+      faults.push_back(fmt::format("{}{}{}", where, where.empty() ? "" : ": ", error.what()));
+    }
+  };
+  for (const char* const name : {"listen", "discovery"}) {
+    // A gateway takes both from the environment at its start; a new discovery from here.
+    const Json* const address = json.Find(name);
+    if (address == nullptr) continue;
+    look(name, [&] { ParseAddress(json.Need(name, Json::Type::kString).text()); });
+  }
+  Names names;
+  look("", [&] {
+    const Json& settings = json.Need("settings", Json::Type::kObject);
+    CheckAllSettings(settings, faults);
+    AddNames(settings, "FailureDomains", names.zones);
+    AddNames(settings, "Kinds", names.kinds);
+  });
+  look("", [&] {
+    for (const Json& member :
+         json.Need("known", Json::Type::kObject).Need("members", Json::Type::kArray).items()) {
+      const auto place = &member - json.Find("known")->Find("members")->items().data();
+      look(fmt::format("known.members.{}", place),
+           [&] { ParseHost(member, names, [](double) { return Time(0); }); });
+    }
+  });
+  // The whole as a gateway reads it: what is still unsaid.
+  const size_t said = faults.size();
+  if (said == 0) look("", [&] { ParseConfig(json, [](double) { return Time(0); }); });
+  return faults;
+}
+
 Config ReadConfig(const std::function<const char*(const char*)>& env,
                   const std::function<Time(double)>& from_wall) {
   const std::string name = NeedVariable(env, "LB_NAME");
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -82,6 +82,11 @@
 // half-written says nothing. Throws ConfigError with one line that names what is wrong.
 Address ReadDiscovery(const std::string& path, const std::function<Time(double)>& from_wall);
 
+// All that is wrong in the file at `path`, a line each: where (line or field), what, and what was
+// expected. Empty: a gateway can start from it. At most kMostFaults lines.
+inline constexpr size_t kMostFaults = 100;
+std::vector<std::string> CheckConfig(const std::string& path);
+
 // `env` gives a variable or null. Throws ConfigError with one line that names what is wrong.
 Config ReadConfig(const std::function<const char*(const char*)>& env,
                   const std::function<Time(double)>& from_wall);
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,4 +1,5 @@
-// A small logger: lines on standard error, through fmt, at most so many a second.
+// Lines on standard error, through spdlog, at most so many a second: text for people, or one JSON
+// object a line. One thread logs at a time.
 #ifndef PADDLESTILE_NET_LOG_H_
 #define PADDLESTILE_NET_LOG_H_
 
@@ -10,12 +11,17 @@
 namespace paddlestile::net {
 
 enum class Level { kDebug, kInfo, kWarning, kError };
+enum class LogFormat { kText, kJson };
 
 // Lines below this are dropped; kInfo at first.
 void SetLogLevel(Level level);
 [[nodiscard]] bool Logged(Level level);
 
-// Writes one line. Control characters in it become '?', so that no peer can forge a line.
+// kText at first: "warning: words". kJson: {"time": ISO 8601 in UTC, "level": ..., "message": ...}.
+void SetLogFormat(LogFormat format);
+
+// Writes one line. Control characters in it become '?', so that no peer can forge a line; in JSON,
+// what is no UTF-8 becomes U+FFFD.
 void LogLine(Level level, std::string_view text);
 
 template <typename... Args>
--- /dev/null
+++ b/src/net/serve.cpp
@@ -0,0 +1,124 @@
+#include "net/serve.h"
+
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <string>
+#include <utility>
+
+#include "net/config.h"
+#include "net/counters.h"
+#include "net/event_loop.h"
+#include "net/gateway.h"
+#include "net/log.h"
+
+namespace paddlestile::net {
+namespace {
+
+void PrintCounters(const Gateway& gateway) {
+  LogLine(Level::kInfo, "counters: " + gateway.StateText());
+}
+
+// A file that is being written may make no sense at the moment of the signal, and no second signal
+// comes once it does: it is looked at again for a while.
+constexpr Duration kRereadAgain{200'000};  // us
+constexpr int kRereads = 15;
+
+// SIGTERM and SIGINT drain, SIGUSR1 prints the counters, SIGHUP has the file read again.
+class Signals final : public EventLoop::Handler {
+ public:
+  // Blocks them; done before anything else, so that none ends the program between.
+  static sigset_t Block() {
+    sigset_t set;
+    sigemptyset(&set);
+    for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) sigaddset(&set, signal);
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+    return set;
+  }
+
+  Signals(EventLoop& loop, Gateway& gateway, std::string path, const sigset_t& set)
+      : loop_(loop), gateway_(gateway), path_(std::move(path)) {
+    fd_ = Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+    uint64_t token = 0;
+    if (!fd_ || !loop_.Watch(fd_.get(), this, token)) {
+      throw std::runtime_error("cannot watch for signals");
+    }
+  }
+
+  void OnEvents(uint32_t) override {
+    signalfd_siginfo info{};
+    while (read(fd_.get(), &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
+      if (info.ssi_signo == SIGUSR1) {
+        PrintCounters(gateway_);
+      } else if (info.ssi_signo == SIGHUP) {
+        Reread(kRereads);
+      } else if (!draining_) {
+        draining_ = true;
+        Log(Level::kInfo, "draining");
+        gateway_.Drain([this] { loop_.Stop(); });
+      }
+    }
+  }
+
+ private:
+  // What runs is kept where the file makes no sense. Also while draining: hosts go on changing.
+  void Reread(int more) {
+    loop_.Cancel(reread_);
+    ++Count().config_rereads;
+    try {
+      const Address discovery =
+          ReadDiscovery(path_, [&](double ms) { return loop_.clock().FromWall(ms); });
+      Log(Level::kInfo, "configuration read again: discovery at {}", ToText(discovery));
+      gateway_.Redirect(discovery);
+    } catch (const std::exception& error) {
+      ++Count().config_refused;
+      // The first try and the last say so.
+      if (more == kRereads || more == 0) {
+        Log(Level::kWarning, "configuration kept as it was: {}", error.what());
+      }
+      if (more > 0) reread_ = loop_.After(kRereadAgain, [this, more] { Reread(more - 1); });
+    }
+  }
+
+  EventLoop& loop_;
+  Gateway& gateway_;
+  std::string path_;
+  EventLoop::TimerId reread_;
+  Fd fd_;
+  bool draining_ = false;
+};
+
+}  // namespace
+
+int Serve() {
+  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t signals_set = Signals::Block();
+  try {
+    EventLoop loop;
+    Config config = ReadConfig([](const char* name) { return std::getenv(name); },
+                               [&](double ms) { return loop.clock().FromWall(ms); });
+    // What the system grants may be less than what was promised.
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+      config.sockets = std::min<size_t>(config.sockets, limit.rlim_cur);
+    }
+    const std::string name = config.name, path = config.path;
+    const size_t known = config.known.members.size();
+    Gateway gateway(loop, std::move(config));
+    Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
+    const Signals signals(loop, gateway, path, signals_set);
+    loop.Run();
+    PrintCounters(gateway);
+    return 0;
+  } catch (const std::exception& error) {
+    LogLine(Level::kError, std::string("paddlestile: ") + error.what());
+    return 1;
+  }
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/serve.h
@@ -0,0 +1,13 @@
+// One gateway as a program: reads what it is told, serves, and leaves in good order on SIGTERM.
+#ifndef PADDLESTILE_NET_SERVE_H_
+#define PADDLESTILE_NET_SERVE_H_
+
+namespace paddlestile::net {
+
+// Runs until it is told to leave; the process's signals and the LB_* variables are its own. The
+// process's exit code: 0, or 1 with one line in the log where it cannot start.
+int Serve();
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_SERVE_H_
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -15,8 +15,11 @@
 constexpr uint32_t kMaxRosters = 16;
 constexpr double kMaxMillis = 1e12;  // keeps microseconds far inside 64 bits
 
-std::invalid_argument Bad(std::string_view what, std::string_view value) {
-  return std::invalid_argument("bad " + std::string(what) + " '" + std::string(value) + "'");
+std::invalid_argument Bad(std::string_view what, std::string_view value,
+                          std::string_view expected = {}) {
+  std::string text = "bad " + std::string(what) + " '" + std::string(value) + "'";
+  if (!expected.empty()) text += ", expected " + std::string(expected);
+  return std::invalid_argument(text);
 }
 
 Parts Split(std::string_view text, char by) {
@@ -33,7 +36,7 @@
   double value = 0;
   const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (ec != std::errc() || end != text.data() + text.size() || !std::isfinite(value)) {
-    throw Bad(what, text);
+    throw Bad(what, text, "a number");
   }
   return value;
 }
@@ -213,7 +216,9 @@
   void Read(const std::string& name, int& value) const {
     if (const auto text = Find(name)) {
       const double number = ToNumber(name, *text);
-      if (number != std::floor(number) || std::abs(number) > 1e9) throw Bad(name, *text);
+      if (number != std::floor(number) || std::abs(number) > 1e9) {
+        throw Bad(name, *text, "a whole number");
+      }
       value = static_cast<int>(number);
     }
   }
@@ -222,7 +227,7 @@
   }
   void Read(const std::string& name, bool& value) const {
     if (const auto text = Find(name)) {
-      if (*text != "true" && *text != "false") throw Bad(name, *text);
+      if (*text != "true" && *text != "false") throw Bad(name, *text, "true or false");
       value = *text == "true";
     }
   }
@@ -231,13 +236,15 @@
             std::initializer_list<std::pair<std::string_view, Enum>> words) const {
     const auto text = Find(name);
     if (!text) return;
+    std::string expected;
     for (const auto& [word, meaning] : words) {
       if (word == *text) {
         value = meaning;
         return;
       }
+      expected += (expected.empty() ? "one of " : ", ") + std::string(word);
     }
-    throw Bad(name, *text);
+    throw Bad(name, *text, expected);
   }
   [[nodiscard]] Parts List(const std::string& name) const {
     const auto text = Find(name);
@@ -246,7 +253,9 @@
   [[nodiscard]] int Count(const std::string& name) const {
     int count = 0;
     Read(name + ".count", count);
-    if (count < 0 || count > 100000) throw Bad(name + ".count", std::to_string(count));
+    if (count < 0 || count > 100000) {
+      throw Bad(name + ".count", std::to_string(count), "0 to 100000");
+    }
     return count;
   }
 
