--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -158,7 +158,7 @@
     if (connection.receipt() != Connection::kNoReceipt) {
       model_.Leave(Now(), connection.receipt() + 1);
       jobs_.erase(connection.receipt() + 1);
-      fleet_.ledger_.Done(connection.receipt());
+      fleet_.ledger_.Done(Now(), connection.receipt(), false);
       connection.receipt_ = Connection::kNoReceipt;
       Plan();
     }
@@ -361,7 +361,9 @@
 
 void Fleet::Connection::Over() {
   begun_ = waits_ = false;
-  if (receipt_ != kNoReceipt) host_.fleet_.ledger_.Done(std::exchange(receipt_, kNoReceipt));
+  if (receipt_ != kNoReceipt) {
+    host_.fleet_.ledger_.Done(host_.Now(), std::exchange(receipt_, kNoReceipt), true);
+  }
   // What came meanwhile is looked at after the handler at work.
   host_.fleet_.loop_.Defer([kept = *place] {
     if (!kept->closed()) kept->OnRead();
--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -10,6 +10,7 @@
 namespace {
 constexpr uint64_t kKeptOfARule = 20;   // breaches told one by one; the rest are counted
 constexpr Duration kCopyGrace{50'000};  // us; until an abandoned connection's end is seen
+constexpr Duration kCrossing{1'000};    // us; between two connections of one gateway
 constexpr size_t kWindowsMost = 4000;
 }  // namespace
 
@@ -71,6 +72,7 @@
 
 void Ledger::Answered(Time now, size_t n, int status, std::string_view body) {
   TryState& t = tries_[n];
+  if (t.lost) return;  // its time was up; counted by then
   if (t.over) return Extra(now, n, fmt::format("a second answer, {}", status));
   t.over = true;
   AskState& a = asks_[t.ask];
@@ -208,9 +210,16 @@
 
 void Ledger::TurnedAway(uint64_t receipt) { receipts_[receipt].may_have_run = false; }
 
-void Ledger::Done(uint64_t receipt) {
+void Ledger::Done(Time now, uint64_t receipt, bool answered) {
   Receipt& r = receipts_[receipt];
-  if (std::exchange(r.open, false) && r.may_have_run) CountKey(r);
+  if (!std::exchange(r.open, false)) return;
+  if (r.may_have_run) CountKey(r);
+  if (!answered) return;
+  // It was really out when the copy came. Both at nearly one moment: its end may have been on the
+  // way, and only another connection's bytes were read first.
+  for (Suspect& s : suspects_) {
+    if (s.first == receipt && now - s.at > kCrossing) s.sure = true;
+  }
 }
 
 void Ledger::Invented(Time now, std::string_view id, std::string_view what) {
@@ -239,7 +248,7 @@
   while (!suspects_.empty() && now - suspects_.front().at >= kCopyGrace + lag) {
     const Suspect s = suspects_.front();
     suspects_.pop_front();
-    if (!receipts_[s.first].open) continue;
+    if (!s.sure && !receipts_[s.first].open) continue;
     ++counts_.twice_unlawful;
     Break(Rule::kTwice, s.at, IdOf(receipts_[s.second].n), "while an earlier copy was still out");
   }
@@ -248,7 +257,7 @@
     due_.pop_front();
     TryState& t = tries_[n];
     if (t.over || !t.taken) continue;
-    t.over = true;
+    t.over = t.lost = true;
     asks_[t.ask].last_status = 0;
     ++counts_.lost;
     Break(Rule::kLost, now, IdOf(n), "no answer in its time");
--- a/src/lab/ledger.h
+++ b/src/lab/ledger.h
@@ -88,8 +88,8 @@
   uint64_t Received(Time now, size_t n, size_t host, int zone, int cell, Time first);
   // The host did not run it and says so.
   void TurnedAway(uint64_t receipt);
-  // What it was received on is over: answered, or the connection ended.
-  void Done(uint64_t receipt);
+  // What it was received on is over: answered here, or given up by the end of the connection.
+  void Done(Time now, uint64_t receipt, bool answered);
   // A request with an id that no client sent, or one hidden in another's body.
   void Invented(Time now, std::string_view id, std::string_view what);
   void FellOver(Time now, const std::string& host);
@@ -138,7 +138,7 @@
   struct TryState {
     size_t ask = 0, gateway = 0;
     Time deadline{0};
-    bool taken = false, over = false;
+    bool taken = false, over = false, lost = false;
     int receipts = 0;
     uint64_t last_receipt = 0;  // number + 1
   };
@@ -161,6 +161,7 @@
   struct Suspect {
     Time at{0};
     uint64_t first = 0, second = 0;
+    bool sure = false;
   };
   std::deque<Suspect> suspects_;                    // copies received while an earlier one was out
   std::map<std::pair<size_t, size_t>, Time> told_;  // by gateway and host
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -290,6 +290,7 @@
     });
   }
   void AskHealth() {
+    if (finishing_) return;
     for (size_t i = 0; i < gateways_.size(); ++i) {
       GatewayState& g = gateways_[i];
       if (g.expected_to_end || g.stopped || !g.process) continue;
@@ -434,6 +435,7 @@
   }
 
   void Look() {
+    if (finishing_) return;
     const Time now = Now();
     ledger_.Advance(now, lag_recent_);
     for (size_t i = 0; i < gateways_.size(); ++i) {
@@ -542,6 +544,7 @@
   }
 
   void StopGateways() {
+    finishing_ = true;
     for (GatewayState& g : gateways_) {
       if (g.process) g.process->Signal(SIGCONT), g.process->Signal(SIGTERM);
     }
@@ -575,7 +578,7 @@
   Result result_;
   Time zero_{0};
   uint64_t starts_ = 0;
-  bool interrupted_ = false;
+  bool interrupted_ = false, finishing_ = false;
   double lab_cpu_before_ = 0;
   Time lag_due_{0};
   Duration lag_max_{0}, lag_recent_{0};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -126,6 +126,15 @@
 int main(int argc, char** argv) {
   try {
     return paddlestile::Main(argc, argv);
+  } catch (const paddlestile::lab::ExperimentError& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return 2;
+  } catch (const paddlestile::net::ConfigError& error) {
+    std::fprintf(stderr, "paddlestile: %s\n", error.what());
+    return 2;
+  } catch (const std::system_error& error) {  // a port in use, above all
+    std::fprintf(stderr, "paddlestile: %s\n", error.what());
+    return 2;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "paddlestile: %s\n", error.what());
     return 1;
--- /dev/null
+++ b/tests/lab/breaker.cpp
@@ -0,0 +1,242 @@
+// A small gateway that breaks one rule on purpose: an experiment that still holds with it would
+// show nothing. It goes to hosts by turns, on a new connection each time, and asks nobody.
+//   paddlestile_breaker HOW [EVERY]    the LB_* variables as for a gateway; each EVERY-th request
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lab/listener.h"
+#include "net/config.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "net/list.h"
+#include "net/stream.h"
+
+namespace paddlestile {
+namespace {
+
+using net::EventLoop;
+using net::MessageParser;
+using net::Progress;
+
+enum class How {
+  kHonest,
+  kLose,
+  kTwice,
+  kKeyLate,
+  kKeyGroup,
+  kUnsafe,
+  kAtOnce,
+  kDrain,
+  kCold,
+  kSwap,
+  kRefuse,
+  kInvent,
+  kCrash,
+  kHang
+};
+const std::map<std::string, How> kHows = {
+    {"honest", How::kHonest},    {"lose", How::kLose},          {"twice", How::kTwice},
+    {"key-late", How::kKeyLate}, {"key-group", How::kKeyGroup}, {"unsafe", How::kUnsafe},
+    {"at-once", How::kAtOnce},   {"drain", How::kDrain},        {"cold", How::kCold},
+    {"swap", How::kSwap},        {"refuse", How::kRefuse},      {"invent", How::kInvent},
+    {"crash", How::kCrash},      {"hang", How::kHang}};
+
+struct Request {
+  std::string id, cls, text;  // as it goes on
+};
+
+class Breaker final : public net::List::Listener {
+ public:
+  Breaker(EventLoop& loop, net::Config config, How how, int every)
+      : loop_(loop), config_(std::move(config)), how_(how), every_(every) {
+    OnList(std::move(config_.known));
+    list_ = std::make_unique<net::List>(loop_, config_.discovery, config_.names, 0, true, this);
+    list_->Start();
+    listener_ = std::make_unique<lab::Listener>(loop_, config_.listen, [this](net::Fd fd) {
+      clients_.push_back(std::make_shared<Client>(*this, std::move(fd)));
+      clients_.back()->place = std::prev(clients_.end());
+      clients_.back()->stream.Start();
+    });
+  }
+
+  void OnList(net::HostList list) override {
+    if (list.complete) hosts_.clear();
+    for (net::HostEntry& entry : list.members) {
+      std::erase_if(hosts_, [&](const auto& h) { return h.info.id == entry.info.id; });
+      const bool up = entry.info.state == EndpointState::kUp;
+      // Its breach: what drains is as good as any.
+      if (up || (how_ == How::kDrain && entry.info.state == EndpointState::kDraining)) {
+        hosts_.push_back(std::move(entry));
+      }
+    }
+  }
+  void OnListFailed() override {}
+
+ private:
+  struct Client;
+  // One attempt on a connection of its own. `then` hears the body of a 200, or nothing.
+  struct Attempt final : net::Stream::Owner {
+    Attempt(Breaker& b, net::Socket socket, std::function<void(bool, std::string)> t)
+        : breaker(b), stream(b.loop_, std::move(socket), this, true), then(std::move(t)) {}
+    void OnRead() override {
+      if (parser.Feed(stream.in()) == Progress::kDone) {
+        const net::Message& m = parser.message();
+        return End(m.status == 200, std::string(m.body.In(stream.in().view())));
+      }
+      if (stream.ended()) End(false, "");
+    }
+    void OnBroken() override { End(false, ""); }
+    void End(bool good, std::string body) {
+      if (stream.closed()) return;
+      stream.Close();
+      breaker.loop_.Defer([kept = *place] {});
+      breaker.attempts_.erase(place);
+      then(good, std::move(body));
+    }
+    Breaker& breaker;
+    net::Stream stream;
+    MessageParser parser{MessageParser::Kind::kAnswer, 1 << 20};
+    std::function<void(bool, std::string)> then;
+    std::list<std::shared_ptr<Attempt>>::iterator place;
+  };
+
+  struct Client final : net::Stream::Owner {
+    Client(Breaker& b, net::Fd fd)
+        : breaker(b), stream(b.loop_, net::Socket(std::move(fd), nullptr), this, false) {}
+    void OnRead() override {
+      if (!busy && parser.Feed(stream.in()) == Progress::kDone) {
+        const net::Message m = parser.message();
+        const net::Buffer bytes = stream.in().TakeFront(m.size);
+        parser.Reset();
+        const std::string_view base = bytes.view();
+        if (m.target.In(base) == "/_health") return Answer(200, "");
+        Request request;
+        request.id = m.Find(base, "X-Call-Id").value_or("");
+        request.cls = m.target.In(base).substr(1);
+        request.text = std::string(base);
+        busy = true;
+        breaker.Take(*place, request);
+      }
+      if (stream.ended()) Close();
+    }
+    void OnBroken() override { Close(); }
+    void Close() {
+      if (stream.closed()) return;
+      stream.Close();
+      breaker.loop_.Defer([kept = *place] {});
+      breaker.clients_.erase(place);
+    }
+    void Answer(int status, const std::string& body) {
+      if (stream.closed()) return;
+      busy = false;
+      stream.Write(
+          fmt::format("HTTP/1.1 {} X\r\nContent-Length: {}\r\n\r\n{}", status, body.size(), body));
+    }
+    Breaker& breaker;
+    net::Stream stream;
+    MessageParser parser{MessageParser::Kind::kRequest};
+    bool busy = false;
+    std::list<std::shared_ptr<Client>>::iterator place;
+  };
+
+  const net::HostEntry& Next(int zone_not = -1) {
+    for (size_t i = 0; i < hosts_.size(); ++i) {
+      const net::HostEntry& host = hosts_[turn_++ % hosts_.size()];
+      if (zone_not < 0 || host.info.zone != zone_not) return host;
+    }
+    return hosts_[0];
+  }
+
+  void Send(const net::HostEntry& host, std::string text,
+            std::function<void(bool, std::string)> then) {
+    bool refused = false;
+    auto socket = net::Connect(host.address, nullptr, refused);
+    if (!socket) return then(false, "");
+    attempts_.push_back(std::make_shared<Attempt>(*this, std::move(*socket), std::move(then)));
+    Attempt& attempt = *attempts_.back();
+    attempt.place = std::prev(attempts_.end());
+    attempt.stream.Start();
+    attempt.stream.Write(std::move(text));
+  }
+
+  void Take(std::shared_ptr<Client> client, const Request& request) {
+    const bool keyed = request.cls == "keyed", unsafe = request.cls == "unsafe";
+    // Each breach at its turn among the requests that it is about.
+    const bool about = how_ == How::kKeyLate || how_ == How::kKeyGroup ? keyed
+                       : how_ == How::kUnsafe || how_ == How::kRefuse  ? unsafe
+                                                                       : true;
+    const bool now = about && how_ != How::kHonest && ++count_ % every_ == 0;
+    if (now && how_ == How::kCrash) std::abort();
+    if (now && how_ == How::kHang) {
+      while (true) pause();
+    }
+    net::HostEntry host = Next();
+    if (how_ == How::kCold) {
+      // All to the one that started last.
+      host = *std::ranges::max_element(hosts_, {}, [](const auto& h) { return h.info.launched; });
+    }
+    if (now && how_ == How::kInvent) {
+      std::string text = request.text;
+      text.replace(text.find(request.id), request.id.size(), "nobody-asked");
+      Send(Next(), text, [](bool, const std::string&) {});
+    }
+    if (now && how_ == How::kAtOnce) {
+      Send(Next(), request.text, [](bool, const std::string&) {});
+    }
+    Send(host, request.text,
+         [this, client, request, now, zone = host.info.zone](bool good, std::string body) {
+           if (now && (how_ == How::kKeyLate || how_ == How::kKeyGroup || how_ == How::kUnsafe)) {
+             const Duration wait(how_ == How::kKeyLate ? 700'000 : 0);
+             loop_.After(wait, [this, client, request, zone] {
+               Send(Next(how_ == How::kKeyGroup ? zone : -1), request.text,
+                    [client](bool second, const std::string& text) {
+                      client->Answer(second ? 200 : 502, text);
+                    });
+             });
+             return;
+           }
+           if (now && how_ == How::kLose) return client->Close();
+           if (now && how_ == How::kRefuse) return client->Answer(503, "");
+           if (now && how_ == How::kSwap) return client->Answer(200, last_);
+           if (good) last_ = body;
+           client->Answer(good ? 200 : 502, body);
+           if (now && how_ == How::kTwice) client->Answer(good ? 200 : 502, body);
+         });
+  }
+
+  EventLoop& loop_;
+  net::Config config_;
+  How how_;
+  int every_, count_ = 0;
+  std::vector<net::HostEntry> hosts_;
+  size_t turn_ = 0;
+  std::string last_ = "nothing yet";
+  std::list<std::shared_ptr<Client>> clients_;
+  std::list<std::shared_ptr<Attempt>> attempts_;
+  std::unique_ptr<net::List> list_;
+  std::unique_ptr<lab::Listener> listener_;
+};
+
+}  // namespace
+}  // namespace paddlestile
+
+int main(int argc, char** argv) {
+  using namespace paddlestile;  // NOLINT: a program of its own
+  if (argc < 2 || !kHows.contains(argv[1])) return 2;
+  signal(SIGPIPE, SIG_IGN);
+  signal(SIGTERM, [](int) { _exit(0); });
+  net::EventLoop loop;
+  net::Config config = net::ReadConfig([](const char* name) { return std::getenv(name); },
+                                       [&](double ms) { return loop.clock().FromWall(ms); });
+  Breaker breaker(loop, std::move(config), kHows.at(argv[1]), argc > 2 ? std::atoi(argv[2]) : 100);
+  loop.Run();
+}
