--- /dev/null
+++ b/bench/module_bench.cpp
@@ -0,0 +1,123 @@
+// What the decision module alone costs, by Google Benchmark: all events of one request, and a list
+// update that changes one entry, against the number of hosts and of gateways.
+#include <benchmark/benchmark.h>
+
+#include <cstdint>
+#include <deque>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "brain.h"
+
+namespace paddlestile {
+namespace {
+
+using Ms = std::chrono::milliseconds;
+
+Settings SettingsFor(int gateways) {
+  Settings s;
+  s.instances = gateways;
+  s.zones = 4;
+  s.classes = {{.aim = Ms(1000), .deadline = Ms(3000)},
+               {.effect = Effect::kKeyed,
+                .window = Ms(3000),
+                .aim = Ms(1000),
+                .deadline = Ms(3000),
+                .worth = 5}};
+  s.allowed.probes = true;
+  s.allowed.send_cap = 5;
+  s.allowed.connect_timeout = Ms(250);
+  s.charges.probe = 0.04;
+  s.obligations.cold_from = 0.31;
+  s.obligations.warm_within = Ms(9000);
+  s.obligations.fall_multiple = 3;
+  s.obligations.fall = Ms(1500);
+  s.report = {ReportSource::kProbe, 0, 1};
+  return s;
+}
+
+EndpointInfo HostAt(size_t i) {
+  return {.id = "host-" + std::to_string(i), .zone = static_cast<int>(i % 4), .kind = i % 2};
+}
+
+// A gateway with eight requests in flight, as a busy one has: the oldest is answered as the next
+// one comes. Time passes by 4 ms a request, and probes are answered at once.
+class Driven {
+ public:
+  Driven(size_t hosts, int gateways) : brain_(SettingsFor(gateways), 7) {
+    Members all;
+    for (size_t i = 0; i < hosts; ++i) all.entries.push_back(HostAt(i));
+    Handle(all);
+  }
+
+  void Request() {
+    now_ += Ms(4);
+    while (!timers_.empty() && timers_.front().first <= now_) {
+      const std::string token = timers_.front().second;
+      timers_.pop_front();
+      Handle(TimerFired{token});
+    }
+    const std::string id = "r" + std::to_string(++count_);
+    Handle(
+        Submit{.id = id, .deadline = now_ + Ms(3000), .cls = count_ % 3 == 0 ? 1U : 0U, .key = id});
+    if (out_.size() < 8) return;
+    const Send send = out_.front();
+    out_.pop_front();
+    Handle(Settled{send.id, 0, send.endpoint, Outcome::kOk, Ms(30), true, std::nullopt});
+  }
+
+  void Update(size_t hosts) {
+    Members one{ListKind::kDelta, {HostAt(++count_ % hosts)}};
+    one.entries[0].weight = static_cast<double>(count_);
+    Handle(one);
+  }
+
+ private:
+  void Handle(const Event& event) {
+    std::vector<Action> actions;
+    brain_.Handle(now_, event, actions);
+    for (const Action& action : actions) {
+      if (const auto* const send = std::get_if<Send>(&action)) out_.push_back(*send);
+      if (const auto* const timer = std::get_if<SetTimer>(&action)) {
+        timers_.emplace_back(now_ + timer->after, timer->token);
+      }
+      if (const auto* const probe = std::get_if<Probe>(&action)) {
+        const double inflight = static_cast<double>(rng_() % 8);
+        Handle(ProbeResult{probe->endpoint, Outcome::kOk, Ms(1), Report{inflight, 20 + inflight}});
+      }
+    }
+  }
+
+  Brain brain_;
+  Time now_{Ms(100'000'000)};
+  std::mt19937_64 rng_{3};
+  std::deque<Send> out_;
+  std::deque<std::pair<Time, std::string>> timers_;
+  uint64_t count_ = 0;
+};
+
+void BM_Request(benchmark::State& state) {
+  Driven driven(static_cast<size_t>(state.range(0)), static_cast<int>(state.range(1)));
+  for (int i = 0; i < 2000; ++i) driven.Request();
+  for (auto _ : state) driven.Request();
+}
+BENCHMARK(BM_Request)
+    ->ArgNames({"hosts", "gateways"})
+    ->ArgsProduct({{10, 100, 1000, 10'000}, {4, 400}});
+
+void BM_UpdateOfOneEntry(benchmark::State& state) {
+  const auto hosts = static_cast<size_t>(state.range(0));
+  Driven driven(hosts, static_cast<int>(state.range(1)));
+  for (int i = 0; i < 2000; ++i) driven.Request();
+  for (auto _ : state) driven.Update(hosts);
+}
+BENCHMARK(BM_UpdateOfOneEntry)
+    ->ArgNames({"hosts", "gateways"})
+    ->ArgsProduct({{10, 100, 1000, 10'000}, {4, 400}});
+
+}  // namespace
+}  // namespace paddlestile
+
+BENCHMARK_MAIN();
--- /dev/null
+++ b/src/lab/commands.cpp
@@ -0,0 +1,213 @@
+#include "lab/commands.h"
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+
+#include "lab/bench.h"
+#include "lab/experiment.h"
+#include "lab/report.h"
+#include "lab/result.h"
+#include "lab/runner.h"
+
+namespace paddlestile::lab {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr int kDone = 0;
+constexpr int kDidNotHold = 1;
+constexpr int kWrongUsage = 2;
+
+struct Words {
+  std::string file, folder = "lab/experiments", json, html;
+  std::optional<uint64_t> seed;
+  std::optional<double> seconds;
+  std::vector<std::string> gateway, results;
+  bool module = false;
+  BenchOptions bench;
+};
+
+int Fail(std::string_view text) {
+  fmt::print(stderr, "paddlestile: {}\n", text);
+  return kWrongUsage;
+}
+
+// Before anything is played: a run whose result has nowhere to go is a run for nothing.
+void NeedWritable(const std::string& path) {
+  if (path.empty()) return;
+  std::ofstream file(path, std::ios::app);
+  if (!file) {
+    throw ExperimentError(
+        fmt::format("{}: {}, expected a file that can be written", path, std::strerror(errno)));
+  }
+}
+
+void Write(const std::string& path, const std::string& text) {
+  if (path.empty()) return;
+  std::ofstream file(path, std::ios::trunc);
+  file << text << std::flush;
+  if (!file) throw std::runtime_error(fmt::format("{}: {}", path, std::strerror(errno)));
+}
+
+void WriteReport(const std::string& path, const std::vector<Result>& results) {
+  if (path.empty()) return;
+  if (!HaveGnuplot()) fmt::print(stderr, "no gnuplot here: the report comes without plots\n");
+  Write(path, RenderReport(results, true));
+  fmt::print("report: {}\n", path);
+}
+
+int Run(const Words& w) {
+  NeedWritable(w.json);
+  NeedWritable(w.html);
+  const Result result =
+      RunExperiment(ReadExperiment(w.file), {w.seed, w.seconds, w.gateway, false});
+  fmt::print("{}", Summary(result));
+  for (const std::string& log : result.logs) fmt::print("  {}", log);
+  Write(w.json, ToJson(result));
+  WriteReport(w.html, {result});
+  return result.verdict == Verdict::kHeld ? kDone : kDidNotHold;
+}
+
+int List(const Words& w) {
+  std::vector<fs::path> files;
+  std::error_code error;
+  for (const auto& entry : fs::directory_iterator(w.folder, error)) {
+    if (entry.path().extension() == ".toml") files.push_back(entry.path());
+  }
+  if (error) return Fail(fmt::format("{}: {}, expected a folder", w.folder, error.message()));
+  std::ranges::sort(files);
+  int code = kDone;
+  for (const fs::path& path : files) {
+    try {
+      const Experiment e = ReadExperiment(path.string());
+      fmt::print("{:<20} {:>4.0f} s  {:>5} hosts {:>3} gateways  {}\n", e.name,
+                 static_cast<double>(e.length.count()) / 1e6, e.host_count(), e.gateway.count,
+                 e.about);
+    } catch (const ExperimentError& bad) {
+      fmt::print(stderr, "{}\n", bad.what());
+      code = kWrongUsage;
+    }
+  }
+  return code;
+}
+
+int Report(const Words& w) {
+  NeedWritable(w.html);
+  std::vector<Result> results;
+  for (const std::string& path : w.results) results.push_back(ResultFromJson(path));
+  for (const Result& result : results) fmt::print("{}", Summary(result));
+  WriteReport(w.html, results);
+  return kDone;
+}
+
+int Bench(const Words& w) {
+  if (w.module) {
+    const fs::path beside =
+        fs::read_symlink("/proc/self/exe").parent_path() / "paddlestile_module_bench";
+    const std::string program = beside.string();
+    execl(program.c_str(), program.c_str(), static_cast<char*>(nullptr));
+    return Fail(
+        fmt::format("{}: {}, expected the program of `make bench`", program, std::strerror(errno)));
+  }
+  NeedWritable(w.json);
+  const BenchResult result =
+      RunBench(w.bench, [](const std::string& line) { fmt::print("{}\n", line); });
+  fmt::print("{}", ToText(result));
+  Write(w.json, ToJson(result));
+  return kDone;
+}
+
+}  // namespace
+
+std::vector<std::string> CheckExperiment(const std::string& path) {
+  try {
+    ReadExperiment(path);
+    return {};
+  } catch (const ExperimentError& error) {
+    std::vector<std::string> lines;
+    std::istringstream text(error.what());
+    for (std::string line; std::getline(text, line);) lines.push_back(line);
+    return lines;
+  }
+}
+
+std::function<int()> AddCommands(CLI::App& app) {
+  const auto words = std::make_shared<Words>();
+  CLI::App* const lab = app.add_subcommand("lab", "Play experiments on emulated hosts");
+  lab->require_subcommand(1);
+
+  CLI::App* const run = lab->add_subcommand("run", "Play one experiment and judge it");
+  run->add_option("FILE", words->file, "an experiment (TOML)")->required();
+  run->add_option("--seed", words->seed, "instead of the file's");
+  run->add_option("--seconds", words->seconds, "its first seconds only")
+      ->check(CLI::Range(1.0, 3600.0));
+  run->add_option("--json", words->json, "write the result here");
+  run->add_option("--html", words->html, "write the report here");
+  run->add_option("--gateway", words->gateway,
+                  "the words that start a gateway, instead of this program");
+  run->footer(
+      "Exit codes: 0 held, 1 broken or void (the lab itself was late), 2 wrong usage.\n\n"
+      "Examples:\n"
+      "  paddlestile lab run lab/experiments/troubles.toml --html troubles.html\n"
+      "  paddlestile lab run lab/experiments/drain.toml --seed 7 --json drain.json");
+
+  CLI::App* const list = lab->add_subcommand("list", "List the experiments of a folder");
+  list->add_option("FOLDER", words->folder, "lab/experiments where none is given");
+  list->footer("Example:\n  paddlestile lab list");
+
+  CLI::App* const report =
+      lab->add_subcommand("report", "One page of a result, or of two side by side");
+  report->add_option("RESULT", words->results, "what lab run wrote with --json")
+      ->required()
+      ->expected(1, 2);
+  report->add_option("--html", words->html, "write the page here")->required();
+  report->footer("Example:\n  paddlestile lab report before.json after.json --html both.html");
+
+  CLI::App* const bench =
+      lab->add_subcommand("bench", "Weigh the gateway against the same load sent straight");
+  bench->add_option("--seconds", words->bench.seconds, "of each part")
+      ->check(CLI::Range(1.0, 60.0));
+  bench->add_option("--rounds", words->bench.rounds, "straight and through, by turns")
+      ->check(CLI::Range(1, 100));
+  bench->add_option("--rate", words->bench.rate, "requests a second of the rounds")
+      ->check(CLI::Range(1.0, 100'000.0));
+  bench->add_option("--connections", words->bench.connections, "idle ones, to weigh one")
+      ->check(CLI::Range(0, 20'000));
+  bench->add_option("--seed", words->bench.seed, "of the arrivals");
+  bench->add_option("--json", words->json, "write the figures here");
+  bench->add_option("--gateway", words->bench.gateway,
+                    "the words that start a gateway, instead of this program");
+  bench->add_flag("--module", words->module, "the decision module alone (make bench builds it)");
+  bench->footer("Example:\n  paddlestile lab bench --seconds 5 --json bench.json");
+
+  return [=] {
+    if (!lab->parsed()) return -1;
+    try {
+      if (run->parsed()) return Run(*words);
+      if (list->parsed()) return List(*words);
+      if (report->parsed()) return Report(*words);
+      return Bench(*words);
+    } catch (const Interrupted& error) {
+      fmt::print(stderr, "paddlestile: {}\n", error.what());
+      return kDidNotHold;
+    } catch (const ExperimentError& error) {
+      fmt::print(stderr, "{}\n", error.what());
+      return kWrongUsage;
+    } catch (const std::exception& error) {  // a port in use, a file that is no result
+      return Fail(error.what());
+    }
+  };
+}
+
+}  // namespace paddlestile::lab
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,15 +6,12 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
-#include <fstream>
-#include <optional>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include "lab/experiment.h"
-#include "lab/result.h"
-#include "lab/runner.h"
+#include "lab/commands.h"
 #include "net/config.h"
 #include "net/log.h"
 #include "net/serve.h"
@@ -33,12 +30,12 @@
 
 int CheckFile(const std::string& path) {
   std::vector<std::string> faults;
-  try {
-    faults = net::CheckConfig(path);
-  } catch (const std::exception& error) {
-    faults = {error.what()};
+  // An experiment names its file in each line.
+  const bool experiment = path.ends_with(".toml");
+  faults = experiment ? lab::CheckExperiment(path) : net::CheckConfig(path);
+  for (const std::string& fault : faults) {
+    fmt::print(stderr, "{}{}\n", experiment ? "" : path + ": ", fault);
   }
-  for (const std::string& fault : faults) fmt::print(stderr, "{}: {}\n", path, fault);
   if (faults.empty()) fmt::print("{}: good\n", path);
   return faults.empty() ? kDone : kWrongUsage;
 }
@@ -52,7 +49,8 @@
       "Examples:\n"
       "  LB_NAME=n1 LB_LISTEN=127.0.0.4:5000 LB_DISCOVERY=127.0.0.9:8500 LB_CONFIG=c.json "
       "paddlestile\n"
-      "  paddlestile check c.json");
+      "  paddlestile check c.json\n"
+      "  paddlestile lab run lab/experiments/calm.toml --html calm.html");
   app.require_subcommand(0, 1);
 
   std::string log_format = "text", log_level = "info";
@@ -72,23 +70,13 @@
 
   std::string file;
   CLI::App* const check = app.add_subcommand("check", "Say what is wrong in a file, all of it");
-  check->add_option("FILE", file, "a gateway's configuration (JSON)")->required();
-  check->footer("Example:\n  paddlestile check config.json");
-
-  CLI::App* const lab = app.add_subcommand("lab", "Play experiments on emulated hosts");
-  lab->require_subcommand(1);
-  CLI::App* const run = lab->add_subcommand("run", "Play one experiment and judge it");
-  std::string experiment, json_out, html_out;
-  std::optional<uint64_t> seed;
-  std::optional<double> seconds;
-  std::vector<std::string> gateway;
-  run->add_option("FILE", experiment, "an experiment (TOML)")->required();
-  run->add_option("--seed", seed, "instead of the file's");
-  run->add_option("--seconds", seconds, "its first seconds only")->check(CLI::Range(1.0, 3600.0));
-  run->add_option("--json", json_out, "write the result here");
-  run->add_option("--html", html_out, "write the report here");
-  run->add_option("--gateway", gateway, "the words that start a gateway, instead of this program");
+  check->add_option("FILE", file, "a gateway's configuration (JSON) or an experiment (.toml)")
+      ->required();
+  check->footer(
+      "Examples:\n  paddlestile check config.json\n  paddlestile check "
+      "lab/experiments/calm.toml");
 
+  const std::function<int()> lab = lab::AddCommands(app);
   CLI::App* const version = app.add_subcommand("version", "Print the version");
 
   try {
@@ -109,14 +97,7 @@
     return kDone;
   }
   if (check->parsed()) return CheckFile(file);
-  if (run->parsed()) {
-    const lab::Result result =
-        lab::RunExperiment(lab::ReadExperiment(experiment), {seed, seconds, gateway, false});
-    fmt::print("{}", lab::Summary(result));
-    if (!json_out.empty()) std::ofstream(json_out) << lab::ToJson(result);
-    for (const auto& log : result.logs) fmt::print("{}", log);
-    return result.verdict == lab::Verdict::kHeld ? kDone : kDidNotHold;
-  }
+  if (const int code = lab(); code >= 0) return code;
   return net::Serve();
 }
 
@@ -126,15 +107,6 @@
 int main(int argc, char** argv) {
   try {
     return paddlestile::Main(argc, argv);
-  } catch (const paddlestile::lab::ExperimentError& error) {
-    std::fprintf(stderr, "%s\n", error.what());
-    return 2;
-  } catch (const paddlestile::net::ConfigError& error) {
-    std::fprintf(stderr, "paddlestile: %s\n", error.what());
-    return 2;
-  } catch (const std::system_error& error) {  // a port in use, above all
-    std::fprintf(stderr, "paddlestile: %s\n", error.what());
-    return 2;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "paddlestile: %s\n", error.what());
     return 1;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -250,7 +250,12 @@
 
 std::vector<std::string> CheckConfig(const std::string& path) {
   std::vector<std::string> faults;
-  const std::string text = ReadFile(path);
+  std::string text;
+  try {
+    text = ReadFile(path);
+  } catch (const ConfigError&) {
+    return {"cannot read it, expected a file"};
+  }
   Json json;
   JsonParser parser;
   try {
