The module's cost no longer grows with the fleet: no scan per probe, pick or changed entry

Cause (bench/module_bench.cpp): with 4 gateways the working set is the fleet. Each probe listed all of the set without a probe out, each fallback pick all that was allowed, each changed entry counted the endpoints that are up, marked each one's state and looked through the set.

Change: a probe draws a place and passes over the few with a probe out; a changed entry touches what it names, and the set is looked through only after something befell one of it; places of gone endpoints are kept apart; the fallback draws its two choices from a set of more than 64. An id that a list holds twice no longer takes two places in the set.

--- a/bench/module_bench.cpp
+++ b/bench/module_bench.cpp
@@ -46,7 +46,9 @@
 // one comes. Time passes by 4 ms a request, and probes are answered at once.
 class Driven {
  public:
-  Driven(size_t hosts, int gateways) : brain_(SettingsFor(gateways), 7) {
+  // `answered`: probes are. Else the pool stays empty and the fallback decides.
+  Driven(size_t hosts, int gateways, bool answered = true)
+      : brain_(SettingsFor(gateways), 7), answered_(answered) {
     Members all;
     for (size_t i = 0; i < hosts; ++i) all.entries.push_back(HostAt(i));
     Handle(all);
@@ -75,7 +77,7 @@
   }
 
  private:
-  void Handle(const Event& event) {
+  void Handle(Event event) {
     std::vector<Action> actions;
     brain_.Handle(now_, event, actions);
     for (const Action& action : actions) {
@@ -85,12 +87,18 @@
       }
       if (const auto* const probe = std::get_if<Probe>(&action)) {
         const double inflight = static_cast<double>(rng_() % 8);
-        Handle(ProbeResult{probe->endpoint, Outcome::kOk, Ms(1), Report{inflight, 20 + inflight}});
+        if (answered_) {
+          Handle(
+              ProbeResult{probe->endpoint, Outcome::kOk, Ms(1), Report{inflight, 20 + inflight}});
+        } else {
+          Handle(ProbeResult{probe->endpoint, Outcome::kOk, Ms(1), std::nullopt});
+        }
       }
     }
   }
 
   Brain brain_;
+  bool answered_;
   Time now_{Ms(100'000'000)};
   std::mt19937_64 rng_{3};
   std::deque<Send> out_;
@@ -98,6 +106,7 @@
   uint64_t count_ = 0;
 };
 
+// All events of one request: its own, its probes', and the timers of its time.
 void BM_Request(benchmark::State& state) {
   Driven driven(static_cast<size_t>(state.range(0)), static_cast<int>(state.range(1)));
   for (int i = 0; i < 2000; ++i) driven.Request();
@@ -107,6 +116,15 @@
     ->ArgNames({"hosts", "gateways"})
     ->ArgsProduct({{10, 100, 1000, 10'000}, {4, 400}});
 
+void BM_RequestByFallback(benchmark::State& state) {
+  Driven driven(static_cast<size_t>(state.range(0)), static_cast<int>(state.range(1)), false);
+  for (int i = 0; i < 2000; ++i) driven.Request();
+  for (auto _ : state) driven.Request();
+}
+BENCHMARK(BM_RequestByFallback)
+    ->ArgNames({"hosts", "gateways"})
+    ->ArgsProduct({{10, 100, 1000, 10'000}, {4, 400}});
+
 void BM_UpdateOfOneEntry(benchmark::State& state) {
   const auto hosts = static_cast<size_t>(state.range(0));
   Driven driven(hosts, static_cast<int>(state.range(1)));
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <map>
 #include <random>
+#include <set>
 #include <stdexcept>
 #include <unordered_map>
 #include <utility>
@@ -21,6 +22,8 @@
 constexpr double kSetLeast = 16;    // endpoints; as many as the pool can tell apart at once
 constexpr double kSetPriced = 4;    // endpoints, where open connections are charged
 constexpr double kSetCover = 4;     // gateways that should use each endpoint, on average
+constexpr size_t kListMost = 64;    // endpoints of a set that is gone through one by one
+constexpr int kDraws = 32;          // from a larger one; most of it is allowed, or it is overload
 constexpr int kNearer = 2;          // further draws for an endpoint of the own zone
 constexpr double kPoolShare = 0.8;  // of the endpoints; m < n keeps the reuse formula defined
 constexpr double kPoolAge = 1e6;    // us; the design page's starting point
@@ -91,6 +94,9 @@
   std::vector<Pace> kinds;                           // of each kind of machine
   std::vector<PoolEntry> pool;
   std::vector<size_t> set;  // the endpoints that this gateway works with
+  bool set_whole = false;   // each of the set was usable at the last look, and nothing befell one
+  std::vector<size_t> probing;  // endpoints with a probe out, and some that had one
+  std::set<size_t> gone;        // endpoints that have left the list
   uint64_t next_seq = 0;
   bool started = false, remove_oldest = true;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
@@ -110,7 +116,7 @@
   size_t Below(size_t n) { return static_cast<size_t>(Uniform() * static_cast<double>(n)) % n; }
   template <typename T>
   void Do(T action) {
-    act->push_back(std::move(action));
+    act->emplace_back(std::move(action));
   }
 
   // ---- 1. Membership ------------------------------------------------------------------------
@@ -123,24 +129,36 @@
     }
     if (m.kind != ListKind::kCached) follow_failures = 0;
     if (m.kind != ListKind::kDelta) {
-      for (Endpoint& e : eps) e.info.state = EndpointState::kRemoved;  // absent means gone
+      set_whole = false;
+      for (size_t i = 0; i < eps.size(); ++i) {
+        eps[i].info.state = EndpointState::kRemoved;  // absent means gone
+        gone.insert(gone.end(), i);
+      }
     }
-    std::vector<size_t> fresh;
+    std::vector<size_t> fresh, told;
     for (const EndpointInfo& info : m.entries) {
-      const size_t ep = PlaceOf(info.id, eps, ep_index, open, pool);
+      const size_t ep = PlaceOf(info.id, eps, ep_index, open, pool, gone);
       Endpoint& e = eps[ep];
+      told.push_back(ep);
       if (info.state == EndpointState::kUp && !e.was_up) fresh.push_back(ep);
       if (info.launched > e.info.launched) {  // a new process: nothing learned of the old one holds
         const Endpoint was = std::exchange(e, Endpoint{});
         e.out = was.out, e.probes_out = was.probes_out, e.in_set = was.in_set,
-        e.was_up = was.was_up;
+        e.was_up = was.was_up, e.place = was.place;
       }
       e.info = info;
+      info.state == EndpointState::kRemoved ? void(gone.insert(ep)) : void(gone.erase(ep));
       e.info.kind = std::min(info.kind, kKindsMost);
       kinds.resize(std::max(kinds.size(), e.info.kind + 1));
     }
-    for (Endpoint& e : eps) e.was_up = Up(e);
-    up = static_cast<size_t>(std::ranges::count_if(eps, Up));
+    // Only those that were told of: a look at the whole of a large fleet for each change would cost
+    // more than all its requests.
+    if (m.kind != ListKind::kDelta) told.insert(told.end(), gone.begin(), gone.end());
+    for (const size_t ep : told) {
+      Endpoint& e = eps[ep];
+      if (Up(e) != std::exchange(e.was_up, Up(e))) Up(e) ? ++up : --up;
+      if (!Up(e)) set_whole = set_whole && !e.in_set;
+    }
     Mix(fresh);
     FillSet();
     if (!std::exchange(started, true)) {
@@ -158,20 +176,27 @@
   // those that a release brings up would be in nobody's set.
   void Mix(const std::vector<size_t>& fresh) {
     for (const size_t ep : fresh) {
-      if (set.empty() || Uniform() * static_cast<double>(up) > static_cast<double>(set.size())) {
+      if (eps[ep].in_set || set.empty() ||
+          Uniform() * static_cast<double>(up) > static_cast<double>(set.size())) {
         continue;
       }
       const size_t place = Below(set.size());
       eps[std::exchange(set[place], ep)].in_set = false;
       eps[ep].in_set = true;
+      eps[ep].place = place;
+      set_whole = set_whole && Usable(eps[ep]);
     }
   }
 
   void FillSet() {
-    std::erase_if(set, [&](size_t i) {
-      eps[i].in_set = Usable(eps[i]);
-      return !eps[i].in_set;
-    });
+    if (!set_whole) {
+      std::erase_if(set, [&](size_t i) {
+        eps[i].in_set = Usable(eps[i]);
+        return !eps[i].in_set;
+      });
+      for (size_t i = 0; i < set.size(); ++i) eps[set[i]].place = i;
+      set_whole = true;
+    }
     const double cover = kSetCover * static_cast<double>(up) / s.instances;
     const double least = s.charges.connection > 0 ? kSetPriced : kSetLeast;
     const auto want = static_cast<size_t>(std::max(least, std::ceil(cover)));
@@ -189,8 +214,11 @@
         for (int more = 0; more < kNearer && eps[rest[pick]].info.zone != s.zone; ++more)
           pick = Below(rest.size());  // crossing costs; by chance, so that zones still spill over
         std::swap(rest[pick], rest.back());
+        Endpoint& e = eps[rest.back()];
+        e.in_set = true;
+        e.place = set.size();
         set.push_back(rest.back());
-        eps[rest.back()].in_set = true;
+        set_whole = set_whole && !away;
       }
     }
   }
@@ -218,6 +246,7 @@
   void Leave(Endpoint& e) {
     const double away = Us(kAwayFirst) * (1 << std::min(e.trips++, kAwayDoublings));
     e.away_until = now + Duration(std::llround(away * (0.5 + Uniform())));
+    set_whole = false;
     FillSet();
   }
 
@@ -371,12 +400,18 @@
   // Probes ride on requests and go to random endpoints.
   void ProbeSome() {
     for (probe_due += ProbeRate(); probe_due >= 1; probe_due -= 1) {
-      std::vector<size_t> to;
-      for (const size_t i : set) {
-        if (Up(eps[i]) && eps[i].probes_out == 0) to.push_back(i);
+      // All of the set but those with a probe out, whose few places are passed over: to list the
+      // others anew for each probe would cost as much as the fleet is large.
+      std::erase_if(probing, [&](size_t i) { return eps[i].probes_out == 0; });
+      std::set<size_t> busy;
+      for (const size_t i : probing) {
+        if (eps[i].in_set) busy.insert(eps[i].place);
       }
-      if (to.empty()) continue;
-      Endpoint& e = eps[to[Below(to.size())]];
+      if (busy.size() >= set.size()) continue;
+      size_t at = Below(set.size() - busy.size());
+      for (const size_t place : busy) at += place <= at ? 1 : 0;
+      Endpoint& e = eps[set[at]];
+      probing.push_back(set[at]);
       ++e.probes_out, ++probed;
       Do(Probe{e.info.id});
     }
@@ -403,12 +438,20 @@
         return p.ep;
       }
       // Fallback without probes: two random choices by own attempts out.
-      std::vector<size_t> to;
-      for (const size_t i : set) {
-        if (allowed(i)) to.push_back(i);
+      size_t a = kNone, b = kNone;
+      // From a large set by draws: as even, without a look at all of it for each request.
+      for (int draw = 0; set.size() > kListMost && draw < kDraws && b == kNone; ++draw) {
+        const size_t ep = set[Below(set.size())];
+        if (allowed(ep)) (a == kNone ? a : b) = ep;
+      }
+      if (b == kNone) {
+        std::vector<size_t> to;
+        for (const size_t i : set) {
+          if (allowed(i)) to.push_back(i);
+        }
+        if (to.empty()) continue;
+        a = to[Below(to.size())], b = to[Below(to.size())];
       }
-      if (to.empty()) continue;
-      const size_t a = to[Below(to.size())], b = to[Below(to.size())];
       SetRegime(Regime::kFallback);
       return eps[b].out < eps[a].out ? b : a;
     }
--- a/src/brain_state.cpp
+++ b/src/brain_state.cpp
@@ -23,7 +23,8 @@
 
 size_t PlaceOf(const std::string& id, std::vector<Endpoint>& eps,
                std::unordered_map<std::string, size_t>& index,
-               const std::map<uint64_t, Request>& open, const std::vector<PoolEntry>& pool) {
+               const std::map<uint64_t, Request>& open, const std::vector<PoolEntry>& pool,
+               const std::set<size_t>& gone) {
   if (const auto at = index.find(id); at != index.end()) return at->second;
   const auto unused = [&](const Endpoint& e) {
     if (e.info.state != EndpointState::kRemoved || e.was_up || e.in_set || e.out > 0) return false;
@@ -34,8 +35,10 @@
     return std::ranges::none_of(open, named) &&
            std::ranges::count(pool, place, &PoolEntry::ep) == 0;
   };
-  auto at = std::ranges::find_if(eps, unused);
-  if (at == eps.end()) {
+  // The first that fits, without a look at all the others of a large fleet.
+  const auto free = std::ranges::find_if(gone, [&](size_t i) { return unused(eps[i]); });
+  auto at = eps.begin() + (free == gone.end() ? 0 : static_cast<long>(*free));
+  if (free == gone.end()) {
     at = eps.insert(eps.end(), Endpoint{});
   } else {
     index.erase(at->info.id);
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -35,6 +36,7 @@
   EndpointInfo info;
   int out = 0;  // own attempts out
   int probes_out = 0;
+  size_t place = 0;                     // in the working set, while it is in it
   bool in_set = false, was_up = false;  // of the working set; by the last list
   double others = 0;                    // in flight there from elsewhere, by the last reports
   Time reported{-1};                    // when a report last came; -1: never
@@ -81,10 +83,12 @@
 
 // Where the record of an endpoint lies; a new one for an id not met before. Endpoints that are
 // replaced come with ids ever new: the place of one that is gone, and that no open request and no
-// probe answer names any more, is taken again.
+// probe answer names any more, is taken again. `gone`: the places whose endpoints have left the
+// list, and none else.
 size_t PlaceOf(const std::string& id, std::vector<Endpoint>& eps,
                std::unordered_map<std::string, size_t>& index,
-               const std::map<uint64_t, Request>& open, const std::vector<PoolEntry>& pool);
+               const std::map<uint64_t, Request>& open, const std::vector<PoolEntry>& pool,
+               const std::set<size_t>& gone);
 
 }  // namespace paddlestile
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -322,12 +322,17 @@
   std::unordered_map<std::string, size_t> index;
   std::map<uint64_t, Request> open;
   std::vector<PoolEntry> pool;
+  std::set<size_t> left;
   for (int i = 0; i < 5000; ++i) {
-    const size_t place = PlaceOf("e" + std::to_string(i), eps, index, open, pool);
+    const size_t place = PlaceOf("e" + std::to_string(i), eps, index, open, pool, left);
+    left.erase(place);
     EXPECT_EQ(eps[place].info.id, "e" + std::to_string(i));
     EXPECT_EQ(eps[place].err, 0);  // nothing of who was there before
     eps[place].err = 1;
-    if (i >= 10) eps[index.at("e" + std::to_string(i - 10))].info.state = EndpointState::kRemoved;
+    if (i < 10) continue;
+    const size_t old = index.at("e" + std::to_string(i - 10));
+    eps[old].info.state = EndpointState::kRemoved;
+    left.insert(old);
   }
   EXPECT_LE(eps.size(), 12U);
   EXPECT_LE(index.size(), 12U);
@@ -335,13 +340,75 @@
   const size_t gone = index.begin()->second;
   for (Endpoint& e : eps) e.info.state = EndpointState::kUp;
   eps[gone].info.state = EndpointState::kRemoved;
+  left = {gone};
   open[1].attempts.push_back({.ep = gone});
-  EXPECT_NE(PlaceOf("x", eps, index, open, pool), gone);
+  EXPECT_NE(PlaceOf("x", eps, index, open, pool, left), gone);
   open.clear();
   pool.push_back({.ep = gone});
-  EXPECT_NE(PlaceOf("y", eps, index, open, pool), gone);
+  EXPECT_NE(PlaceOf("y", eps, index, open, pool, left), gone);
   pool.clear();
-  EXPECT_EQ(PlaceOf("z", eps, index, open, pool), gone);
+  EXPECT_EQ(PlaceOf("z", eps, index, open, pool, left), gone);
+}
+
+// Each probe goes to an endpoint of the set without one out, as evenly as ever, though no list of
+// those is made; also after endpoints came, went and were replaced.
+TEST(Probing, GoesEvenlyToThoseWithoutOneOut) {
+  Settings s = MakeSettings();
+  s.instances = 1;
+  Gateway g(s);
+  g.Endpoints(40);
+  for (int i = 0; i < 10; ++i) {
+    g.Change("e" + std::to_string(i), EndpointState::kRemoved);
+    g.Change("new" + std::to_string(i), EndpointState::kUp);
+  }
+  std::map<std::string, int> count;
+  std::vector<std::string> out;  // the oldest first
+  for (int i = 0; i < 4000; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    for (const Action& action : g.Ask(id)) {
+      if (const auto* const probe = std::get_if<Probe>(&action)) {
+        EXPECT_EQ(std::ranges::count(out, probe->endpoint), 0) << probe->endpoint;
+        out.push_back(probe->endpoint);
+        ++count[probe->endpoint];
+      } else if (const auto* const send = std::get_if<Send>(&action)) {
+        g.End(id, 0, send->endpoint, Outcome::kOk, Ms(10), true);
+      }
+    }
+    while (out.size() > 8) {
+      const std::string first = out.front();
+      out.erase(out.begin());
+      g.Probed(first, 1, 10);
+    }
+    g.Pass(Ms(1));
+  }
+  EXPECT_EQ(count.size(), 40U);
+  for (const auto& [endpoint, times] : count) EXPECT_GT(times, 60) << endpoint;
+}
+
+// Out of a large set the two choices of the fallback are drawn, not looked for one by one.
+TEST(Pick, TheFallbackKeepsToTheAllowedOfALargeSet) {
+  Settings s = MakeSettings();
+  s.instances = 1;
+  s.allowed.probes = false;
+  Gateway g(s);
+  g.Endpoints(300);
+  for (int i = 0; i < 150; ++i) g.Change("e" + std::to_string(2 * i), EndpointState::kDraining);
+  std::set<std::string> met;
+  for (int i = 0; i < 2000; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto sends = Gateway::All<Send>(g.Ask(id));
+    ASSERT_EQ(sends.size(), 1U);
+    EXPECT_EQ(std::stoi(sends[0].endpoint.substr(1)) % 2, 1);
+    met.insert(sends[0].endpoint);
+    g.End(id, 0, sends[0].endpoint, Outcome::kOk, Ms(10), true);
+    g.Pass(Ms(1));
+  }
+  EXPECT_GT(met.size(), 140U);
+  // One endpoint alone is still found where the draws miss it.
+  for (int i = 1; i < 150; ++i) g.Change("e" + std::to_string(2 * i + 1), EndpointState::kDraining);
+  const auto last = Gateway::All<Send>(g.Ask("last"));
+  ASSERT_EQ(last.size(), 1U);
+  EXPECT_EQ(last[0].endpoint, "e1");
 }
 
 // Connections break to all endpoints alike on bad days: three in a row eject none.
