Lab: idle closes of hosts, leaks stopped at once, ports in use named; tests of check, logs, reports

Need: hosts kept idle connections for ever; a leaking gateway was judged at the end alone; a port in use showed only in the gateway's log.

Change: emulated hosts close what has idled as long as gateways were told; bounds on memory and descriptors stop a run at once with the log's tail; the gateway's address is tried before anything is played (exit 2); the worst ten seconds of a run are reported. Tests: leaks of memory and descriptors by the rule-breaking gateway, JSON log that cannot be forged, every fault of a file named, reports with and without gnuplot, markup escaped.

--- a/src/lab/directory.cpp
+++ b/src/lab/directory.cpp
@@ -134,7 +134,7 @@
 void Directory::Move() {
   for (auto& agent : agents_) {
     agent->listener.reset();
-    loop_.After(kMovedFor, [this, was = agent.get(), alive = std::weak_ptr(alive_)] {
+    loop_.After(kMovedFor, [was = agent.get(), alive = std::weak_ptr(alive_)] {
       if (alive.expired()) return;
       while (!was->connections.empty()) was->connections.front()->OnBroken();
     });
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -27,6 +27,7 @@
 constexpr size_t kHugePiece = 1 << 18;     // bytes at once of an answer without end
 constexpr Duration kResetAfter{5'000};     // us; a host that dies on a request
 constexpr Duration kErrorAfter{2'000};     // us; a host that fails fast
+constexpr Duration kTidyEvery{100'000};    // us; how often hosts look for idle connections
 constexpr uint64_t kHuge = 3'000'000'000;  // bytes that an answer claims to have
 
 // Even in [0, 1), from the seed and what it is for alone: the order of arrivals does not matter.
@@ -99,6 +100,7 @@
   MessageParser parser_{MessageParser::Kind::kRequest, 1 << 20};
   bool begun_ = false, flooding_ = false, waits_ = false;
   Time first_{0};  // the first byte of the request that is read
+  Time used_{0};   // when it was opened or last answered on
   uint64_t receipt_ = kNoReceipt;
   size_t try_ = 0;
 };
@@ -149,6 +151,7 @@
     connections_.push_back(std::make_shared<Connection>(*this, fleet_.loop_, std::move(fd)));
     Connection& connection = *connections_.back();
     connection.place = std::prev(connections_.end());
+    connection.used_ = Now();
     if (!connection.Start()) return Drop(connection);
     model_.Burden(Now(), profile_.group->handshake);
     Plan();
@@ -206,6 +209,16 @@
     Plan();
   }
 
+  // Hosts close what has idled for as long as the gateways were told, or a moment longer.
+  void CloseIdle() {
+    if (cut_off || !up()) return;
+    const Time before = Now() - fleet_.experiment_.idle_close;
+    for (auto at = connections_.begin(); at != connections_.end();) {
+      Connection& connection = **at++;
+      if (!connection.busy() && !connection.begun_ && connection.used_ < before) Drop(connection);
+    }
+  }
+
   void Die() {
     listener_.reset();
     model_.Advance(Now());
@@ -361,6 +374,7 @@
 
 void Fleet::Connection::Over() {
   begun_ = waits_ = false;
+  used_ = host_.Now();
   if (receipt_ != kNoReceipt) {
     host_.fleet_.ledger_.Done(host_.Now(), std::exchange(receipt_, kNoReceipt), true);
   }
@@ -416,9 +430,10 @@
       changed_(std::move(changed)),
       rng_(seed ^ 0x5f1ee7) {}
 
-Fleet::~Fleet() = default;
+Fleet::~Fleet() { loop_.Cancel(tidy_); }
 
 void Fleet::Start() {
+  Tidy();
   for (const HostGroup& group : experiment_.hosts) {
     for (size_t i = 0; i < group.count; ++i) {
       const auto draw = [&](const Span& span) {
@@ -434,6 +449,13 @@
   }
 }
 
+void Fleet::Tidy() {
+  tidy_ = loop_.After(kTidyEvery, [this] {
+    for (const auto& host : hosts_) host->CloseIdle();
+    Tidy();
+  });
+}
+
 size_t Fleet::Add(const Profile& profile, const std::string& name, const net::Address& address,
                   std::optional<Time> started) {
   const size_t place = hosts_.size();
--- a/src/lab/fleet.h
+++ b/src/lab/fleet.h
@@ -79,6 +79,8 @@
   Time zero_{0};
   std::mt19937_64 rng_;
   std::vector<std::unique_ptr<Host>> hosts_;
+  void Tidy();
+  net::EventLoop::TimerId tidy_;
   size_t addresses_ = 0, added_ = 0;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -100,7 +100,7 @@
       load_.ledger_.Taken(trying_->n);
     }
   }
-  void Trickle(std::shared_ptr<std::string> text, int pieces) {
+  void Trickle(const std::shared_ptr<std::string>& text, int pieces) {
     trickling_ = pieces > 1;
     const size_t size = pieces > 1 ? text->size() / static_cast<size_t>(pieces) : text->size();
     stream_.Write(text->substr(0, size));
@@ -320,7 +320,7 @@
 // ---- The load -----------------------------------------------------------------------------------
 
 Load::Load(net::EventLoop& loop, const Experiment& experiment, Ledger& ledger, uint64_t seed,
-           std::vector<net::Address> targets)
+           const std::vector<net::Address>& targets)
     : loop_(loop), e_(experiment), ledger_(ledger), arrivals_(experiment, seed), seed_(seed) {
   for (const net::Address& address : targets) targets_.push_back({address, true, false, {}});
 }
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -23,7 +23,7 @@
  public:
   // `targets`: where each gateway listens.
   Load(net::EventLoop& loop, const Experiment& experiment, Ledger& ledger, uint64_t seed,
-       std::vector<net::Address> targets);
+       const std::vector<net::Address>& targets);
   ~Load();
   Load(const Load&) = delete;
   Load& operator=(const Load&) = delete;
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -30,6 +30,8 @@
     if (!std::string_view(*at).starts_with("LB_")) variables.emplace_back(*at);
   }
   std::vector<char*> args, vars;
+  args.reserve(words.size() + 1);
+  vars.reserve(variables.size() + 1);
   for (const std::string& word : words) args.push_back(const_cast<char*>(word.c_str()));
   for (const std::string& variable : variables) vars.push_back(const_cast<char*>(variable.c_str()));
   args.push_back(nullptr);
--- a/src/lab/report.cpp
+++ b/src/lab/report.cpp
@@ -24,7 +24,7 @@
   const char* const path = std::getenv("PATH");
   for (std::string_view rest = path != nullptr ? path : ""; !rest.empty();) {
     const size_t colon = rest.find(':');
-    const std::string file = fmt::format("{}/gnuplot", rest.substr(0, colon));
+    std::string file = fmt::format("{}/gnuplot", rest.substr(0, colon));
     if (access(file.c_str(), X_OK) == 0) return file;
     rest.remove_prefix(colon == std::string_view::npos ? rest.size() : colon + 1);
   }
@@ -198,6 +198,7 @@
           {"sends to draining hosts past the grace", count(&C::late_sends)},
           {"cold hosts that fell over", count(&C::fell_over)},
           {"worth served, share", [](const Result& r) { return r.worth_share(); }, 4},
+          {"of the worst 10 s", [](const Result& r) { return r.worst_10s; }, 4},
           {"latency p50, ms", [](const Result& r) { return r.p50_us / 1000.0; }, 1},
           {"latency p99, ms", [](const Result& r) { return r.p99_us / 1000.0; }, 1},
           {"latency p99.9, ms", [](const Result& r) { return r.p999_us / 1000.0; }, 1},
@@ -268,6 +269,7 @@
   } else {
     const Folder folder;
     std::vector<std::vector<Plot>> all;
+    all.reserve(results.size());
     for (const Result& r : results) all.push_back(PlotsOf(r));
     for (size_t p = 0; !all.empty() && p < all[0].size(); ++p) {
       out += fmt::format("<h2>{}</h2><div class=\"plots\">", Escape(all[0][p].title));
--- a/src/lab/result.cpp
+++ b/src/lab/result.cpp
@@ -146,55 +146,56 @@
     faults.push_back(
         {{"name", f.name}, {"from_s", f.from_s}, {"to_s", f.to_s}, {"hosts", f.hosts}});
   }
-  json out = {{"experiment", r.experiment},
-              {"about", r.about},
-              {"file", r.path},
-              {"world", "sockets"},
-              {"seed", r.seed},
-              {"seconds", r.seconds},
-              {"verdict", NameOf(r.verdict)},
-              {"broken", r.broken},
-              {"lab_late", r.late},
-              {"requests",
-               {{"asked", c.asked},
-                {"served", c.served},
-                {"late", c.late},
-                {"refused", c.refused},
-                {"failed", c.failed},
-                {"lost", c.lost},
-                {"answered_twice", c.answered_twice},
-                {"tries", c.tries},
-                {"left", c.left},
-                {"with_a_killed_gateway", c.killed}}},
-              {"receipts",
-               {{"total", c.receipts},
-                {"twice_unlawful", c.twice_unlawful},
-                {"keys_run_again", c.keys_run_again}}},
-              {"drains", {{"late_sends", c.late_sends}}},
-              {"cold", {{"fell_over", c.fell_over}}},
-              {"worth", {{"asked", c.worth_asked}, {"served", c.worth_served}}},
-              {"latency_us", {{"p50", r.p50_us}, {"p99", r.p99_us}, {"p999", r.p999_us}}},
-              {"gateway",
-               {{"cpu_us_per_request", r.cpu_us_per_request},
-                {"rss_kb_max", r.rss_kb_max},
-                {"rss_kb_growth", r.rss_kb_growth},
-                {"descriptors_max", r.descriptors_max}}},
-              {"fleet", {{"hosts", r.hosts}, {"gateways", r.gateways}}},
-              {"clients",
-               {{"connections", r.client_connections},
-                {"connections_most", r.client_connections_most},
-                {"no_gateway", r.no_gateway},
-                {"bad_sent", r.bad_sent},
-                {"bad_unanswered", r.bad_unanswered},
-                {"bad_served", r.bad_served},
-                {"arrivals_digest", fmt::format("{:016x}", r.arrivals_digest)}}},
-              {"lab",
-               {{"cpu_share", r.lab_cpu_share},
-                {"lag_ms_max", r.lab_lag_ms_max},
-                {"lag_ms_p99", r.lab_lag_ms_p99}}},
-              {"faults", faults},
-              {"windows", windows},
-              {"logs", r.logs}};
+  json out = {
+      {"experiment", r.experiment},
+      {"about", r.about},
+      {"file", r.path},
+      {"world", "sockets"},
+      {"seed", r.seed},
+      {"seconds", r.seconds},
+      {"verdict", NameOf(r.verdict)},
+      {"broken", r.broken},
+      {"lab_late", r.late},
+      {"requests",
+       {{"asked", c.asked},
+        {"served", c.served},
+        {"late", c.late},
+        {"refused", c.refused},
+        {"failed", c.failed},
+        {"lost", c.lost},
+        {"answered_twice", c.answered_twice},
+        {"tries", c.tries},
+        {"left", c.left},
+        {"with_a_killed_gateway", c.killed}}},
+      {"receipts",
+       {{"total", c.receipts},
+        {"twice_unlawful", c.twice_unlawful},
+        {"keys_run_again", c.keys_run_again}}},
+      {"drains", {{"late_sends", c.late_sends}}},
+      {"cold", {{"fell_over", c.fell_over}}},
+      {"worth", {{"asked", c.worth_asked}, {"served", c.worth_served}, {"worst_10s", r.worst_10s}}},
+      {"latency_us", {{"p50", r.p50_us}, {"p99", r.p99_us}, {"p999", r.p999_us}}},
+      {"gateway",
+       {{"cpu_us_per_request", r.cpu_us_per_request},
+        {"rss_kb_max", r.rss_kb_max},
+        {"rss_kb_growth", r.rss_kb_growth},
+        {"descriptors_max", r.descriptors_max}}},
+      {"fleet", {{"hosts", r.hosts}, {"gateways", r.gateways}}},
+      {"clients",
+       {{"connections", r.client_connections},
+        {"connections_most", r.client_connections_most},
+        {"no_gateway", r.no_gateway},
+        {"bad_sent", r.bad_sent},
+        {"bad_unanswered", r.bad_unanswered},
+        {"bad_served", r.bad_served},
+        {"arrivals_digest", fmt::format("{:016x}", r.arrivals_digest)}}},
+      {"lab",
+       {{"cpu_share", r.lab_cpu_share},
+        {"lag_ms_max", r.lab_lag_ms_max},
+        {"lag_ms_p99", r.lab_lag_ms_p99}}},
+      {"faults", faults},
+      {"windows", windows},
+      {"logs", r.logs}};
   return out.dump(1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
@@ -225,6 +226,7 @@
     c.late_sends = j.at("drains").at("late_sends");
     c.fell_over = j.at("cold").at("fell_over");
     c.worth_asked = j.at("worth").at("asked"), c.worth_served = j.at("worth").at("served");
+    r.worst_10s = j.at("worth").at("worst_10s");
     r.p50_us = j.at("latency_us").at("p50"), r.p99_us = j.at("latency_us").at("p99");
     r.p999_us = j.at("latency_us").at("p999");
     r.cpu_us_per_request = j.at("gateway").at("cpu_us_per_request");
@@ -275,7 +277,8 @@
       "  requests: {} asked, {} served ({} late), {} refused, {} failed, {} lost, {} answered "
       "twice\n",
       c.asked, c.served, c.late, c.refused, c.failed, c.lost, c.answered_twice);
-  out += fmt::format("  worth: {:.3f} of what was asked for\n", r.worth_share());
+  out += fmt::format("  worth: {:.3f} of what was asked for, {:.3f} in the worst 10 s\n",
+                     r.worth_share(), r.worst_10s);
   out += fmt::format("  latency: p50 {:.1f} ms, p99 {:.1f} ms, p99.9 {:.1f} ms\n",
                      r.p50_us / 1000.0, r.p99_us / 1000.0, r.p999_us / 1000.0);
   out += fmt::format(
--- a/src/lab/result.h
+++ b/src/lab/result.h
@@ -41,6 +41,7 @@
   std::vector<std::string> late;    // why this is no verdict: the lab itself was late
   Ledger::Counts counts;
   uint64_t arrivals_digest = 0;
+  double worst_10s = 1;  // the least share of the worth over ten seconds in a row
   uint32_t p50_us = 0, p99_us = 0, p999_us = 0;
   double cpu_us_per_request = 0;
   uint64_t rss_kb_max = 0, rss_kb_growth = 0, descriptors_max = 0;
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -211,6 +211,8 @@
     GatewayState& g = gateways_.emplace_back();
     g.address = i == 0 && !e_.gateway.listen.empty() ? net::ParseAddress(e_.gateway.listen)
                                                      : OwnAddress(kGatewayPlaces + i);
+    // A port in use is said before anything is played.
+    const Listener taken(loop_, g.address, [](const net::Fd&) {});
     g.config_path = fmt::format("{}/gateway-{}.json", folder_.path(), i);
     g.log_path = fmt::format("{}/gateway-{}.log", folder_.path(), i);
     return g.address;
@@ -462,6 +464,7 @@
       result_.rss_kb_max = std::max(result_.rss_kb_max, g.used.rss_kb);
       result_.descriptors_max = std::max(result_.descriptors_max, g.used.descriptors);
     }
+    StopAtBounds();
     const auto second = static_cast<size_t>(now.count() / 1'000'000);
     if (second >= samples_.size()) samples_.resize(second + 1);
     WindowResult& w = samples_[second];
@@ -472,6 +475,24 @@
     cpu_at_[second] = cpu;
   }
 
+  // A gateway that leaks is stopped before it takes the machine with it.
+  void StopAtBounds() {
+    if (finishing_) return;
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      const Process::Usage& used = gateways_[i].used;
+      const double mb = static_cast<double>(used.rss_kb) / 1024;
+      const auto open = static_cast<double>(used.descriptors);
+      if (mb > e_.must.rss_mb_most.value_or(mb)) {
+        Broken(i, fmt::format("gateway {} holds {:.0f} MB", i, mb));
+      } else if (open > e_.must.descriptors_most.value_or(open)) {
+        Broken(i, fmt::format("gateway {} holds {:.0f} descriptors", i, open));
+      } else {
+        continue;
+      }
+      return loop_.Stop();
+    }
+  }
+
   Result Finish() {
     rusage own{};
     getrusage(RUSAGE_SELF, &own);
@@ -540,6 +561,17 @@
       if (i * 4 >= end * 3) last = std::max(last, w.rss_kb);
       result_.windows.push_back(std::move(w));
     }
+    constexpr size_t kSpan = 10;
+    const auto& all = result_.windows;
+    for (size_t from = 0; from + std::min(kSpan, all.size()) <= all.size() && !all.empty();
+         ++from) {
+      double asked = 0, served = 0;
+      for (size_t i = from; i < std::min(from + kSpan, all.size()); ++i) {
+        asked += all[i].counts.worth_asked;
+        served += all[i].counts.worth_served;
+      }
+      if (asked > 0) result_.worst_10s = std::min(result_.worst_10s, served / asked);
+    }
     result_.rss_kb_growth = last > middle ? last - middle : 0;
   }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -21,7 +21,6 @@
 
 // Exit codes of all commands.
 constexpr int kDone = 0;
-constexpr int kDidNotHold = 1;
 constexpr int kWrongUsage = 2;
 
 #ifndef PADDLESTILE_VERSION
--- a/tests/lab/breaker.cpp
+++ b/tests/lab/breaker.cpp
@@ -3,6 +3,7 @@
 //   paddlestile_breaker HOW [EVERY]    the LB_* variables as for a gateway; each EVERY-th request
 #include <fmt/format.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -41,14 +42,17 @@
   kRefuse,
   kInvent,
   kCrash,
-  kHang
+  kHang,
+  kLeak,
+  kLeakFds
 };
 const std::map<std::string, How> kHows = {
     {"honest", How::kHonest},    {"lose", How::kLose},          {"twice", How::kTwice},
     {"key-late", How::kKeyLate}, {"key-group", How::kKeyGroup}, {"unsafe", How::kUnsafe},
     {"at-once", How::kAtOnce},   {"drain", How::kDrain},        {"cold", How::kCold},
     {"swap", How::kSwap},        {"refuse", How::kRefuse},      {"invent", How::kInvent},
-    {"crash", How::kCrash},      {"hang", How::kHang}};
+    {"crash", How::kCrash},      {"hang", How::kHang},          {"leak", How::kLeak},
+    {"leak-fds", How::kLeakFds}};
 
 struct Request {
   std::string id, cls, text;  // as it goes on
@@ -179,6 +183,8 @@
     if (now && how_ == How::kHang) {
       while (true) pause();
     }
+    if (how_ == How::kLeak) leaked_.emplace_back(1 << 20, 'x');
+    if (how_ == How::kLeakFds) dup(STDERR_FILENO);
     net::HostEntry host = Next();
     if (how_ == How::kCold) {
       // All to the one that started last.
@@ -220,6 +226,7 @@
   std::vector<net::HostEntry> hosts_;
   size_t turn_ = 0;
   std::string last_ = "nothing yet";
+  std::vector<std::string> leaked_;
   std::list<std::shared_ptr<Client>> clients_;
   std::list<std::shared_ptr<Attempt>> attempts_;
   std::unique_ptr<net::List> list_;
--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -12,6 +12,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "net/peers.h"
+
 namespace paddlestile::lab {
 namespace {
 
@@ -95,7 +97,8 @@
                                            Breach{"refuse", "rule: refused after it may have run"},
                                            Breach{"invent", "rule: sent what no client asked"},
                                            Breach{"crash", "gateway 0 crashed with 134"},
-                                           Breach{"hang", "gateway 0 hangs"}),
+                                           Breach{"hang", "gateway 0 hangs"}, Breach{"leak", " MB"},
+                                           Breach{"leak-fds", " descriptors"}),
                          [](const auto& info) {
                            std::string name = info.param.how;
                            std::ranges::replace(name, '-', '_');
@@ -166,12 +169,45 @@
   says(good + "\n[[faults]]\nkind = \"slow\"\nat_s = 1\nnames = [\"east-1\"]\n",
        "no host 'east-1'");
   says("a = [", "expected TOML");
-  // A port in use.
-  const std::string taken = "127.0.0.1:1";
+  net::testing::Port taken;
+  says(good + "\n[gateway]\nlisten = \"" + taken.text() + "\"\n", "listen on " + taken.text());
   says(good + "\n[gateway]\nlisten = \"here\"\n", "no address and port");
   EXPECT_EQ(Shell(std::string(PADDLESTILE_PROGRAM) + " lab run").code, 2);
   EXPECT_EQ(Shell(std::string(PADDLESTILE_PROGRAM) + " lab run /no/such.toml").code, 2);
 }
 
+// The report: all in one file, nothing of a log or a file's words taken for markup; and without
+// gnuplot it comes without plots and says so.
+TEST_F(LabRun, ReportsComeWithOrWithoutPlots) {
+  const std::string page = json_ + ".html", run = std::string(PADDLESTILE_PROGRAM) + " lab run " +
+                                                  file_ + " --seconds 2 --json " + json_;
+  const auto read = [&] {
+    std::ifstream file(page);
+    return std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  };
+  Shell(run + " --html " + page);
+  std::string text = read();
+  EXPECT_NE(text.find("<svg"), std::string::npos);
+  EXPECT_EQ(text.find("src="), std::string::npos);
+  EXPECT_EQ(text.find("<!DOCTYPE svg"), std::string::npos);
+  std::ifstream file(json_);
+  json result = json::parse(file);
+  result["about"] = "<script>";
+  std::ofstream(json_) << result;
+  const Ran ran = Shell("PATH=/nowhere " + std::string(PADDLESTILE_PROGRAM) + " lab report " +
+                        json_ + " " + json_ + " --html " + page);
+  EXPECT_EQ(ran.code, 0) << ran.text;
+  EXPECT_NE(ran.text.find("no gnuplot here"), std::string::npos) << ran.text;
+  text = read();
+  EXPECT_EQ(text.find("<svg"), std::string::npos);
+  EXPECT_EQ(text.find("<script>"), std::string::npos);
+  EXPECT_NE(text.find("Without plots"), std::string::npos);
+  std::ofstream(json_) << "{}";
+  const Ran bad =
+      Shell(std::string(PADDLESTILE_PROGRAM) + " lab report " + json_ + " --html " + page);
+  EXPECT_EQ(bad.code, 2) << bad.text;
+  fs::remove(page);
+}
+
 }  // namespace
 }  // namespace paddlestile::lab
--- a/tests/main_test.cpp
+++ b/tests/main_test.cpp
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <fstream>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
@@ -59,8 +60,11 @@
       std::vector<char*> env;
       for (std::string& word : words) env.push_back(word.data());
       env.push_back(nullptr);
-      char* const args[] = {const_cast<char*>("paddlestile"), nullptr};
-      execve(PADDLESTILE_PROGRAM, args, env.data());
+      words_.insert(words_.begin(), "paddlestile");
+      std::vector<char*> args;
+      for (std::string& word : words_) args.push_back(word.data());
+      args.push_back(nullptr);
+      execve(PADDLESTILE_PROGRAM, args.data(), env.data());
       _exit(127);
     }
     close(ends[1]);
@@ -99,6 +103,7 @@
   Port discovery;
   Address address;
   std::map<std::string, std::string> env_;
+  std::vector<std::string> words_;  // behind the program's name
   std::string path_;
 
  private:
@@ -117,6 +122,27 @@
   EXPECT_EQ(Text(), "error: paddlestile: LB_DISCOVERY is not set\n");
 }
 
+// One object a line, whatever a peer or a file puts into it: nobody forges a line or a field.
+TEST_F(Program, LogsJsonThatCannotBeForged) {
+  words_ = {"--log-format", "json", "serve"};
+  env_["LB_LISTEN"] = "x\"}\n{\"level\":\"info\xff";
+  Start();
+  EXPECT_EQ(Wait(), 1);
+  EXPECT_EQ(std::ranges::count(Text(), '\n'), 1) << Text();
+  const auto line = nlohmann::json::parse(Text(), nullptr, false);
+  ASSERT_TRUE(line.is_object()) << Text();
+  EXPECT_EQ(line["level"], "error");
+  EXPECT_NE(line["message"].get<std::string>().find("LB_LISTEN"), std::string::npos);
+  EXPECT_EQ(line.size(), 3u);
+}
+
+TEST_F(Program, AWrongCommandLineEndsWithTwo) {
+  words_ = {"serf"};
+  Start();
+  EXPECT_EQ(Wait(), 2);
+  EXPECT_EQ(std::ranges::count(Text(), '\n'), 1) << Text();
+}
+
 TEST_F(Program, BadSettingsAreNamed) {
   std::ofstream(path_) << R"({"seed":"1","known":{"revision":0,"members":[]},)"
                           R"("settings":{"Classes":[{"Name":"a","Slo":0.0,"Deadline":1.0}]}})";
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <map>
@@ -179,5 +180,29 @@
   EXPECT_EQ(list.members[2].info.kind, 1u);
 }
 
+// `check` names all that is wrong at once, with the line of what is no JSON.
+TEST_F(ConfigFile, CheckNamesEveryFault) {
+  Write(File(kSettings));
+  EXPECT_TRUE(CheckConfig(path_).empty());
+  Write(R"({"seed":"1","discovery":"here","known":{"revision":1,"members":[{"id":"a"},)"
+        R"({"id":"b","phase":"active"}]},"settings":{"NInstances":"many",)"
+        R"("Classes":[{"Name":"a","Effect":"maybe","Slo":1,"Deadline":"x"}]}})");
+  const auto faults = CheckConfig(path_);
+  const auto named = [&](const std::string& part) {
+    return std::ranges::any_of(faults,
+                               [&](const std::string& f) { return f.find(part) != f.npos; });
+  };
+  EXPECT_TRUE(named("discovery: no address and port: 'here'"));
+  EXPECT_TRUE(named("NInstances 'many', expected a number"));
+  EXPECT_TRUE(named("Classes.0.Effect 'maybe', expected one of safe, keyed, unsafe"));
+  EXPECT_TRUE(named("Classes.0.Deadline 'x', expected a number"));
+  EXPECT_TRUE(named("known.members.0: 'phase' is missing"));
+  EXPECT_TRUE(named("known.members.1: no 'host_port'"));
+  Write("{\n\"seed\":\n\n}");
+  ASSERT_EQ(CheckConfig(path_).size(), 1u);
+  EXPECT_EQ(CheckConfig(path_)[0].substr(0, 7), "line 4:");
+  EXPECT_EQ(CheckConfig("/no/such").size(), 1u);
+}
+
 }  // namespace
 }  // namespace paddlestile::net
