--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -214,7 +214,8 @@
     // A port in use is said before anything is played.
     const Listener taken(loop_, g.address, [](const net::Fd&) {});
     g.config_path = fmt::format("{}/gateway-{}.json", folder_.path(), i);
-    g.log_path = fmt::format("{}/gateway-{}.log", folder_.path(), i);
+    g.log_path =
+        fmt::format("{}/gateway-{}.log", options_.logs.empty() ? folder_.path() : options_.logs, i);
     return g.address;
   }
 
--- a/src/lab/runner.h
+++ b/src/lab/runner.h
@@ -17,6 +17,7 @@
   std::optional<uint64_t> seed;      // else the file's
   std::optional<double> seconds;     // else the file's; what the script has later is left out
   std::vector<std::string> gateway;  // the words that start one; empty: this program
+  std::string logs;                  // a folder to keep the gateways' logs in; empty: none is kept
   bool straight = false;             // no gateway: each client goes to hosts by turns
 };
 
