--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -26,6 +26,7 @@
                  const std::string& log_path) {
   // All memory is taken before the fork.
   std::vector<std::string> variables;
+  variables.reserve(env.size());
   for (const auto& [name, value] : env) variables.push_back(fmt::format("{}={}", name, value));
   for (char** at = environ; *at != nullptr; ++at) {
     const std::string_view name = std::string_view(*at).substr(0, std::string_view(*at).find('='));
