--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -124,6 +124,8 @@
   const json other = Play("--seconds 1 --seed 6", code);
   EXPECT_EQ(first["clients"]["arrivals_digest"], again["clients"]["arrivals_digest"]);
   EXPECT_EQ(first["requests"]["asked"], again["requests"]["asked"]);
+  ASSERT_FALSE(first["faults"][0]["hosts"].empty());
+  EXPECT_EQ(first["faults"], again["faults"]);
   EXPECT_NE(first["clients"]["arrivals_digest"], other["clients"]["arrivals_digest"]);
 }
 
