--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -385,6 +385,29 @@
   for (const auto& [endpoint, times] : count) EXPECT_GT(times, 60) << endpoint;
 }
 
+// The trouble: an id that a list held twice took two places of the set, and twice the work.
+TEST(Membership, AnIdThatAListHoldsTwiceTakesOnePlace) {
+  Settings s = MakeSettings();
+  s.instances = 1;
+  s.allowed.probes = false;
+  Gateway g(s);
+  g.Endpoints(40);
+  EndpointInfo info;
+  info.id = "twice";
+  g.Give(Members{ListKind::kDelta, {info, info}});
+  std::map<std::string, int> count;
+  for (int i = 0; i < 8000; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const auto sends = Gateway::All<Send>(g.Ask(id));
+    ASSERT_EQ(sends.size(), 1U);
+    ++count[sends[0].endpoint];
+    g.End(id, 0, sends[0].endpoint, Outcome::kOk, Ms(10), true);
+  }
+  EXPECT_EQ(count.size(), 41U);
+  EXPECT_GT(count["twice"], 100);
+  EXPECT_LT(count["twice"], 300);  // 195 are its part
+}
+
 // Out of a large set the two choices of the fallback are drawn, not looked for one by one.
 TEST(Pick, TheFallbackKeepsToTheAllowedOfALargeSet) {
   Settings s = MakeSettings();
