--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -129,6 +129,30 @@
   EXPECT_NE(first["clients"]["arrivals_digest"], other["clients"]["arrivals_digest"]);
 }
 
+// A lab that was itself late says nothing of the gateway, whatever it counted meanwhile.
+TEST_F(LabRun, IsNoVerdictWhereTheLabWasLate) {
+  const pid_t pid = fork();
+  if (pid == 0) {
+    execl(PADDLESTILE_PROGRAM, "paddlestile", "lab", "run", file_.c_str(), "--seconds", "3",
+          "--json", json_.c_str(), nullptr);
+    _exit(127);
+  }
+  usleep(2'000'000);
+  kill(pid, SIGSTOP);
+  usleep(600'000);
+  kill(pid, SIGCONT);
+  int status = 0;
+  waitpid(pid, &status, 0);
+  EXPECT_EQ(WEXITSTATUS(status), 1);
+  std::ifstream file(json_);
+  const json result = json::parse(file, nullptr, false);
+  ASSERT_FALSE(result.is_discarded());
+  EXPECT_EQ(result["verdict"], "void");
+  EXPECT_NE(result["lab_late"].dump().find("ms late once"), std::string::npos)
+      << result["lab_late"];
+  EXPECT_EQ(result["requests"]["lost"], 0);  // what was late by the lab's doing is nobody's breach
+}
+
 // Ctrl-C: nothing is left running and no folder left lying.
 TEST_F(LabRun, LeavesNothingBehindWhenItIsInterrupted) {
   const std::string temp = ::testing::TempDir() + "lab-tmp-" + std::to_string(getpid());
