Cold hosts get their part by the learned throughput, and the first send comes at once

Seen (join+vast replayed with logs, reasons of each refusal counted over 100 gateways): from 10 to 17 s 1,000 refusals a second, with 9 of the 16 hosts of a set over their limit at 7 in flight and 7 cold ones under their budget but idle, 3.4 in flight and 160 ms. The budget of a cold host was spent: at most 1.0 of the 1.25 requests it takes, 0.3 saved a second.

Ruled out: sick hosts (0.1 of a set), want of retries (10 saved up), discovery (lists came as told), descriptors (75 of 384).

Lines at fault: WithinColdBudget derived a gateway's part from its own finished work, which falls while it refuses; and began at -Uniform(), so that a gateway's first send came 4 to 7 s after the host, when what it replaces had been drained for 2 s.

Change: the part follows from the throughput learned of the kind over the gateways that share the endpoint, never more than the arrivals ask of each endpoint (a fresh gateway of a kind unknown: its pace as before). It begins at a random place under a whole request. The limit in flight of a cold host is scaled by what it can do by then.

The test of many gateways now wants a first send within two seconds; without the change there is none.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -269,9 +269,19 @@
     kinds[e.info.kind].Count(kinds[e.info.kind].held, kBlend / 4);
   }
 
+  // What a started endpoint can do by now of its work when warm, at the least.
+  [[nodiscard]] double Warmth(const Endpoint& e) const {
+    const Time started_at = e.info.launched, warm = s.obligations.warm_within;
+    if (started_at <= Time(0) || now - started_at >= warm * 1.1) return 1;
+    const double from = s.obligations.cold_from, age = Us(now - started_at) / Us(warm);
+    return from + (1 - from) * std::clamp(age, 0.0, 1.0);
+  }
+
   // Throughput, 0 while unknown: an endpoint's own evidence beside that of its kind, since in a
   // large fleet each is met too seldom to wait for.
-  [[nodiscard]] double Tput(const Endpoint& e) const {
+  [[nodiscard]] double Tput(const Endpoint& e) const { return Warmth(e) * WarmTput(e); }
+
+  [[nodiscard]] double WarmTput(const Endpoint& e) const {
     const Pace& kind = kinds[e.info.kind];
     const double like = std::min(kind.done, kind.reports) >= kFewSamples ? kind.Tput() : 0;
     const double own = e.own.done >= kFewSamples ? e.own.Tput() : 0;
@@ -485,14 +495,21 @@
   // A cold endpoint falls over if all gateways together send too much. If each gateway keeps to
   // this multiple of its own mean pace on an endpoint, the sum keeps to it as well.
   bool WithinColdBudget(Endpoint& e, double cost) {
-    const Time started_at = e.info.launched, warm = s.obligations.warm_within;
-    if (started_at <= Time(0) || now - started_at >= warm * 1.1) return true;
-    const double age = std::max(0.0, Us(now - started_at) / Us(warm));
-    const double from = s.obligations.cold_from, share = from + (1 - from) * std::min(1.0, age);
-    const double rate = pace / static_cast<double>(std::max<size_t>(set.size(), 1)) * share *
-                        s.obligations.fall_multiple * kColdSafety;
-    // Each begins at a place of its own, or all gateways would have saved a whole request at once.
-    e.cold_tokens += e.cold_filled < Time(0) ? -Uniform() : rate * Us(now - e.cold_filled);
+    const double share = Warmth(e);
+    if (share >= 1) return true;
+    // Of what it does when warm, the part of each gateway that works with it; never more than the
+    // arrivals ask of each endpoint, since what is learned may be far off. The own pace would fall
+    // as requests are refused, and with it what might take them.
+    const auto size = static_cast<double>(std::max<size_t>(set.size(), 1));
+    const double sharers = std::max(1.0, s.instances * size / static_cast<double>(up));
+    const double tput = WarmTput(e) > 0
+                            ? std::min(WarmTput(e) / sharers, arrivals / kRateSpan / size)
+                            : pace / size;
+    const double rate = tput * share * s.obligations.fall_multiple * kColdSafety;
+    // Each begins at a place of its own under a whole request, or all gateways would send the first
+    // together; at nought the first would come so late that those it replaces had already gone.
+    const bool first = e.cold_filled < Time(0);
+    e.cold_tokens += first ? Uniform() * (cost + kColdOverhead) : rate * Us(now - e.cold_filled);
     e.cold_filled = now;
     e.cold_tokens = std::min(e.cold_tokens, std::max(1.5, rate * Us(s.obligations.fall) / 4));
     return e.cold_tokens >= cost + kColdOverhead;
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -905,6 +905,11 @@
   std::sort(cold.begin(), cold.end());
   ASSERT_FALSE(cold.empty());
   ExpectWithinColdBudget(cold, born, s, 25);
+  // The trouble: each gateway's first send came only after it had saved up a request and a half,
+  // and by then the hosts that the new ones replace had gone. Now the first come within two
+  // seconds.
+  EXPECT_GE(std::count_if(cold.begin(), cold.end(), [&](Time t) { return t - born < Ms(2000); }),
+            1);
 }
 
 // ---- The working set ------------------------------------------------------------------------
