--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -19,7 +19,7 @@
 // ---- Constants: unit and reason for each ----------------------------------------------------
 constexpr Duration kSweep{10'000};  // us; a fraction of any useful aim, cheap to run
 constexpr size_t kPoolMost = 16;    // entries; the paper's pool
-constexpr double kSetLeast = 16;    // endpoints; as many as the pool can tell apart at once
+constexpr double kSetLeast = 8;  // endpoints; each met often enough to be known, and connected once
 constexpr double kSetPriced = 4;    // endpoints, where open connections are charged
 constexpr double kSetCover = 4;     // gateways that should use each endpoint, on average
 constexpr size_t kListMost = 64;    // endpoints of a set that is gone through one by one
@@ -45,7 +45,7 @@
 constexpr double kRetryEarn = 0.2;      // further attempts earned by each request
 constexpr double kRetryMost = 10;       // further attempts saved up
 constexpr double kFullPrice = 0.2;      // further attempts; of one after a turning away
-constexpr double kColdSafety = 0.5;     // of the cold budget; sizes differ and work is random
+constexpr double kColdSafety = 0.8;     // of the cold budget; sizes differ and work is random
 constexpr double kColdOverhead = 0.25;  // requests; a handshake on top of each send
 constexpr double kRateSpan = 5e6;       // us; span over which an endpoint's pace is remembered
 constexpr double kReportFade = 6e6;     // us; queues turn over within some service times
