--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -499,7 +499,7 @@
   }
 
   // A cold endpoint falls over if all gateways together send too much. If each gateway keeps to
-  // this multiple of its own mean pace on an endpoint, the sum keeps to it as well.
+  // its part of that, the sum keeps to it as well.
   bool WithinColdBudget(Endpoint& e, double cost) {
     const double share = Warmth(e);
     if (share >= 1) return true;
