--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -3,6 +3,7 @@
 #include "brain.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <map>
 #include <random>
@@ -28,6 +29,10 @@
 constexpr double kPoolShare = 0.8;  // of the endpoints; m < n keeps the reuse formula defined
 constexpr double kPoolAge = 1e6;    // us; the design page's starting point
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
+constexpr double kWarmRank = 0.75;  // where keys are kept warm
+constexpr size_t kHomes = 3;
+constexpr double kWarmTime = 0.4, kLessWarm = 0.15;
+constexpr Duration kProbeWait{20'000}, kFresh{100'000};
 constexpr double kProbeSpend = 0.008;  // of the result; what probing may cost where it is priced
 constexpr double kProbeLeast = 0.25;   // probes a request; keeps a pool over a small set filled
 constexpr double kProbeMost = 2;       // probes a request; more tells nothing new
@@ -62,6 +67,17 @@
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
 void Blend(double& mean, double sample, double weight) { mean += weight * (sample - mean); }
+// FNV-1a, and the finish of splitmix64: the same at every gateway, unlike std::hash.
+uint64_t Hash(const std::string& text) {
+  uint64_t h = 0xcbf29ce484222325;
+  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+  return h;
+}
+uint64_t Mixed(uint64_t h) {
+  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9;
+  h = (h ^ (h >> 27)) * 0x94d049bb133111eb;
+  return h ^ (h >> 31);
+}
 bool Up(const Endpoint& e) { return e.info.state == EndpointState::kUp; }
 
 }  // namespace
@@ -98,7 +114,7 @@
   std::vector<size_t> probing;  // endpoints with a probe out, and some that had one
   std::set<size_t> gone;        // endpoints that have left the list
   uint64_t next_seq = 0;
-  bool started = false, remove_oldest = true;
+  bool started = false, remove_oldest = true, sweeping = false;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
   int follow_failures = 0, probed = 0;
   std::vector<double> served, shares;  // of each class: served in its aim, part of the arrivals
@@ -147,6 +163,7 @@
         e.was_up = was.was_up, e.place = was.place;
       }
       e.info = info;
+      e.hash = Hash(info.id);
       info.state == EndpointState::kRemoved ? void(gone.insert(ep)) : void(gone.erase(ep));
       e.info.kind = std::min(info.kind, kKindsMost);
       kinds.resize(std::max(kinds.size(), e.info.kind + 1));
@@ -162,7 +179,6 @@
     Mix(fresh);
     FillSet();
     if (!std::exchange(started, true)) {
-      Do(SetTimer{kSweep, "sweep"});
       if (s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
     }
     Dispatch();
@@ -199,7 +215,8 @@
     }
     const double cover = kSetCover * static_cast<double>(up) / s.instances;
     const double least = s.charges.connection > 0 ? kSetPriced : kSetLeast;
-    const auto want = static_cast<size_t>(std::max(least, std::ceil(cover)));
+    // Where keys are kept warm, any endpoint may be a key's home.
+    const auto want = s.warm_keys ? up : static_cast<size_t>(std::max(least, std::ceil(cover)));
     std::vector<size_t> rest;
     if (set.size() >= std::min(want, up)) return;
     // Those away only up to half: where most fail alike, none is worse than its peers.
@@ -368,26 +385,35 @@
   [[nodiscard]] double ColdCut() const {
     std::vector<double> rifs;
     for (const PoolEntry& p : pool) rifs.push_back(Rif(p));
-    const auto rank = static_cast<size_t>(kColdRank * static_cast<double>(rifs.size() - 1));
+    const auto rank = static_cast<size_t>((s.warm_keys ? kWarmRank : kColdRank) *
+                                          static_cast<double>(rifs.size() - 1));
     std::nth_element(rifs.begin(), rifs.begin() + static_cast<long>(rank), rifs.end());
     return rifs[rank];
   }
 
   // The hot-cold order: the cold before the hot, the cold by latency, the hot by in-flight.
   using Key = std::pair<bool, double>;
-  [[nodiscard]] Key Rank(const PoolEntry& p, double cut) const {
+  [[nodiscard]] Key Rank(const PoolEntry& p, double cut, const Request* r = nullptr) const {
     const double rif = Rif(p);
-    return rif <= cut ? Key{false, p.latency} : Key{true, rif};
+    return rif <= cut ? Key{false, p.latency * (r ? Chill(*r, p.ep) : 1)} : Key{true, rif};
+  }
+
+  // The part of the usual time that an endpoint takes for this request, by how warm its key is
+  // there.
+  [[nodiscard]] double Chill(const Request& r, size_t ep) const {
+    const auto at = std::ranges::find(r.homes, ep);
+    if (at == r.homes.end()) return 1;
+    return std::min(1.0, kWarmTime + kLessWarm * static_cast<double>(at - r.homes.begin()));
   }
 
   // Place in the pool of the best entry that is allowed, ties at random.
   template <typename Filter>
-  size_t HotCold(const Filter& allowed) {
+  size_t HotCold(const Filter& allowed, const Request& r) {
     size_t best = kNone, ties = 0;
     Key best_key;
     const double cut = ColdCut();
     for (size_t i = 0; i < pool.size(); ++i) {
-      const Key key = Rank(pool[i], cut);
+      const Key key = Rank(pool[i], cut, &r);
       if (!allowed(pool[i].ep) || (best != kNone && key > best_key)) continue;
       ties = best != kNone && key == best_key ? ties + 1 : 1;
       if (Below(ties) == 0) best = i, best_key = key;
@@ -407,9 +433,66 @@
     }
   }
 
-  // Probes ride on requests and go to random endpoints.
-  void ProbeSome() {
-    for (probe_due += ProbeRate(); probe_due >= 1; probe_due -= 1) {
+  // A key's homes by weighted rendezvous: all gateways that hold the same list agree on them
+  // without a word, and where one is lost only its keys move.
+  void FindHomes(Request& r) {
+    if (!s.warm_keys || !r.in.key) return;
+    const uint64_t key = Hash(*r.in.key);
+    std::array<std::pair<double, size_t>, kHomes> best{};
+    size_t n = 0;
+    for (size_t i = 0; i < eps.size(); ++i) {
+      if (!Up(eps[i])) continue;
+      const double u = (static_cast<double>(Mixed(key ^ eps[i].hash) >> 11) + 0.5) * 0x1p-53;
+      std::pair<double, size_t> score{std::max(eps[i].info.weight, 1e-3) / -std::log(u), i};
+      if (n < kHomes) best[n++] = {};
+      for (size_t k = 0; k < n; ++k) {
+        if (score.first > best[k].first) std::swap(score, best[k]);
+      }
+    }
+    for (size_t k = 0; k < n; ++k) r.homes.push_back(best[k].second);
+  }
+
+  // Whether the probes that ride on a request have told of its homes, or had their time.
+  [[nodiscard]] bool Heard(const Request& r) const {
+    if (now - r.asked >= kProbeWait) return true;
+    return std::ranges::none_of(
+        r.homes, [&](size_t i) { return eps[i].probes_out > 0 && eps[i].reported < r.asked; });
+  }
+
+  [[nodiscard]] bool Fresh(const Endpoint& e) const {
+    return e.reported >= Time(0) && now - e.reported <= kFresh;
+  }
+
+  // Probes those of a request's homes of which nothing fresh is known; it waits for the answers.
+  void Ask(Request& r, size_t from, double least) {
+    r.asked = now;
+    for (size_t k = from; k < r.homes.size(); ++k) {
+      Endpoint& e = eps[r.homes[k]];
+      if (probe_due < least || e.probes_out > 0 || !e.in_set || Fresh(e)) continue;
+      probe_due -= 1, ++e.probes_out, ++probed;
+      Do(Probe{e.info.id});
+    }
+    probe_due = std::max(probe_due, 0.0);
+  }
+
+  // No home may take it: two others are asked, once.
+  bool Widen(Request& r) {
+    if (r.homes.empty() || set.size() <= r.homes.size() || std::exchange(r.widened, true))
+      return false;
+    const size_t from = r.homes.size();
+    for (int draw = 0; draw < kDraws && r.homes.size() < from + 2; ++draw) {
+      const size_t ep = set[Below(set.size())];
+      if (std::ranges::count(r.homes, ep) == 0) r.homes.push_back(ep);
+    }
+    Ask(r, from, -kProbeMost);
+    return true;
+  }
+
+  // Probes ride on requests and go to the homes of its key, else to random endpoints.
+  void ProbeSome(Request& r) {
+    probe_due += ProbeRate();
+    if (!r.homes.empty()) return Ask(r, 0, 1);
+    for (; probe_due >= 1; probe_due -= 1) {
       // All of the set but those with a probe out, whose few places are passed over: to list the
       // others anew for each probe would cost as much as the fleet is large.
       std::erase_if(probing, [&](size_t i) { return eps[i].probes_out == 0; });
@@ -433,11 +516,17 @@
     }
   }
 
+  [[nodiscard]] bool AnyFresh(const Request& r) const {
+    return std::ranges::any_of(r.homes, [&](size_t i) { return Fresh(eps[i]); });
+  }
+
   bool Eligible(const Request& r, size_t ep, bool in_time) {
     Endpoint& e = eps[ep];
     if (!MaySend(r, e) || !Healthy(e)) return false;
     if (in_time && e.trips > 0 && r.cls->effect == Effect::kUnsafe) return false;  // no trials
     if (std::ranges::count(r.attempts, ep, &Attempt::ep) > 0) return false;
+    if (!r.homes.empty() && !Fresh(e) && AnyFresh(r))
+      return false;  // who knows what it holds by now
     const double stretch = 1 + kStretch * (2 * r.standing - 1);
     if (Load(e) + 1 > Limit(e) * stretch) return false;
     return !in_time || Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
@@ -449,7 +538,7 @@
     for (const bool in_time : {true, false}) {
       const auto allowed = [&](size_t ep) { return Eligible(r, ep, in_time); };
       if (pool.size() >= 2 && std::ranges::any_of(pool, allowed, &PoolEntry::ep)) {
-        PoolEntry& p = pool[HotCold(allowed)];
+        PoolEntry& p = pool[HotCold(allowed, r)];
         --p.uses;
         return p.ep;
       }
@@ -581,21 +670,19 @@
       if (retry_tokens < price || Us(r.arrived + r.cls->aim - now) < *r.time / 2) {
         GiveUp(r);
       } else {
-        retry_tokens -= price, r.waiting = true;
+        retry_tokens -= price, r.waiting = true, r.widened = false;
+        if (!r.homes.empty()) Ask(r, 0, -kProbeMost);
         waiting.push_back(r.seq);
       }
     }
+    if (e.out == 0 && s.warm_keys && s.charges.connection > 0) Do(CloseIdle{e.info.id});
     Forget(r);
     Dispatch();
   }
 
-  // Looks again at what waits, and each second at places in the set that nobody could fill.
+  // Looks again at what waits. Nothing ticks at a gateway that holds nothing.
   void Sweep() {
-    Do(SetTimer{kSweep, "sweep"});
-    if (now >= refill_at) {
-      refill_at = now + kAwayFirst;
-      FillSet();
-    }
+    sweeping = false;
     Dispatch();
   }
 
@@ -644,6 +731,10 @@
 
   void On(const Submit& in) {
     if (by_id.contains(in.id)) return;
+    if (now >= refill_at) {  // places in the set that nobody could fill
+      refill_at = now + kAwayFirst;
+      FillSet();
+    }
     const uint64_t seq = by_id[in.id] = next_seq++;
     const size_t cls = std::min(in.cls, s.classes.size() - 1);
     for (size_t i = 0; i < shares.size(); ++i) Blend(shares[i], i == cls ? 1 : 0, kBlend / 4);
@@ -653,7 +744,9 @@
     r.beyond = BeyondShare(in.tenant);
     Blend(beyond_part, r.beyond ? 1 : 0, kBlend / 4);
     r.standing = Standing(r);
-    if (!in.again) ProbeSome();  // the first try has paid for what this one needs
+    FindHomes(r);
+    if (!in.again || !r.homes.empty())
+      ProbeSome(r);  // the first try has paid for what this one needs
     waiting.push_back(seq);
     Dispatch();
   }
@@ -668,6 +761,10 @@
     bool full = false;
     for (const auto& [priority, seq] : order) {
       Request& r = open.at(seq);
+      if (!r.over && !r.homes.empty() && !Heard(r)) {
+        waiting.push_back(seq);
+        continue;
+      }
       r.waiting = false;
       const bool repeat = !r.attempts.empty();
       const size_t ep = (full && !repeat) || r.over ? kNone : Pick(r);
@@ -675,6 +772,9 @@
         Forget(r);
       } else if (ep != kNone) {
         SendTo(r, ep);
+      } else if (Widen(r)) {
+        r.waiting = true;
+        waiting.push_back(seq);
       } else if (repeat || now + 2 * kSweep >= r.in.deadline ||
                  Us(now - r.arrived) > kHoldShare * Us(r.cls->aim)) {
         // No timer comes early: a try that is given up soon gets its answer at this look.
@@ -685,6 +785,7 @@
         waiting.push_back(seq);
       }
     }
+    if (!waiting.empty() && !std::exchange(sweeping, true)) Do(SetTimer{kSweep, "sweep"});
   }
 
   void Forget(Request& r) {
@@ -700,7 +801,8 @@
     const auto value = [&](size_t i) { return i < report.size() ? std::max(0.0, report[i]) : -1; };
     const double inflight = value(s.report.inflight), latency = value(s.report.latency_ms);
     if (inflight < 0) return;
-    const double w = e.reported < Time(0) ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
+    const double w =
+        e.reported < Time(0) || s.warm_keys ? 1 : 1 - std::exp(-Us(now - e.reported) / kOthersSpan);
     Blend(e.others, std::max(0.0, inflight - e.out), w);
     Pace& kind = kinds[e.info.kind];
     kind.reports = kind.reports * (1 - kBlend) + 1;
--- a/src/brain.h
+++ b/src/brain.h
@@ -56,6 +56,7 @@
   DiscoveryMode discovery = DiscoveryMode::kPush;
   WeightKind weight_kind = WeightKind::kNone;
   bool callers_mark_retry = false;
+  bool warm_keys = false;  // a host that has lately served a key serves it with less work
   struct {
     bool cancel = false;
     bool parallel_tries = false;
@@ -74,6 +75,7 @@
   } charges;
   struct {
     double whole = 1, worst_class = 0, worst_tenant = 0, worst_window = 0;
+    double nines = 0, top_nines = 3;  // part of the nines; how many earn it in full, above 0
   } mix;
   struct {
     Duration answer_slack{0};
@@ -202,6 +204,9 @@
 struct Probe {
   std::string endpoint;
 };
+struct CloseIdle {  // this gateway's idle connections to it
+  std::string endpoint;
+};
 struct Follow {
   bool on = true;
 };
@@ -210,7 +215,8 @@
   std::string text;
 };
 
-using Action = std::variant<Send, Refuse, Fail, Cancel, SetTimer, Probe, Follow, FetchList, Log>;
+using Action =
+    std::variant<Send, Refuse, Fail, Cancel, SetTimer, Probe, CloseIdle, Follow, FetchList, Log>;
 
 // ---- The module -----------------------------------------------------------------------------
 
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -34,7 +34,8 @@
 
 struct Endpoint {
   EndpointInfo info;
-  int out = 0;  // own attempts out
+  uint64_t hash = 0;  // of its id, the same at every gateway
+  int out = 0;        // own attempts out
   int probes_out = 0;
   size_t place = 0;                     // in the working set, while it is in it
   bool in_set = false, was_up = false;  // of the working set; by the last list
@@ -66,6 +67,10 @@
   Submit in;
   Time arrived{0};
   std::vector<Attempt> attempts;
+  std::vector<size_t>
+      homes{};           // endpoints where its key is kept warm, best first, and others asked
+  Time asked{0};         // when they were last probed for it
+  bool widened = false;  // others were asked too, as no home may take it
   int out = 0;
   bool over = false;
   bool waiting = true;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -332,6 +332,7 @@
   servers_->Probe(probe.endpoint);
 }
 
+void Gateway::Apply(const paddlestile::CloseIdle& close) { servers_->CloseIdle(close.endpoint); }
 void Gateway::Apply(const Follow& follow) { list_->Follow(follow.on); }
 void Gateway::Apply(const FetchList&) { list_->Fetch(); }
 void Gateway::Apply(const paddlestile::Log& log) { net::Log(Level::kInfo, "module: {}", log.text); }
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -69,6 +69,7 @@
   void Apply(const Cancel& cancel);
   void Apply(const SetTimer& timer);
   void Apply(const Probe& probe);
+  void Apply(const paddlestile::CloseIdle& close);
   void Apply(const Follow& follow);
   void Apply(const FetchList& fetch);
   void Apply(const paddlestile::Log& log);
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -512,6 +512,10 @@
   }
 }
 
+void Servers::CloseIdle(const std::string& endpoint) {
+  if (Host* const host = Find(endpoint)) DropIdle(*host);
+}
+
 bool Servers::CloseOneIdle() {
   if (idle_.empty()) return false;
   ++Count().host_idle_closed;
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -78,6 +78,8 @@
   void ClientLeft(const Exchange& exchange);
   void Probe(const std::string& endpoint);
 
+  // Closes the idle connections to a host; those with an attempt stay. Nothing for one not known.
+  void CloseIdle(const std::string& endpoint);
   // Closes the connection that has idled longest; false where none idles.
   bool CloseOneIdle();
 
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -315,6 +315,7 @@
                           {"rough", WeightKind::kRough},
                           {"live", WeightKind::kLive}});
   facts.Read("Callers.MarksRetry", s.callers_mark_retry);
+  facts.Read("FamilyInfo.WarmKeys", s.warm_keys);
   facts.Read("Allowed.Cancel", s.allowed.cancel);
   facts.Read("Allowed.ParallelTries", s.allowed.parallel_tries);
   facts.Read("Allowed.Probes", s.allowed.probes);
@@ -336,6 +337,8 @@
   facts.Read("ResultMix.WorstClass", s.mix.worst_class);
   facts.Read("ResultMix.WorstTenant", s.mix.worst_tenant);
   facts.Read("ResultMix.WorstWindow", s.mix.worst_window);
+  facts.Read("ResultMix.NinesPart", s.mix.nines);
+  facts.Read("ResultMix.TopNines", s.mix.top_nines);
   facts.Read("Obligations.AnswerSlack", s.obligations.answer_slack);
   facts.Read("Obligations.DrainGrace", s.obligations.drain_grace);
   facts.Read("Obligations.MustAskIn", s.obligations.must_ask_in);
@@ -507,6 +510,9 @@
         } else if constexpr (std::is_same_v<T, Probe>) {
           begin("ping");
           word(a.endpoint);
+        } else if constexpr (std::is_same_v<T, CloseIdle>) {
+          begin("free_links");
+          word(a.endpoint);
         } else if constexpr (std::is_same_v<T, Follow>) {
           begin("follow");
           word(a.on ? "1" : "0");
