--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,13 +39,14 @@
 constexpr double kRemovePerProbe = 1.0 / 12;  // removals a probe; well inside the formula's domain
 constexpr double kBlend = 0.1;                // weight of one new sample in a slow average
 constexpr double kErrBlend = 0.2;             // weight of one outcome in the error share
-constexpr double kErrEject = 0.3;             // error share: two failures in a row, or seven breaks
-constexpr Duration kAwayFirst{1'000'000};     // us; doubles with each failed trial or connect
-constexpr int kAwayDoublings = 4;             // up to 16 s, the order of a short outage
-constexpr double kSilence = 3;                // typical times without any answer: suspect
-constexpr double kAimShare = 0.4;             // of the aim that the predicted time may take
-constexpr int kAwayPart = 16;                 // a refused client comes back after the aim over this
-constexpr double kHoldShare = 0.1;            // of the aim that a request may wait here
+constexpr double kErrSpan = 5e6;   // us; an outcome so long after the last one says most by itself
+constexpr double kErrEject = 0.3;  // error share: two failures in a row, or seven breaks
+constexpr Duration kAwayFirst{1'000'000};  // us; doubles with each failed trial or connect
+constexpr int kAwayDoublings = 4;          // up to 16 s, the order of a short outage
+constexpr double kSilence = 3;             // typical times without any answer: suspect
+constexpr double kAimShare = 0.4;          // of the aim that the predicted time may take
+constexpr int kAwayPart = 16;              // a refused client comes back after the aim over this
+constexpr double kHoldShare = 0.1;         // of the aim that a request may wait here
 constexpr double kStretch = 0.3;        // of the limit, less for the least worth, more for the most
 constexpr double kRetryEarn = 0.2;      // further attempts earned by each request
 constexpr double kRetryMost = 10;       // further attempts saved up
@@ -59,8 +60,14 @@
 constexpr double kHeldShare = 0.5;      // of what its kind holds, before anything is known
 constexpr double kQuotaSlack = 1.3;     // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;     // us; of a tenant's rate that may come at once
-constexpr double kKindWeight = 4;       // answers; the evidence of its kind counts as so many
-constexpr double kFewSamples = 4;       // answers before an average is trusted
+constexpr double kLimitLeast = 8;
+constexpr double kErrDoubt = 0.1;
+constexpr size_t kAskFirst = 2;
+constexpr double kTight = 0.65;
+constexpr double kIdleShare = 0.2;
+constexpr double kSlower = 2;
+constexpr double kKindWeight = 4;  // answers; the evidence of its kind counts as so many
+constexpr double kFewSamples = 4;  // answers before an average is trusted
 
 constexpr size_t kKindsMost = 64;                  // kinds told apart; a fleet has a handful
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
@@ -252,6 +259,13 @@
     return !Silent(e) && (e.trips == 0 || e.out == 0);  // one trial at a time
   }
 
+  // One outcome's weight on the error share: where an endpoint is met seldom, the last one says
+  // most.
+  double Judge(Endpoint& e) {
+    const double gap = Us(now - std::exchange(e.judged, now));
+    return std::max(kErrBlend, s.warm_keys ? 1 - std::exp(-gap / kErrSpan) : 0);
+  }
+
   void Failed(Endpoint& e, double weight) {
     Blend(e.err, 1, weight);
     if (e.err <= kErrEject || !e.in_set) return;
@@ -268,6 +282,7 @@
   }
 
   void Answered(Endpoint& e, const Attempt& a, const Request& r, double took) {
+    Judge(e);
     Blend(e.err, 0, kErrBlend);
     if (e.trips > 0 && e.in_set) {
       e.trips = 0;  // the trial succeeded
@@ -298,9 +313,15 @@
   // large fleet each is met too seldom to wait for.
   [[nodiscard]] double Tput(const Endpoint& e) const { return Warmth(e) * WarmTput(e); }
 
+  // How much of its kind's pace an endpoint keeps by its own report, which also mixes keys.
+  [[nodiscard]] double Pacing(const Endpoint& e) const {
+    return e.latency > 0 ? std::min(1.0, kSlower * kinds[e.info.kind].latency / e.latency) : 1;
+  }
+
   [[nodiscard]] double WarmTput(const Endpoint& e) const {
     const Pace& kind = kinds[e.info.kind];
-    const double like = std::min(kind.done, kind.reports) >= kFewSamples ? kind.Tput() : 0;
+    double like = std::min(kind.done, kind.reports) >= kFewSamples ? kind.Tput() : 0;
+    if (s.warm_keys) like *= Pacing(e);
     const double own = e.own.done >= kFewSamples ? e.own.Tput() : 0;
     if (own <= 0 || like <= 0) return std::max(own, like);
     return like + (own - like) * e.own.done / (e.own.done + kKindWeight);
@@ -321,13 +342,17 @@
 
   // Limit on all that an endpoint holds: what it can finish within the target. Past it, queueing
   // adds only delay, and some slow down when crowded and stay slow.
-  [[nodiscard]] double Limit(const Endpoint& e) const {
+  [[nodiscard]] double Limit(const Endpoint& e, bool in_time) const {
     const double tput = Tput(e);
     // Nothing learned yet: at half of what its kind holds. At all of it, hundreds of newcomers keep
     // an overload up; at a fixed few, a kind found busy at the start would never be tried.
-    if (tput <= 0) return std::max(kLimitAtFirst, kinds[e.info.kind].held * kHeldShare);
+    if (tput <= 0)
+      return std::max(s.warm_keys && !in_time ? kLimitLeast : kLimitAtFirst,
+                      kinds[e.info.kind].held * kHeldShare);
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
-    return std::max({2.0, room + tput * target});
+    if (!s.warm_keys) return std::max(2.0, room + tput * target);
+    return std::max(
+        {2.0, (in_time ? kLimitAtFirst : kLimitLeast) * Pacing(e), room + tput * target * kTight});
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, const Request& r) const {
@@ -454,7 +479,7 @@
 
   // Whether the probes that ride on a request have told of its homes, or had their time.
   [[nodiscard]] bool Heard(const Request& r) const {
-    if (now - r.asked >= kProbeWait) return true;
+    if (now - r.asked >= kProbeWait || now + 2 * kSweep >= r.in.deadline) return true;
     return std::ranges::none_of(
         r.homes, [&](size_t i) { return eps[i].probes_out > 0 && eps[i].reported < r.asked; });
   }
@@ -464,34 +489,31 @@
   }
 
   // Probes those of a request's homes of which nothing fresh is known; it waits for the answers.
-  void Ask(Request& r, size_t from, double least) {
-    r.asked = now;
-    for (size_t k = from; k < r.homes.size(); ++k) {
-      Endpoint& e = eps[r.homes[k]];
-      if (probe_due < least || e.probes_out > 0 || !e.in_set || Fresh(e)) continue;
-      probe_due -= 1, ++e.probes_out, ++probed;
+  void Ask(Request& r, size_t most) {
+    for (r.asked = now; r.known < most; ++r.known) {
+      Endpoint& e = eps[r.homes[r.known]];
+      if (e.probes_out > 0 || !e.in_set || Fresh(e)) continue;
+      ++e.probes_out, ++probed;
       Do(Probe{e.info.id});
     }
-    probe_due = std::max(probe_due, 0.0);
   }
 
-  // No home may take it: two others are asked, once.
+  // Where the first home is crowded the others are asked, then two more by chance.
   bool Widen(Request& r) {
-    if (r.homes.empty() || set.size() <= r.homes.size() || std::exchange(r.widened, true))
-      return false;
-    const size_t from = r.homes.size();
-    for (int draw = 0; draw < kDraws && r.homes.size() < from + 2; ++draw) {
+    if (r.homes.empty() || now + 2 * kSweep >= r.in.deadline || r.known > kHomes) return false;
+    for (int draw = 0; r.known >= kHomes && draw < kDraws && r.homes.size() < kHomes + 2; ++draw) {
       const size_t ep = set[Below(set.size())];
       if (std::ranges::count(r.homes, ep) == 0) r.homes.push_back(ep);
     }
-    Ask(r, from, -kProbeMost);
+    if (r.known >= r.homes.size()) return false;
+    Ask(r, r.homes.size());
     return true;
   }
 
   // Probes ride on requests and go to the homes of its key, else to random endpoints.
   void ProbeSome(Request& r) {
+    if (!r.homes.empty()) return Ask(r, std::min<size_t>(kAskFirst, r.homes.size()));
     probe_due += ProbeRate();
-    if (!r.homes.empty()) return Ask(r, 0, 1);
     for (; probe_due >= 1; probe_due -= 1) {
       // All of the set but those with a probe out, whose few places are passed over: to list the
       // others anew for each probe would cost as much as the fleet is large.
@@ -523,19 +545,24 @@
   bool Eligible(const Request& r, size_t ep, bool in_time) {
     Endpoint& e = eps[ep];
     if (!MaySend(r, e) || !Healthy(e)) return false;
-    if (in_time && e.trips > 0 && r.cls->effect == Effect::kUnsafe) return false;  // no trials
+    if (in_time && e.trips + (e.err > kErrDoubt) > 0 && r.cls->effect == Effect::kUnsafe)
+      return false;  // no trials
     if (std::ranges::count(r.attempts, ep, &Attempt::ep) > 0) return false;
+    // Idle while its kind is busy: it may fail quickly, which an unsafe request cannot repair.
+    const double idle =
+        kIdleShare * kinds[e.info.kind].held - (r.cls->effect == Effect::kSafe ? 0.4 : 0.1);
+    if (in_time && !r.homes.empty() && Load(e) < idle) return false;
     if (!r.homes.empty() && !Fresh(e) && AnyFresh(r))
       return false;  // who knows what it holds by now
     const double stretch = 1 + kStretch * (2 * r.standing - 1);
-    if (Load(e) + 1 > Limit(e) * stretch) return false;
+    if (Load(e) + 1 > Limit(e, in_time) * stretch) return false;
     return !in_time || Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
 
   // The endpoint for a request: one predicted well in time, else any; or kNone where none may.
-  size_t Pick(const Request& r) {
+  size_t Pick(const Request& r, bool in_time) {
     Purge();
-    for (const bool in_time : {true, false}) {
+    {
       const auto allowed = [&](size_t ep) { return Eligible(r, ep, in_time); };
       if (pool.size() >= 2 && std::ranges::any_of(pool, allowed, &PoolEntry::ep)) {
         PoolEntry& p = pool[HotCold(allowed, r)];
@@ -554,13 +581,12 @@
         for (const size_t i : set) {
           if (allowed(i)) to.push_back(i);
         }
-        if (to.empty()) continue;
+        if (to.empty()) return kNone;
         a = to[Below(to.size())], b = to[Below(to.size())];
       }
       SetRegime(Regime::kFallback);
       return eps[b].out < eps[a].out ? b : a;
     }
-    return kNone;
   }
 
   // ---- 4. Legality gate: every send, refusal and failure passes here -------------------------
@@ -658,7 +684,7 @@
     if (silent) Observe(e, a);
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
     if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
-    if (in.outcome == Outcome::kError) Failed(e, kErrBlend);
+    if (in.outcome == Outcome::kError) Failed(e, Judge(e));
     if (in.outcome == Outcome::kReset || in.outcome == Outcome::kUnusable) Failed(e, kErrBlend / 4);
     if (in.outcome == Outcome::kConnectFailed && e.in_set) Leave(e);  // once, however many at once
     if (silent && was_silent) Failed(e, 2 * kErrBlend);
@@ -670,8 +696,8 @@
       if (retry_tokens < price || Us(r.arrived + r.cls->aim - now) < *r.time / 2) {
         GiveUp(r);
       } else {
-        retry_tokens -= price, r.waiting = true, r.widened = false;
-        if (!r.homes.empty()) Ask(r, 0, -kProbeMost);
+        retry_tokens -= price, r.waiting = true, r.known = 0;
+        if (!r.homes.empty()) Ask(r, r.homes.size());
         waiting.push_back(r.seq);
       }
     }
@@ -767,14 +793,17 @@
       }
       r.waiting = false;
       const bool repeat = !r.attempts.empty();
-      const size_t ep = (full && !repeat) || r.over ? kNone : Pick(r);
+      const bool none = (full && !repeat) || r.over;
+      size_t ep = none ? kNone : Pick(r, true);
+      const bool better = !none && (ep == kNone || stats.last == Regime::kHot) && Widen(r);
+      if (!none && !better && ep == kNone) ep = Pick(r, false);
       if (r.over) {
         Forget(r);
-      } else if (ep != kNone) {
-        SendTo(r, ep);
-      } else if (Widen(r)) {
+      } else if (better) {
         r.waiting = true;
         waiting.push_back(seq);
+      } else if (ep != kNone) {
+        SendTo(r, ep);
       } else if (repeat || now + 2 * kSweep >= r.in.deadline ||
                  Us(now - r.arrived) > kHoldShare * Us(r.cls->aim)) {
         // No timer comes early: a try that is given up soon gets its answer at this look.
@@ -807,6 +836,8 @@
     Pace& kind = kinds[e.info.kind];
     kind.reports = kind.reports * (1 - kBlend) + 1;
     Blend(kind.held, inflight, 1 / kind.reports);
+    if (latency > 0) Blend(kind.latency, latency * 1000, 1 / kind.reports);
+    e.latency = latency * 1000;
     e.reported = now;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
     const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -22,6 +22,7 @@
 struct Pace {
   double f = 0, busy = 0, done = 0;  // busy: us; done: attempts ended, decayed
   double held = 0, reports = 0;      // mean in flight by the reports, of a kind; reports, decayed
+  double latency = 0;                // us; mean of the reported latencies, of a kind
 
   void Count(double f_at_send, double weight) {
     done = done * (1 - weight) + 1;
@@ -43,6 +44,8 @@
   Time reported{-1};                    // when a report last came; -1: never
   Time out_at{0};
   double link = 0;       // us; probe round trip, 0 unknown
+  double latency = 0;    // us; as last reported
+  Time judged{0};        // when an outcome last told of its health
   double err = 0;        // share of failed outcomes, recent
   Time away_until{0};    // out of the working set till then
   int trips = 0;         // ejections in a row
@@ -68,9 +71,9 @@
   Time arrived{0};
   std::vector<Attempt> attempts;
   std::vector<size_t>
-      homes{};           // endpoints where its key is kept warm, best first, and others asked
-  Time asked{0};         // when they were last probed for it
-  bool widened = false;  // others were asked too, as no home may take it
+      homes{};       // endpoints where its key is kept warm, best first, and others asked
+  Time asked{0};     // when they were last probed for it
+  size_t known = 0;  // how many of them were asked
   int out = 0;
   bool over = false;
   bool waiting = true;
