--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,7 +31,7 @@
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
 constexpr double kWarmRank = 0.75;  // where keys are kept warm
 constexpr size_t kHomes = 3;
-constexpr double kWarmTime = 0.4, kLessWarm = 0.15;
+constexpr double kWarmTime = 0.4, kLessWarm = 0.3;
 constexpr Duration kProbeWait{20'000}, kFresh{100'000};
 constexpr double kProbeSpend = 0.008;  // of the result; what probing may cost where it is priced
 constexpr double kProbeLeast = 0.25;   // probes a request; keeps a pool over a small set filled
@@ -60,7 +60,7 @@
 constexpr double kHeldShare = 0.5;      // of what its kind holds, before anything is known
 constexpr double kQuotaSlack = 1.3;     // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;     // us; of a tenant's rate that may come at once
-constexpr double kLimitLeast = 8;
+constexpr double kLimitLeast = 12;
 constexpr double kErrDoubt = 0.1;
 constexpr size_t kAskFirst = 2;
 constexpr double kTight = 0.65;
@@ -126,6 +126,7 @@
   int follow_failures = 0, probed = 0;
   std::vector<double> served, shares;  // of each class: served in its aim, part of the arrivals
   std::vector<double> times;           // us; mean time of each class
+  double mean_expected = 1;            // us; of the hints, where requests carry one
   double mean_time = 0, target = 0;    // us; of a request over all classes, and aimed at
   size_t up = 0;                       // endpoints that may get work
   double pace = 0;                     // own finished work of late, in mean requests per us
@@ -248,7 +249,9 @@
   }
 
   // ---- 2. Health and capacity ---------------------------------------------------------------
-  [[nodiscard]] double Cost(const Request& r) const { return *r.time / mean_time; }
+  [[nodiscard]] double Cost(const Request& r) const {
+    return r.in.expected ? Us(*r.in.expected) / mean_expected : *r.time / mean_time;
+  }
 
   // A hung endpoint keeps answering probes: what shows is that nothing of ours comes back.
   [[nodiscard]] bool Silent(const Endpoint& e) const {
@@ -351,8 +354,9 @@
                       kinds[e.info.kind].held * kHeldShare);
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
     if (!s.warm_keys) return std::max(2.0, room + tput * target);
-    return std::max(
-        {2.0, (in_time ? kLimitAtFirst : kLimitLeast) * Pacing(e), room + tput * target * kTight});
+    const double spare = std::max(0.0, 1 - kinds[e.info.kind].Time() / target);
+    const double least = in_time ? kLimitAtFirst : kLimitLeast * spare;
+    return std::max({2.0, least * Pacing(e), room + tput * target * kTight});
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, const Request& r) const {
@@ -407,11 +411,10 @@
   }
 
   // Exact rank over the pool's in-flight figures.
-  [[nodiscard]] double ColdCut() const {
+  [[nodiscard]] double ColdCut(double at) const {
     std::vector<double> rifs;
     for (const PoolEntry& p : pool) rifs.push_back(Rif(p));
-    const auto rank = static_cast<size_t>((s.warm_keys ? kWarmRank : kColdRank) *
-                                          static_cast<double>(rifs.size() - 1));
+    const auto rank = static_cast<size_t>(at * static_cast<double>(rifs.size() - 1));
     std::nth_element(rifs.begin(), rifs.begin() + static_cast<long>(rank), rifs.end());
     return rifs[rank];
   }
@@ -436,7 +439,8 @@
   size_t HotCold(const Filter& allowed, const Request& r) {
     size_t best = kNone, ties = 0;
     Key best_key;
-    const double cut = ColdCut();
+    // A heavy request feels most what else its endpoint holds.
+    const double cut = ColdCut(s.warm_keys ? std::clamp(kWarmRank * Cost(r), 0.5, 1.0) : kColdRank);
     for (size_t i = 0; i < pool.size(); ++i) {
       const Key key = Rank(pool[i], cut, &r);
       if (!allowed(pool[i].ep) || (best != kNone && key > best_key)) continue;
@@ -451,7 +455,7 @@
   void Degrade() {
     for (remove_due += ProbeRate() * kRemovePerProbe; remove_due >= 1; remove_due -= 1) {
       if (pool.empty()) continue;
-      const double cut = ColdCut();
+      const double cut = ColdCut(s.warm_keys ? kWarmRank : kColdRank);
       const auto rank = [&](const PoolEntry& p) { return Rank(p, cut); };
       pool.erase(remove_oldest ? pool.begin() : std::ranges::max_element(pool, {}, rank));
       remove_oldest = !remove_oldest;
@@ -767,6 +771,7 @@
     Request& r = open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}};
     r.in.cls = cls;
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
+    if (in.expected) Blend(mean_expected, std::max(1.0, Us(*in.expected)), mean_expected > 1 ? kBlend / 4 : 1);
     r.beyond = BeyondShare(in.tenant);
     Blend(beyond_part, r.beyond ? 1 : 0, kBlend / 4);
     r.standing = Standing(r);
