--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -29,7 +29,7 @@
 constexpr double kPoolShare = 0.8;  // of the endpoints; m < n keeps the reuse formula defined
 constexpr double kPoolAge = 1e6;    // us; the design page's starting point
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
-constexpr double kWarmRank = 0.75;  // where keys are kept warm
+constexpr double kWarmRank = 0.9;   // where keys are kept warm
 constexpr size_t kHomes = 3;
 constexpr double kWarmTime = 0.4, kLessWarm = 0.3;
 constexpr Duration kProbeWait{20'000}, kFresh{100'000};
@@ -61,10 +61,10 @@
 constexpr double kQuotaSlack = 1.3;     // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;     // us; of a tenant's rate that may come at once
 constexpr double kLimitLeast = 12;
+constexpr double kAwayLong = 4e6;
 constexpr double kErrDoubt = 0.1;
 constexpr size_t kAskFirst = 2;
 constexpr double kTight = 0.65;
-constexpr double kIdleShare = 0.2;
 constexpr double kSlower = 2;
 constexpr double kKindWeight = 4;  // answers; the evidence of its kind counts as so many
 constexpr double kFewSamples = 4;  // answers before an average is trusted
@@ -266,6 +266,7 @@
   // most.
   double Judge(Endpoint& e) {
     const double gap = Us(now - std::exchange(e.judged, now));
+    e.gap = std::clamp(gap, 1.0, kAwayLong);
     return std::max(kErrBlend, s.warm_keys ? 1 - std::exp(-gap / kErrSpan) : 0);
   }
 
@@ -278,7 +279,8 @@
   // Another takes the place of an endpoint that is sick or gave no connection (its table may be
   // full, which no report shows); it may be drawn again later, and not by all gateways together.
   void Leave(Endpoint& e) {
-    const double away = Us(kAwayFirst) * (1 << std::min(e.trips++, kAwayDoublings));
+    const double away =
+        std::max(Us(kAwayFirst), e.gap) * (1 << std::min(e.trips++, kAwayDoublings));
     e.away_until = now + Duration(std::llround(away * (0.5 + Uniform())));
     set_whole = false;
     FillSet();
@@ -354,8 +356,8 @@
                       kinds[e.info.kind].held * kHeldShare);
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
     if (!s.warm_keys) return std::max(2.0, room + tput * target);
-    const double spare = std::max(0.0, 1 - kinds[e.info.kind].Time() / target);
-    const double least = in_time ? kLimitAtFirst : kLimitLeast * spare;
+    const double spare = 1 - kinds[e.info.kind].latency / target;
+    const double least = std::max(kLimitAtFirst, in_time ? 0 : kLimitLeast * spare);
     return std::max({2.0, least * Pacing(e), room + tput * target * kTight});
   }
 
@@ -440,7 +442,7 @@
     size_t best = kNone, ties = 0;
     Key best_key;
     // A heavy request feels most what else its endpoint holds.
-    const double cut = ColdCut(s.warm_keys ? std::clamp(kWarmRank * Cost(r), 0.5, 1.0) : kColdRank);
+    const double cut = ColdCut(s.warm_keys ? std::clamp(kWarmRank * Cost(r), 0.6, 1.0) : kColdRank);
     for (size_t i = 0; i < pool.size(); ++i) {
       const Key key = Rank(pool[i], cut, &r);
       if (!allowed(pool[i].ep) || (best != kNone && key > best_key)) continue;
@@ -503,14 +505,14 @@
   }
 
   // Where the first home is crowded the others are asked, then two more by chance.
-  bool Widen(Request& r) {
-    if (r.homes.empty() || now + 2 * kSweep >= r.in.deadline || r.known > kHomes) return false;
-    for (int draw = 0; r.known >= kHomes && draw < kDraws && r.homes.size() < kHomes + 2; ++draw) {
+  bool Widen(Request& r, size_t most) {
+    if (r.homes.empty() || now + 2 * kSweep >= r.in.deadline) return false;
+    for (int draw = 0; draw < kDraws && r.homes.size() < most; ++draw) {
       const size_t ep = set[Below(set.size())];
       if (std::ranges::count(r.homes, ep) == 0) r.homes.push_back(ep);
     }
-    if (r.known >= r.homes.size()) return false;
-    Ask(r, r.homes.size());
+    if (r.known >= std::min(most, r.homes.size())) return false;
+    Ask(r, std::min(most, r.homes.size()));
     return true;
   }
 
@@ -546,28 +548,26 @@
     return std::ranges::any_of(r.homes, [&](size_t i) { return Fresh(eps[i]); });
   }
 
-  bool Eligible(const Request& r, size_t ep, bool in_time) {
+  // slack 0: only where it is predicted well in time; 1: where nothing speaks against it; 2:
+  // anywhere.
+  bool Eligible(const Request& r, size_t ep, int slack) {
     Endpoint& e = eps[ep];
     if (!MaySend(r, e) || !Healthy(e)) return false;
-    if (in_time && e.trips + (e.err > kErrDoubt) > 0 && r.cls->effect == Effect::kUnsafe)
+    if (slack < 2 && e.trips + (e.err > kErrDoubt) > 0 && r.cls->effect == Effect::kUnsafe)
       return false;  // no trials
     if (std::ranges::count(r.attempts, ep, &Attempt::ep) > 0) return false;
-    // Idle while its kind is busy: it may fail quickly, which an unsafe request cannot repair.
-    const double idle =
-        kIdleShare * kinds[e.info.kind].held - (r.cls->effect == Effect::kSafe ? 0.4 : 0.1);
-    if (in_time && !r.homes.empty() && Load(e) < idle) return false;
     if (!r.homes.empty() && !Fresh(e) && AnyFresh(r))
       return false;  // who knows what it holds by now
     const double stretch = 1 + kStretch * (2 * r.standing - 1);
-    if (Load(e) + 1 > Limit(e, in_time) * stretch) return false;
-    return !in_time || Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
+    if (Load(e) + 1 > Limit(e, slack == 0) * stretch) return false;
+    return slack > 0 || Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
 
   // The endpoint for a request: one predicted well in time, else any; or kNone where none may.
-  size_t Pick(const Request& r, bool in_time) {
+  size_t Pick(const Request& r, int slack) {
     Purge();
     {
-      const auto allowed = [&](size_t ep) { return Eligible(r, ep, in_time); };
+      const auto allowed = [&](size_t ep) { return Eligible(r, ep, slack); };
       if (pool.size() >= 2 && std::ranges::any_of(pool, allowed, &PoolEntry::ep)) {
         PoolEntry& p = pool[HotCold(allowed, r)];
         --p.uses;
@@ -771,7 +771,8 @@
     Request& r = open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}};
     r.in.cls = cls;
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
-    if (in.expected) Blend(mean_expected, std::max(1.0, Us(*in.expected)), mean_expected > 1 ? kBlend / 4 : 1);
+    if (in.expected)
+      Blend(mean_expected, std::max(1.0, Us(*in.expected)), mean_expected > 1 ? kBlend / 4 : 1);
     r.beyond = BeyondShare(in.tenant);
     Blend(beyond_part, r.beyond ? 1 : 0, kBlend / 4);
     r.standing = Standing(r);
@@ -799,9 +800,11 @@
       r.waiting = false;
       const bool repeat = !r.attempts.empty();
       const bool none = (full && !repeat) || r.over;
-      size_t ep = none ? kNone : Pick(r, true);
-      const bool better = !none && (ep == kNone || stats.last == Regime::kHot) && Widen(r);
-      if (!none && !better && ep == kNone) ep = Pick(r, false);
+      size_t ep = none ? kNone : Pick(r, 0);
+      bool better = !none && (ep == kNone || stats.last == Regime::kHot) && Widen(r, kHomes);
+      if (!none && !better && ep == kNone) ep = Pick(r, 1);
+      better = better || (!none && ep == kNone && Widen(r, kHomes + 2));
+      if (!none && !better && ep == kNone) ep = Pick(r, 2);
       if (r.over) {
         Forget(r);
       } else if (better) {
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -45,6 +45,7 @@
   Time out_at{0};
   double link = 0;       // us; probe round trip, 0 unknown
   double latency = 0;    // us; as last reported
+  double gap = 0;        // us; between the last two outcomes, bounded
   Time judged{0};        // when an outcome last told of its health
   double err = 0;        // share of failed outcomes, recent
   Time away_until{0};    // out of the working set till then
