--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -21,32 +21,40 @@
 constexpr Duration kSweep{10'000};  // us; a fraction of any useful aim, cheap to run
 constexpr size_t kPoolMost = 16;    // entries; the paper's pool
 constexpr double kSetLeast = 8;  // endpoints; each met often enough to be known, and connected once
-constexpr double kSetPriced = 4;    // endpoints, where open connections are charged
-constexpr double kSetCover = 4;     // gateways that should use each endpoint, on average
+constexpr double kSetCover = 4;  // gateways that should use each endpoint, on average
 constexpr size_t kListMost = 64;    // endpoints of a set that is gone through one by one
 constexpr int kDraws = 32;          // from a larger one; most of it is allowed, or it is overload
 constexpr int kNearer = 2;          // further draws for an endpoint of the own zone
 constexpr double kPoolShare = 0.8;  // of the endpoints; m < n keeps the reuse formula defined
 constexpr double kPoolAge = 1e6;    // us; the design page's starting point
 constexpr double kColdRank = 0.25;  // of the pool's in-flight figures; crowded endpoints slow down
-constexpr double kWarmRank = 0.9;   // where keys are kept warm
-constexpr size_t kHomes = 3;
-constexpr double kWarmTime = 0.4, kLessWarm = 0.3;
-constexpr Duration kProbeWait{20'000}, kFresh{100'000};
+// Where endpoints keep keys warm: a thin gateway asks a key's homes and waits before it sends.
+constexpr size_t kHomes = 3;         // endpoints; a popular key needs two or three
+constexpr size_t kAskFirst = 2;      // of them; the first may be slow or crowded
+constexpr double kWarmTime = 0.4;    // of the usual time at the first home
+constexpr double kLessWarm = 0.3;    // more of it at each further one, which met the key less often
+constexpr double kWarmRank = 0.9;    // the cut for a request of mean cost; 0.6 at least
+constexpr Duration kFresh{100'000};  // us; some arrivals at an endpoint
+constexpr Duration kProbeWait{20'000};  // us; some round trips, little of any aim
+constexpr double kTight = 0.65;         // of the limit: nothing needs to queue where all ask first
+constexpr double kLimitLeast =
+    12;                            // requests, of an idle kind; some endpoints choke a little above
+constexpr double kSlower = 2;      // times its kind's latency: by then it is no chance of keys
+constexpr double kErrDoubt = 0.1;  // error share: four successes after a failure
+constexpr double kAwayLong = 4e6;  // us; an endpoint met so seldom is away so long at first
 constexpr double kProbeSpend = 0.008;  // of the result; what probing may cost where it is priced
 constexpr double kProbeLeast = 0.25;   // probes a request; keeps a pool over a small set filled
 constexpr double kProbeMost = 2;       // probes a request; more tells nothing new
 constexpr double kRemovePerProbe = 1.0 / 12;  // removals a probe; well inside the formula's domain
 constexpr double kBlend = 0.1;                // weight of one new sample in a slow average
 constexpr double kErrBlend = 0.2;             // weight of one outcome in the error share
-constexpr double kErrSpan = 5e6;   // us; an outcome so long after the last one says most by itself
-constexpr double kErrEject = 0.3;  // error share: two failures in a row, or seven breaks
-constexpr Duration kAwayFirst{1'000'000};  // us; doubles with each failed trial or connect
-constexpr int kAwayDoublings = 4;          // up to 16 s, the order of a short outage
-constexpr double kSilence = 3;             // typical times without any answer: suspect
-constexpr double kAimShare = 0.4;          // of the aim that the predicted time may take
-constexpr int kAwayPart = 16;              // a refused client comes back after the aim over this
-constexpr double kHoldShare = 0.1;         // of the aim that a request may wait here
+constexpr double kErrEject = 0.3;             // error share: two failures in a row, or seven breaks
+constexpr Duration kAwayFirst{1'000'000};     // us; doubles with each failed trial or connect
+constexpr int kAwayDoublings = 4;             // up to 16 s, the order of a short outage
+constexpr double kSilence = 3;                // typical times without any answer: suspect
+constexpr double kAimShare = 0.4;             // of the aim that the predicted time may take
+constexpr int kAwayPart = 16;                 // a refused client comes back after the aim over this
+constexpr double kHoldShare = 0.1;            // of the aim that a request may wait here
 constexpr double kStretch = 0.3;        // of the limit, less for the least worth, more for the most
 constexpr double kRetryEarn = 0.2;      // further attempts earned by each request
 constexpr double kRetryMost = 10;       // further attempts saved up
@@ -60,31 +68,13 @@
 constexpr double kHeldShare = 0.5;      // of what its kind holds, before anything is known
 constexpr double kQuotaSlack = 1.3;     // tenants are not spread alike over the gateways
 constexpr double kQuotaBurst = 1e6;     // us; of a tenant's rate that may come at once
-constexpr double kLimitLeast = 12;
-constexpr double kAwayLong = 4e6;
-constexpr double kErrDoubt = 0.1;
-constexpr size_t kAskFirst = 2;
-constexpr double kTight = 0.65;
-constexpr double kSlower = 2;
-constexpr double kKindWeight = 4;  // answers; the evidence of its kind counts as so many
-constexpr double kFewSamples = 4;  // answers before an average is trusted
+constexpr double kFewSamples = 4;  // answers before an average is trusted; a kind's weight in them
 
 constexpr size_t kKindsMost = 64;                  // kinds told apart; a fleet has a handful
 constexpr size_t kNone = static_cast<size_t>(-1);  // no endpoint, no entry
 
 double Us(Duration d) { return static_cast<double>(d.count()); }
 void Blend(double& mean, double sample, double weight) { mean += weight * (sample - mean); }
-// FNV-1a, and the finish of splitmix64: the same at every gateway, unlike std::hash.
-uint64_t Hash(const std::string& text) {
-  uint64_t h = 0xcbf29ce484222325;
-  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3;
-  return h;
-}
-uint64_t Mixed(uint64_t h) {
-  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9;
-  h = (h ^ (h >> 27)) * 0x94d049bb133111eb;
-  return h ^ (h >> 31);
-}
 bool Up(const Endpoint& e) { return e.info.state == EndpointState::kUp; }
 
 }  // namespace
@@ -106,7 +96,7 @@
   Settings s;
   std::mt19937_64 rng;
   Stats stats;
-  Time now{0}, refill_at{0};
+  Time now{0}, refill_at{0}, paced{0}, arrivals_at{0};
   std::vector<Action>* act = nullptr;
 
   std::vector<Endpoint> eps;
@@ -118,30 +108,23 @@
   std::vector<PoolEntry> pool;
   std::vector<size_t> set;  // the endpoints that this gateway works with
   bool set_whole = false;   // each of the set was usable at the last look, and nothing befell one
-  std::vector<size_t> probing;  // endpoints with a probe out, and some that had one
-  std::set<size_t> gone;        // endpoints that have left the list
+  std::set<size_t> gone;    // endpoints that have left the list
   uint64_t next_seq = 0;
   bool started = false, remove_oldest = true, sweeping = false;
   double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
   int follow_failures = 0, probed = 0;
-  std::vector<double> served, shares;  // of each class: served in its aim, part of the arrivals
-  std::vector<double> times;           // us; mean time of each class
-  double mean_expected = 1;            // us; of the hints, where requests carry one
-  double mean_time = 0, target = 0;    // us; of a request over all classes, and aimed at
-  size_t up = 0;                       // endpoints that may get work
-  double pace = 0;                     // own finished work of late, in mean requests per us
-  Time paced{0};
+  std::vector<double> served, shares;    // of each class: served in its aim, part of the arrivals
+  std::vector<double> times;             // us; mean time of each class
+  double mean_expected = 0;              // us; of the hints, where requests carry one
+  double mean_time = 0, target = 0;      // us; of a request over all classes, and aimed at
+  size_t up = 0;                         // endpoints that may get work
+  double pace = 0;                       // own finished work of late, in mean requests per us
   std::vector<double> tenant_tokens;     // requests still within each tenant's share
   double arrivals = 0, beyond_part = 0;  // decayed over kRateSpan; beyond their tenant's share
-  Time arrivals_at{0};
 
-  void SetRegime(Regime r) { stats.last = r, ++stats.picks[static_cast<size_t>(r)]; }
   double Uniform() { return std::uniform_real_distribution<double>(0, 1)(rng); }
   size_t Below(size_t n) { return static_cast<size_t>(Uniform() * static_cast<double>(n)) % n; }
-  template <typename T>
-  void Do(T action) {
-    act->emplace_back(std::move(action));
-  }
+  void Do(Action action) { act->push_back(std::move(action)); }
 
   // ---- 1. Membership ------------------------------------------------------------------------
   void On(const Members& m) {
@@ -165,19 +148,14 @@
       Endpoint& e = eps[ep];
       told.push_back(ep);
       if (info.state == EndpointState::kUp && !e.was_up) fresh.push_back(ep);
-      if (info.launched > e.info.launched) {  // a new process: nothing learned of the old one holds
-        const Endpoint was = std::exchange(e, Endpoint{});
-        e.out = was.out, e.probes_out = was.probes_out, e.in_set = was.in_set,
-        e.was_up = was.was_up, e.place = was.place;
-      }
+      if (info.launched > e.info.launched) e = Restarted(e);
       e.info = info;
       e.hash = Hash(info.id);
       info.state == EndpointState::kRemoved ? void(gone.insert(ep)) : void(gone.erase(ep));
       e.info.kind = std::min(info.kind, kKindsMost);
       kinds.resize(std::max(kinds.size(), e.info.kind + 1));
     }
-    // Only those that were told of: a look at the whole of a large fleet for each change would cost
-    // more than all its requests.
+    // Only those told of: a look at all of a large fleet for each change would cost too much.
     if (m.kind != ListKind::kDelta) told.insert(told.end(), gone.begin(), gone.end());
     for (const size_t ep : told) {
       Endpoint& e = eps[ep];
@@ -186,28 +164,20 @@
     }
     Mix(fresh);
     FillSet();
-    if (!std::exchange(started, true)) {
-      if (s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
-    }
+    if (!std::exchange(started, true) && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
     Dispatch();
   }
 
-  // Hundreds of gateways that each work with a whole large fleet meet an endpoint too seldom to
-  // know it, and hold a connection to each. A share is met often; the sick leave their place in it.
+  // Of a large fleet a gateway works with a share, met often; the sick leave their place in it.
   [[nodiscard]] bool Usable(const Endpoint& e) const { return Up(e) && now >= e.away_until; }
 
-  // Of the newly listed, each enters a full set by the chance that any endpoint has. Without it
-  // those that a release brings up would be in nobody's set.
+  // The newly listed enter a full set by any endpoint's chance; they would else be in nobody's.
   void Mix(const std::vector<size_t>& fresh) {
     for (const size_t ep : fresh) {
-      if (eps[ep].in_set || set.empty() ||
-          Uniform() * static_cast<double>(up) > static_cast<double>(set.size())) {
-        continue;
-      }
-      const size_t place = Below(set.size());
-      eps[std::exchange(set[place], ep)].in_set = false;
+      const double most = Uniform() * static_cast<double>(up);
+      if (eps[ep].in_set || set.empty() || most > static_cast<double>(set.size())) continue;
+      eps[std::exchange(set[Below(set.size())], ep)].in_set = false;
       eps[ep].in_set = true;
-      eps[ep].place = place;
       set_whole = set_whole && Usable(eps[ep]);
     }
   }
@@ -218,19 +188,16 @@
         eps[i].in_set = Usable(eps[i]);
         return !eps[i].in_set;
       });
-      for (size_t i = 0; i < set.size(); ++i) eps[set[i]].place = i;
       set_whole = true;
     }
     const double cover = kSetCover * static_cast<double>(up) / s.instances;
-    const double least = s.charges.connection > 0 ? kSetPriced : kSetLeast;
     // Where keys are kept warm, any endpoint may be a key's home.
-    const auto want = s.warm_keys ? up : static_cast<size_t>(std::max(least, std::ceil(cover)));
-    std::vector<size_t> rest;
+    const auto want = s.warm_keys ? up : static_cast<size_t>(std::max(kSetLeast, std::ceil(cover)));
     if (set.size() >= std::min(want, up)) return;
     // Those away only up to half: where most fail alike, none is worse than its peers.
     for (const bool away : {false, true}) {
       const size_t most = away ? (std::min(want, up) + 1) / 2 : want;
-      rest.clear();
+      std::vector<size_t> rest;
       for (size_t i = 0; i < eps.size(); ++i) {
         if (!eps[i].in_set && Up(eps[i]) && (away || Usable(eps[i]))) rest.push_back(i);
       }
@@ -239,9 +206,7 @@
         for (int more = 0; more < kNearer && eps[rest[pick]].info.zone != s.zone; ++more)
           pick = Below(rest.size());  // crossing costs; by chance, so that zones still spill over
         std::swap(rest[pick], rest.back());
-        Endpoint& e = eps[rest.back()];
-        e.in_set = true;
-        e.place = set.size();
+        eps[rest.back()].in_set = true;
         set.push_back(rest.back());
         set_whole = set_whole && !away;
       }
@@ -262,22 +227,19 @@
     return !Silent(e) && (e.trips == 0 || e.out == 0);  // one trial at a time
   }
 
-  // One outcome's weight on the error share: where an endpoint is met seldom, the last one says
-  // most.
+  // One outcome's weight on the error share: where they come seldom, the last one says most.
   double Judge(Endpoint& e) {
     const double gap = Us(now - std::exchange(e.judged, now));
     e.gap = std::clamp(gap, 1.0, kAwayLong);
-    return std::max(kErrBlend, s.warm_keys ? 1 - std::exp(-gap / kErrSpan) : 0);
+    return std::max(kErrBlend, s.warm_keys ? 1 - std::exp(-gap / kRateSpan) : 0);
   }
 
   void Failed(Endpoint& e, double weight) {
     Blend(e.err, 1, weight);
-    if (e.err <= kErrEject || !e.in_set) return;
-    Leave(e);
+    if (e.err > kErrEject && e.in_set) Leave(e);
   }
 
-  // Another takes the place of an endpoint that is sick or gave no connection (its table may be
-  // full, which no report shows); it may be drawn again later, and not by all gateways together.
+  // Another takes the place of one that is sick or gave no connection (its table may be full).
   void Leave(Endpoint& e) {
     const double away =
         std::max(Us(kAwayFirst), e.gap) * (1 << std::min(e.trips++, kAwayDoublings));
@@ -286,13 +248,12 @@
     FillSet();
   }
 
-  void Answered(Endpoint& e, const Attempt& a, const Request& r, double took) {
+  void Answered(Endpoint& e, const Attempt& a, Request& r, double took) {
+    r.in_time = r.in_time || now <= r.arrived + r.cls->aim;
     Judge(e);
     Blend(e.err, 0, kErrBlend);
-    if (e.trips > 0 && e.in_set) {
-      e.trips = 0;  // the trial succeeded
-      e.err = std::min(e.err, kErrEject * 0.7);
-    }
+    // A trial that succeeded.
+    if (e.trips > 0 && e.in_set) e.trips = 0, e.err = std::min(e.err, kErrEject * 0.7);
     Blend(*r.time, took, kBlend / 4);
     Blend(mean_time, took, kBlend / 4);
     Observe(e, a);
@@ -314,22 +275,22 @@
     return from + (1 - from) * std::clamp(age, 0.0, 1.0);
   }
 
-  // Throughput, 0 while unknown: an endpoint's own evidence beside that of its kind, since in a
-  // large fleet each is met too seldom to wait for.
+  // Throughput, 0 while unknown: own evidence of an endpoint beside that of its kind.
   [[nodiscard]] double Tput(const Endpoint& e) const { return Warmth(e) * WarmTput(e); }
 
   // How much of its kind's pace an endpoint keeps by its own report, which also mixes keys.
   [[nodiscard]] double Pacing(const Endpoint& e) const {
-    return e.latency > 0 ? std::min(1.0, kSlower * kinds[e.info.kind].latency / e.latency) : 1;
+    if (!s.warm_keys || e.latency <= 0) return 1;
+    return std::min(1.0, kSlower * kinds[e.info.kind].latency / e.latency);
   }
 
   [[nodiscard]] double WarmTput(const Endpoint& e) const {
     const Pace& kind = kinds[e.info.kind];
-    double like = std::min(kind.done, kind.reports) >= kFewSamples ? kind.Tput() : 0;
-    if (s.warm_keys) like *= Pacing(e);
+    const bool known = std::min(kind.done, kind.reports) >= kFewSamples;
+    const double like = known ? kind.Tput() * Pacing(e) : 0;
     const double own = e.own.done >= kFewSamples ? e.own.Tput() : 0;
     if (own <= 0 || like <= 0) return std::max(own, like);
-    return like + (own - like) * e.own.done / (e.own.done + kKindWeight);
+    return like + (own - like) * e.own.done / (e.own.done + kFewSamples);
   }
 
   void TrackOut(Endpoint& e) {
@@ -345,20 +306,19 @@
     return kind.held + (e.others - kind.held) * std::exp(-age / kReportFade) + e.out;
   }
 
-  // Limit on all that an endpoint holds: what it can finish within the target. Past it, queueing
-  // adds only delay, and some slow down when crowded and stay slow.
-  [[nodiscard]] double Limit(const Endpoint& e, bool in_time) const {
-    const double tput = Tput(e);
-    // Nothing learned yet: at half of what its kind holds. At all of it, hundreds of newcomers keep
-    // an overload up; at a fixed few, a kind found busy at the start would never be tried.
-    if (tput <= 0)
-      return std::max(s.warm_keys && !in_time ? kLimitLeast : kLimitAtFirst,
-                      kinds[e.info.kind].held * kHeldShare);
+  // Limit on all that an endpoint holds: what it can finish within the target; past it, queueing
+  // adds only delay, and some slow down and stay slow. Nothing learned yet: half of what its kind
+  // holds, as hundreds of newcomers at all of it keep an overload up, and a fixed few never try a
+  // busy kind.
+  [[nodiscard]] double Limit(const Endpoint& e, bool strict) const {
+    const Pace& kind = kinds[e.info.kind];
+    const double tput = Tput(e), tight = s.warm_keys ? kTight : 1;
     const double room = e.own.Time() < target ? 1 : 0;  // one more, to learn whether it can do more
-    if (!s.warm_keys) return std::max(2.0, room + tput * target);
-    const double spare = 1 - kinds[e.info.kind].latency / target;
-    const double least = std::max(kLimitAtFirst, in_time ? 0 : kLimitLeast * spare);
-    return std::max({2.0, least * Pacing(e), room + tput * target * kTight});
+    const double learned = tput > 0 ? room + tput * target * tight : kind.held * kHeldShare;
+    // What is asked before each send may be let hold more, as long as its kind is quick.
+    const double spare = s.warm_keys && !strict ? kLimitLeast * (1 - kind.latency / target) : 0;
+    const double first = s.warm_keys || tput <= 0 ? kLimitAtFirst : 2;
+    return std::max({2.0, Pacing(e) * std::max(first, spare), learned});
   }
 
   [[nodiscard]] double Predict(const Endpoint& e, const Request& r) const {
@@ -379,35 +339,27 @@
     return std::clamp(kProbeSpend / s.charges.probe, kProbeLeast, kProbeMost);
   }
 
-  // Uses of one answer, by the paper's formula. Outside its domain an answer serves once, and the
-  // fallback shows in the regime.
-  double ReuseBudget(double n) const {
-    const double m = static_cast<double>(PoolBound());
+  // Uses of one answer, by the paper's formula; once outside its domain.
+  double ReuseBudget() const {
+    const double m = static_cast<double>(PoolBound()), n = static_cast<double>(set.size());
     const double net = (1 - m / n) * ProbeRate() - ProbeRate() * kRemovePerProbe;
     if (n <= m || net <= 0) return 1;
     return std::max(1.0, 2 / net);  // 2: one more than the paper's delta of 1
   }
 
+  // Answers serve for a second, or where requests are few for as long as their probes fill the
+  // pool.
   void Purge() {
-    const double age = PoolAge();
+    const double probes = std::max(ProbeRate() * arrivals / kRateSpan, 1e-6);
+    const double age = std::max(kPoolAge, static_cast<double>(PoolBound()) / probes);
     std::erase_if(pool, [&](const PoolEntry& p) {
       return p.uses <= 0 || Us(now - p.at) > age || !eps[p.ep].in_set || !Up(eps[p.ep]);
     });
   }
 
-  // An answer's in-flight figure as of now: each own send raises it, each own end lowers it.
-  [[nodiscard]] double Rif(const PoolEntry& p) const { return Load(eps[p.ep]); }
-
-  // Answers serve for as long as the probes of that time fill the pool: where requests are few, an
-  // age of a second would leave it empty and the fallback to decide.
-  [[nodiscard]] double PoolAge() const {
-    const double probes = ProbeRate() * arrivals / kRateSpan;
-    return std::max(kPoolAge, static_cast<double>(PoolBound()) / std::max(probes, 1e-6));
-  }
-
   void AddToPool(size_t ep, double latency) {
     std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
-    const int uses = static_cast<int>(ReuseBudget(static_cast<double>(set.size())) + Uniform());
+    const int uses = static_cast<int>(ReuseBudget() + Uniform());
     if (pool.size() >= PoolBound()) pool.erase(pool.begin());  // the oldest
     pool.push_back({ep, latency, now, uses});
   }
@@ -415,7 +367,7 @@
   // Exact rank over the pool's in-flight figures.
   [[nodiscard]] double ColdCut(double at) const {
     std::vector<double> rifs;
-    for (const PoolEntry& p : pool) rifs.push_back(Rif(p));
+    for (const PoolEntry& p : pool) rifs.push_back(Load(eps[p.ep]));
     const auto rank = static_cast<size_t>(at * static_cast<double>(rifs.size() - 1));
     std::nth_element(rifs.begin(), rifs.begin() + static_cast<long>(rank), rifs.end());
     return rifs[rank];
@@ -424,16 +376,14 @@
   // The hot-cold order: the cold before the hot, the cold by latency, the hot by in-flight.
   using Key = std::pair<bool, double>;
   [[nodiscard]] Key Rank(const PoolEntry& p, double cut, const Request* r = nullptr) const {
-    const double rif = Rif(p);
+    const double rif = Load(eps[p.ep]);  // as of now, own sends and ends with it
     return rif <= cut ? Key{false, p.latency * (r ? Chill(*r, p.ep) : 1)} : Key{true, rif};
   }
 
-  // The part of the usual time that an endpoint takes for this request, by how warm its key is
-  // there.
+  // The part of the usual time that an endpoint takes for this request, by how warm its key is.
   [[nodiscard]] double Chill(const Request& r, size_t ep) const {
-    const auto at = std::ranges::find(r.homes, ep);
-    if (at == r.homes.end()) return 1;
-    return std::min(1.0, kWarmTime + kLessWarm * static_cast<double>(at - r.homes.begin()));
+    const auto at = std::ranges::find(r.homes, ep) - r.homes.begin();
+    return std::min(1.0, kWarmTime + kLessWarm * static_cast<double>(at));
   }
 
   // Place in the pool of the best entry that is allowed, ties at random.
@@ -441,7 +391,7 @@
   size_t HotCold(const Filter& allowed, const Request& r) {
     size_t best = kNone, ties = 0;
     Key best_key;
-    // A heavy request feels most what else its endpoint holds.
+    // A heavy request gains most where its key is warm, a light one where little else is at work.
     const double cut = ColdCut(s.warm_keys ? std::clamp(kWarmRank * Cost(r), 0.6, 1.0) : kColdRank);
     for (size_t i = 0; i < pool.size(); ++i) {
       const Key key = Rank(pool[i], cut, &r);
@@ -449,7 +399,7 @@
       ties = best != kNone && key == best_key ? ties + 1 : 1;
       if (Below(ties) == 0) best = i, best_key = key;
     }
-    SetRegime(best_key.first ? Regime::kHot : Regime::kCold);
+    stats.last = best_key.first ? Regime::kHot : Regime::kCold;
     return best;
   }
 
@@ -464,23 +414,18 @@
     }
   }
 
-  // A key's homes by weighted rendezvous: all gateways that hold the same list agree on them
-  // without a word, and where one is lost only its keys move.
+  // A key's homes by weighted rendezvous: gateways with the same list agree on them without a word.
   void FindHomes(Request& r) {
     if (!s.warm_keys || !r.in.key) return;
     const uint64_t key = Hash(*r.in.key);
-    std::array<std::pair<double, size_t>, kHomes> best{};
-    size_t n = 0;
+    std::vector<std::pair<double, size_t>> all;
     for (size_t i = 0; i < eps.size(); ++i) {
-      if (!Up(eps[i])) continue;
-      const double u = (static_cast<double>(Mixed(key ^ eps[i].hash) >> 11) + 0.5) * 0x1p-53;
-      std::pair<double, size_t> score{std::max(eps[i].info.weight, 1e-3) / -std::log(u), i};
-      if (n < kHomes) best[n++] = {};
-      for (size_t k = 0; k < n; ++k) {
-        if (score.first > best[k].first) std::swap(score, best[k]);
-      }
+      const double weight = std::max(eps[i].info.weight, 1e-3);
+      if (Up(eps[i])) all.emplace_back(std::log(Drawn(key, eps[i].hash)) / weight, i);
     }
-    for (size_t k = 0; k < n; ++k) r.homes.push_back(best[k].second);
+    const size_t n = std::min(kHomes, all.size());
+    std::ranges::partial_sort(all, all.begin() + static_cast<long>(n), std::greater{});
+    for (size_t k = 0; k < n; ++k) r.homes.push_back(all[k].second);
   }
 
   // Whether the probes that ride on a request have told of its homes, or had their time.
@@ -490,24 +435,24 @@
         r.homes, [&](size_t i) { return eps[i].probes_out > 0 && eps[i].reported < r.asked; });
   }
 
-  [[nodiscard]] bool Fresh(const Endpoint& e) const {
-    return e.reported >= Time(0) && now - e.reported <= kFresh;
+  void SendProbe(Endpoint& e) {
+    ++e.probes_out, ++probed;
+    Do(Probe{e.info.id});
   }
 
   // Probes those of a request's homes of which nothing fresh is known; it waits for the answers.
   void Ask(Request& r, size_t most) {
     for (r.asked = now; r.known < most; ++r.known) {
       Endpoint& e = eps[r.homes[r.known]];
-      if (e.probes_out > 0 || !e.in_set || Fresh(e)) continue;
-      ++e.probes_out, ++probed;
-      Do(Probe{e.info.id});
+      const bool old = now - e.reported > kFresh && e.probes_out == 0;
+      if (s.allowed.probes && e.in_set && old) SendProbe(e);
     }
   }
 
   // Where the first home is crowded the others are asked, then two more by chance.
   bool Widen(Request& r, size_t most) {
     if (r.homes.empty() || now + 2 * kSweep >= r.in.deadline) return false;
-    for (int draw = 0; draw < kDraws && r.homes.size() < most; ++draw) {
+    for (int draw = 0; draw < kDraws && !set.empty() && r.homes.size() < most; ++draw) {
       const size_t ep = set[Below(set.size())];
       if (std::ranges::count(r.homes, ep) == 0) r.homes.push_back(ep);
     }
@@ -521,76 +466,57 @@
     if (!r.homes.empty()) return Ask(r, std::min<size_t>(kAskFirst, r.homes.size()));
     probe_due += ProbeRate();
     for (; probe_due >= 1; probe_due -= 1) {
-      // All of the set but those with a probe out, whose few places are passed over: to list the
-      // others anew for each probe would cost as much as the fleet is large.
-      std::erase_if(probing, [&](size_t i) { return eps[i].probes_out == 0; });
-      std::set<size_t> busy;
-      for (const size_t i : probing) {
-        if (eps[i].in_set) busy.insert(eps[i].place);
-      }
-      if (busy.size() >= set.size()) continue;
-      size_t at = Below(set.size() - busy.size());
-      for (const size_t place : busy) at += place <= at ? 1 : 0;
       // One never heard of comes first: a newcomer would else wait for its turn by chance.
+      auto at = set.end();
+      const auto idle = [&](size_t i) { return eps[i].probes_out == 0; };
       if (set.size() <= kListMost) {
-        const auto unheard = std::ranges::find_if(
-            set, [&](size_t i) { return eps[i].reported < Time(0) && eps[i].probes_out == 0; });
-        if (unheard != set.end()) at = static_cast<size_t>(unheard - set.begin());
+        at = std::ranges::find_if(set,
+                                  [&](size_t i) { return eps[i].reported < Time(0) && idle(i); });
+      }
+      for (int draw = 0; draw < kDraws && !set.empty() && at == set.end(); ++draw) {
+        at = set.begin() + static_cast<long>(Below(set.size()));
+        if (!idle(*at)) at = set.end();
       }
-      Endpoint& e = eps[set[at]];
-      probing.push_back(set[at]);
-      ++e.probes_out, ++probed;
-      Do(Probe{e.info.id});
+      if (at != set.end()) SendProbe(eps[*at]);
     }
   }
 
-  [[nodiscard]] bool AnyFresh(const Request& r) const {
-    return std::ranges::any_of(r.homes, [&](size_t i) { return Fresh(eps[i]); });
-  }
-
-  // slack 0: only where it is predicted well in time; 1: where nothing speaks against it; 2:
-  // anywhere.
+  // slack 0: only where it is predicted well in time; 1: where nothing speaks against it; 2: all.
   bool Eligible(const Request& r, size_t ep, int slack) {
     Endpoint& e = eps[ep];
     if (!MaySend(r, e) || !Healthy(e)) return false;
-    if (slack < 2 && e.trips + (e.err > kErrDoubt) > 0 && r.cls->effect == Effect::kUnsafe)
-      return false;  // no trials
+    const bool doubtful = e.trips > 0 || e.err > kErrDoubt;  // no trials with what may not repeat
+    if (slack < 2 && doubtful && r.cls->effect == Effect::kUnsafe) return false;
     if (std::ranges::count(r.attempts, ep, &Attempt::ep) > 0) return false;
-    if (!r.homes.empty() && !Fresh(e) && AnyFresh(r))
-      return false;  // who knows what it holds by now
+    // Asked before each send: who else knows what an endpoint holds by now?
+    const auto fresh = [&](size_t i) { return (now - eps[i].reported <= kFresh); };
+    if (now - e.reported > kFresh && std::ranges::any_of(r.homes, fresh)) return false;
     const double stretch = 1 + kStretch * (2 * r.standing - 1);
     if (Load(e) + 1 > Limit(e, slack == 0) * stretch) return false;
     return slack > 0 || Predict(e, r) <= kAimShare * Us(r.arrived + r.cls->aim - now);
   }
 
-  // The endpoint for a request: one predicted well in time, else any; or kNone where none may.
+  // The endpoint for a request, or kNone where none may take it.
   size_t Pick(const Request& r, int slack) {
     Purge();
-    {
-      const auto allowed = [&](size_t ep) { return Eligible(r, ep, slack); };
-      if (pool.size() >= 2 && std::ranges::any_of(pool, allowed, &PoolEntry::ep)) {
-        PoolEntry& p = pool[HotCold(allowed, r)];
-        --p.uses;
-        return p.ep;
-      }
-      // Fallback without probes: two random choices by own attempts out.
-      size_t a = kNone, b = kNone;
-      // From a large set by draws: as even, without a look at all of it for each request.
-      for (int draw = 0; set.size() > kListMost && draw < kDraws && b == kNone; ++draw) {
-        const size_t ep = set[Below(set.size())];
-        if (allowed(ep)) (a == kNone ? a : b) = ep;
-      }
-      if (b == kNone) {
-        std::vector<size_t> to;
-        for (const size_t i : set) {
-          if (allowed(i)) to.push_back(i);
-        }
-        if (to.empty()) return kNone;
-        a = to[Below(to.size())], b = to[Below(to.size())];
-      }
-      SetRegime(Regime::kFallback);
-      return eps[b].out < eps[a].out ? b : a;
+    const auto allowed = [&](size_t ep) { return Eligible(r, ep, slack); };
+    if (pool.size() >= 2 && std::ranges::any_of(pool, allowed, &PoolEntry::ep))
+      return pool[HotCold(allowed, r)].ep;
+    // Fallback without probes: two random choices by own attempts out, from a large set by draws.
+    size_t a = kNone, b = kNone;
+    for (int draw = 0; set.size() > kListMost && draw < kDraws && b == kNone; ++draw) {
+      const size_t ep = set[Below(set.size())];
+      if (allowed(ep)) (a == kNone ? a : b) = ep;
     }
+    if (b == kNone) {
+      std::vector<size_t> to;
+      for (const size_t i : set)
+        if (allowed(i)) to.push_back(i);
+      if (to.empty()) return kNone;
+      a = to[Below(to.size())], b = to[Below(to.size())];
+    }
+    stats.last = Regime::kFallback;
+    return eps[b].out < eps[a].out ? b : a;
   }
 
   // ---- 4. Legality gate: every send, refusal and failure passes here -------------------------
@@ -617,22 +543,19 @@
     return std::ranges::none_of(r.attempts, &Attempt::may_have_run);
   }
 
-  // A cold endpoint falls over if all gateways together send too much. If each gateway keeps to
-  // its part of that, the sum keeps to it as well.
+  // A cold endpoint falls over if all gateways send too much; each keeps to its part of that.
   bool WithinColdBudget(Endpoint& e, double cost) {
     const double share = Warmth(e);
     if (share >= 1) return true;
     // Of what it does when warm, the part of each gateway that works with it; never more than the
-    // arrivals ask of each endpoint, since what is learned may be far off. The own pace would fall
-    // as requests are refused, and with it what might take them.
+    // arrivals ask of each endpoint. The own pace falls as requests are refused; for unknown kinds.
     const auto size = static_cast<double>(std::max<size_t>(set.size(), 1));
     const double sharers = std::max(1.0, s.instances * size / static_cast<double>(up));
     const double tput = WarmTput(e) > 0
                             ? std::min(WarmTput(e) / sharers, arrivals / kRateSpan / size)
                             : pace / size;
     const double rate = tput * share * s.obligations.fall_multiple * kColdSafety;
-    // Each begins at a place of its own under a whole request, or all gateways would send the first
-    // together; at nought the first would come so late that those it replaces had already gone.
+    // Each begins at a place of its own under a whole request: not all at once, and not all late.
     const bool first = e.cold_filled < Time(0);
     e.cold_tokens += first ? Uniform() * (cost + kColdOverhead) : rate * Us(now - e.cold_filled);
     e.cold_filled = now;
@@ -648,6 +571,8 @@
     if (e.out++ == 0) e.silent_since = now;
     r.attempts.push_back({.ep = ep, .sent = now, .f_at_send = Load(e)});
     ++r.out;
+    ++stats.picks[static_cast<size_t>(stats.last)];
+    for (PoolEntry& p : pool) p.uses -= p.ep == ep && stats.last != Regime::kFallback ? 1 : 0;
     Do(Send{r.in.id, e.info.id, Duration(0)});
     Degrade();
   }
@@ -673,28 +598,23 @@
     if (!known || in.attempt >= known->attempts.size() || !known->attempts[in.attempt].out) return;
     Request& r = *known;
     Attempt& a = r.attempts[in.attempt];
-    a.out = false;
-    --r.out;
+    a.out = false, --r.out;
     a.may_have_run = in.outcome != Outcome::kFull && in.outcome != Outcome::kConnectFailed &&
                      in.outcome != Outcome::kMoot;
     Endpoint& e = eps[a.ep];
     const bool was_silent = Silent(e);
-    TrackOut(e);
-    --e.out;
+    TrackOut(e), --e.out;
     if (in.report) Learn(a.ep, *in.report);
     const bool silent = in.outcome == Outcome::kTimeout || in.outcome == Outcome::kCancelled;
-    const bool answered = !silent && (a.may_have_run || in.outcome == Outcome::kFull);
-    if (answered) e.silent_since = now;
+    if (!silent && (a.may_have_run || in.outcome == Outcome::kFull)) e.silent_since = now;
     if (silent) Observe(e, a);
     if (in.outcome == Outcome::kOk) Answered(e, a, r, Us(in.took));
-    if (in.outcome == Outcome::kOk && now <= r.arrived + r.cls->aim) r.in_time = true;
     if (in.outcome == Outcome::kError) Failed(e, Judge(e));
     if (in.outcome == Outcome::kReset || in.outcome == Outcome::kUnusable) Failed(e, kErrBlend / 4);
     if (in.outcome == Outcome::kConnectFailed && e.in_set) Leave(e);  // once, however many at once
     if (silent && was_silent) Failed(e, 2 * kErrBlend);
-    if (in.final || r.over) {
-      r.over = true;
-    } else if (r.out == 0) {
+    r.over = r.over || in.final;
+    if (!r.over && r.out == 0) {
       // What was turned away cost its endpoint nothing; a fraction of a token keeps storms off.
       const double price = in.outcome == Outcome::kFull ? kFullPrice : 1;
       if (retry_tokens < price || Us(r.arrived + r.cls->aim - now) < *r.time / 2) {
@@ -710,12 +630,6 @@
     Dispatch();
   }
 
-  // Looks again at what waits. Nothing ticks at a gateway that holds nothing.
-  void Sweep() {
-    sweeping = false;
-    Dispatch();
-  }
-
   // ---- 6. Admission and fairness ------------------------------------------------------------
   // Whether this request is beyond its tenant's part of the arrivals here.
   bool BeyondShare(size_t tenant) {
@@ -732,21 +646,19 @@
     return beyond;
   }
 
-  // Worth for work. The class served worst here gains what the result mix adds for it, so that
-  // under overload the cheapest worth does not starve a class.
+  // Worth for work. The class served worst here gains what the result mix adds for it.
   [[nodiscard]] double Priority(size_t cls) const {
     double worth = s.classes[cls].worth, mean_worth = 0;
     for (size_t i = 0; i < shares.size(); ++i) mean_worth += shares[i] * s.classes[i].worth;
     if (served[cls] <= std::ranges::min(served)) {
-      const double whole = std::max(s.mix.whole + s.mix.worst_window, 0.1);
+      const double whole = std::max(s.mix.whole + s.mix.worst_window + s.mix.nines, 0.1);
       worth += s.mix.worst_class / whole * mean_worth / std::max(shares[cls], kBlend);
     }
     return worth / (s.worth_by_work ? 1 : times[cls]);
   }
 
   // Where a request stands in the arriving work, from the least worth (0) to the most (1), with the
-  // excess of tenants below. Orders what waits and stretches the limits: few wait at once at a
-  // gateway of a large bank, and a limit alike for all sheds all or nothing.
+  // excess of tenants below. Orders what waits and stretches the limits: one for all sheds all.
   [[nodiscard]] double Standing(const Request& r) {
     double below = 0, all = 0;
     for (size_t i = 0; i < shares.size(); ++i) {
@@ -771,14 +683,13 @@
     Request& r = open[seq] = Request{seq, &s.classes[cls], &times[cls], in, now, {}};
     r.in.cls = cls;
     retry_tokens = std::min(kRetryMost, retry_tokens + kRetryEarn);
-    if (in.expected)
-      Blend(mean_expected, std::max(1.0, Us(*in.expected)), mean_expected > 1 ? kBlend / 4 : 1);
+    const double expected = std::max(in.expected ? Us(*in.expected) : 0, 1.0);
+    Blend(mean_expected, expected, mean_expected > 0 ? kBlend / 4 : 1);
     r.beyond = BeyondShare(in.tenant);
     Blend(beyond_part, r.beyond ? 1 : 0, kBlend / 4);
     r.standing = Standing(r);
     FindHomes(r);
-    if (!in.again || !r.homes.empty())
-      ProbeSome(r);  // the first try has paid for what this one needs
+    if (!in.again || !r.homes.empty()) ProbeSome(r);  // else the first try's probes serve it
     waiting.push_back(seq);
     Dispatch();
   }
@@ -793,34 +704,24 @@
     bool full = false;
     for (const auto& [priority, seq] : order) {
       Request& r = open.at(seq);
-      if (!r.over && !r.homes.empty() && !Heard(r)) {
-        waiting.push_back(seq);
-        continue;
-      }
-      r.waiting = false;
       const bool repeat = !r.attempts.empty();
-      const bool none = (full && !repeat) || r.over;
-      size_t ep = none ? kNone : Pick(r, 0);
-      bool better = !none && (ep == kNone || stats.last == Regime::kHot) && Widen(r, kHomes);
-      if (!none && !better && ep == kNone) ep = Pick(r, 1);
-      better = better || (!none && ep == kNone && Widen(r, kHomes + 2));
-      if (!none && !better && ep == kNone) ep = Pick(r, 2);
-      if (r.over) {
-        Forget(r);
-      } else if (better) {
-        r.waiting = true;
-        waiting.push_back(seq);
-      } else if (ep != kNone) {
-        SendTo(r, ep);
-      } else if (repeat || now + 2 * kSweep >= r.in.deadline ||
-                 Us(now - r.arrived) > kHoldShare * Us(r.cls->aim)) {
-        // No timer comes early: a try that is given up soon gets its answer at this look.
-        GiveUp(r);
-        Forget(r);
-      } else {
-        full = r.waiting = true;
-        waiting.push_back(seq);
+      bool wait = !r.over && !Heard(r);
+      size_t ep = kNone;
+      if (!wait && !r.over && (repeat || !full)) {
+        ep = Pick(r, 0);
+        wait = (ep == kNone || stats.last == Regime::kHot) && Widen(r, kHomes);
+        if (!wait && ep == kNone) ep = Pick(r, 1);
+        wait = wait || (ep == kNone && Widen(r, kHomes + 2));
+        if (!wait && ep == kNone) ep = Pick(r, 2);
       }
+      // No timer comes early: a try that is given up soon gets its answer at this look.
+      const bool late = repeat || now + 2 * kSweep >= r.in.deadline ||
+                        Us(now - r.arrived) > kHoldShare * Us(r.cls->aim);
+      if (!wait && ep != kNone) SendTo(r, ep);
+      if (!wait && ep == kNone && late) GiveUp(r);
+      if (!wait && ep == kNone && !r.over) wait = full = true;
+      r.waiting = wait;
+      wait ? waiting.push_back(seq) : Forget(r);
     }
     if (!waiting.empty() && !std::exchange(sweeping, true)) Do(SetTimer{kSweep, "sweep"});
   }
@@ -868,11 +769,13 @@
   }
 
   void On(const TimerFired& in) {
-    if (in.token == "sweep") Sweep();
+    if (in.token == "sweep") sweeping = false, Dispatch();  // nothing ticks where nothing waits
     if (in.token == "follow" && s.discovery == DiscoveryMode::kAsk) Do(Follow{true});
   }
 
-  void On(const Established&) {}  // the attempt is its client's from here; nothing is moved
+  // Established: the attempt is its client's from here. PeerNote: each decides by what it sees.
+  template <typename T>
+  void On(const T&) {}
 
   void On(const ClientLeft& in) {
     Request* const r = Find(in.id);
@@ -880,8 +783,6 @@
     r->over = true;
     Forget(*r);
   }
-
-  void On(const PeerNote&) {}  // peers are not asked: each gateway decides by what it sees itself
 };
 
 Brain::Brain(const Settings& settings, uint64_t seed)
--- a/src/brain_state.cpp
+++ b/src/brain_state.cpp
@@ -21,6 +21,19 @@
   need(s.obligations.cold_from >= 0 && s.obligations.cold_from <= 1, "Obligations.ColdFrom");
 }
 
+uint64_t Hash(const std::string& text) {
+  uint64_t h = 0xcbf29ce484222325;
+  for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3;
+  return h;
+}
+
+double Drawn(uint64_t a, uint64_t b) {
+  uint64_t h = a ^ b;
+  h = (h ^ (h >> 30)) * 0xbf58476d1ce4e5b9;
+  h = (h ^ (h >> 27)) * 0x94d049bb133111eb;
+  return (static_cast<double>((h ^ (h >> 31)) >> 11) + 0.5) * 0x1p-53;
+}
+
 size_t PlaceOf(const std::string& id, std::vector<Endpoint>& eps,
                std::unordered_map<std::string, size_t>& index,
                const std::map<uint64_t, Request>& open, const std::vector<PoolEntry>& pool,
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -38,10 +38,9 @@
   uint64_t hash = 0;  // of its id, the same at every gateway
   int out = 0;        // own attempts out
   int probes_out = 0;
-  size_t place = 0;                     // in the working set, while it is in it
   bool in_set = false, was_up = false;  // of the working set; by the last list
   double others = 0;                    // in flight there from elsewhere, by the last reports
-  Time reported{-1};                    // when a report last came; -1: never
+  Time reported{-1'000'000};            // when a report last came; below 0: never
   Time out_at{0};
   double link = 0;       // us; probe round trip, 0 unknown
   double latency = 0;    // us; as last reported
@@ -56,6 +55,13 @@
   Time cold_filled{-1};
 };
 
+// The record of an endpoint whose process is new: what is out there stays known, nothing else.
+inline Endpoint Restarted(const Endpoint& was) {
+  Endpoint e;
+  e.out = was.out, e.probes_out = was.probes_out, e.in_set = was.in_set, e.was_up = was.was_up;
+  return e;
+}
+
 struct Attempt {
   size_t ep = 0;
   Time sent{0};
@@ -90,6 +96,11 @@
   int uses = 1;
 };
 
+// The same at every gateway and in every build, unlike std::hash (FNV-1a).
+uint64_t Hash(const std::string& text);
+// A number in (0, 1) for a pair of hashes, as good as drawn (the finish of splitmix64).
+double Drawn(uint64_t a, uint64_t b);
+
 // Where the record of an endpoint lies; a new one for an id not met before. Endpoints that are
 // replaced come with ids ever new: the place of one that is gone, and that no open request and no
 // probe answer names any more, is taken again. `gone`: the places whose endpoints have left the
