--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
 #include "lab/commands.h"
 #include "net/config.h"
 #include "net/log.h"
+#include "net/migrate.h"
 #include "net/serve.h"
 
 namespace paddlestile {
@@ -39,6 +40,22 @@
   return faults.empty() ? kDone : kWrongUsage;
 }
 
+// The new file, or with no target what would be written; the notes go to standard error.
+int MigrateFile(const std::string& from, const std::string& to, const net::MigrateOptions& options,
+                bool replace) {
+  net::Migration migration;
+  try {
+    migration = net::Migrate(from, options);
+    if (!to.empty()) net::WriteWhole(to, migration.text, replace);
+  } catch (const net::ConfigError& error) {
+    fmt::print(stderr, "{}\n", error.what());
+    return kWrongUsage;
+  }
+  for (const std::string& note : migration.notes) fmt::print(stderr, "{}\n", note);
+  fmt::print("{}", to.empty() ? migration.text : to + ": written\n");
+  return kDone;
+}
+
 int Main(int argc, char** argv) {
   CLI::App app{"An HTTP load balancer: each proxy decides alone, by Prequal's hot-cold choice.",
                "paddlestile"};
@@ -75,6 +92,30 @@
       "Examples:\n  paddlestile check config.json\n  paddlestile check "
       "lab/experiments/calm.toml");
 
+  std::string to;
+  bool dry_run = false, replace = false;
+  net::MigrateOptions options;
+  CLI::App* const migrate =
+      app.add_subcommand("migrate", "Write a file for a gateway beside every client process");
+  migrate->add_option("FILE", file, "a configuration of a bank's proxy (JSON)")->required();
+  migrate->add_option("--gateways", options.gateways, "client processes, each with a gateway")
+      ->required()
+      ->check(CLI::Range(1, 100'000));
+  migrate->add_option("--sockets", options.sockets, "descriptors of one gateway")
+      ->check(CLI::Range(64, 1'000'000))
+      ->capture_default_str();
+  migrate->add_flag("--warm-keys", options.warm_keys, "hosts do less work for a key met lately");
+  CLI::Option* const target = migrate->add_option("--to", to, "the file to write");
+  CLI::Option* const dry =
+      migrate->add_flag("--dry-run", dry_run, "write nothing, print what would be written");
+  migrate->add_flag("--replace", replace, "overwrite the target")->needs(target);
+  dry->excludes(target);
+  migrate->footer(
+      "Says on standard error what changed, what is not read and what could not be carried "
+      "over.\n\n"
+      "Examples:\n  paddlestile migrate bank.json --gateways 900 --dry-run\n"
+      "  paddlestile migrate bank.json --gateways 900 --warm-keys --to beside.json");
+
   const std::function<int()> lab = lab::AddCommands(app);
   CLI::App* const version = app.add_subcommand("version", "Print the version");
 
@@ -96,6 +137,13 @@
     return kDone;
   }
   if (check->parsed()) return CheckFile(file);
+  if (migrate->parsed()) {
+    if (!dry_run && to.empty()) {
+      fmt::print(stderr, "paddlestile: migrate: no target, expected --to FILE or --dry-run\n");
+      return kWrongUsage;
+    }
+    return MigrateFile(file, to, options, replace);
+  }
   if (const int code = lab(); code >= 0) return code;
   return net::Serve();
 }
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -230,6 +230,19 @@
   return list;
 }
 
+std::vector<std::string> NotCarriedOut(const Settings& settings) {
+  std::vector<std::string> lines;
+  if (settings.allowed.peer_messages) {
+    lines.emplace_back("Allowed.PeerMessages is true: gateways on sockets send one another none");
+  }
+  if (settings.allowed.max_streams > 1) {
+    lines.push_back(
+        fmt::format("Allowed.MaxStreams is {}: a connection carries one request at a time",
+                    settings.allowed.max_streams));
+  }
+  return lines;
+}
+
 std::string FlattenSettings(const Json& settings) {
   std::string out;
   Flatten("", settings, out);
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -71,6 +71,9 @@
   HostList known;
 };
 
+// What the settings allow or ask for that a gateway on sockets does not do, a line each.
+std::vector<std::string> NotCarriedOut(const Settings& settings);
+
 // Reads a list; throws JsonError or ConfigError. `from_wall` turns Unix milliseconds into a Time.
 HostList ParseHostList(const Json& json, const Names& names,
                        const std::function<Time(double)>& from_wall);
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -109,6 +109,9 @@
     }
     const std::string name = config.name, path = config.path;
     const size_t known = config.known.members.size();
+    for (const std::string& line : NotCarriedOut(config.settings)) {
+      Log(Level::kWarning, "not carried out: {}", line);
+    }
     Gateway gateway(loop, std::move(config));
     Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
     const Signals signals(loop, gateway, path, signals_set);
--- a/src/wire/wire.cpp
+++ b/src/wire/wire.cpp
@@ -246,10 +246,18 @@
     }
     throw Bad(name, *text, expected);
   }
+  [[nodiscard]] bool Has(const std::string& name) const { return Find(name).has_value(); }
   [[nodiscard]] Parts List(const std::string& name) const {
     const auto text = Find(name);
     return text && !text->empty() ? Split(*text, ',') : Parts{};
   }
+  [[nodiscard]] std::vector<std::string> Unread() const {
+    std::vector<std::string> names;
+    for (const auto& [name, value] : values_) {
+      if (!read_.contains(name)) names.push_back(name);
+    }
+    return names;
+  }
   [[nodiscard]] int Count(const std::string& name) const {
     int count = 0;
     Read(name + ".count", count);
@@ -262,16 +270,19 @@
  private:
   [[nodiscard]] std::optional<std::string_view> Find(const std::string& name) const {
     const auto at = values_.find(name);
+    read_.insert(name);
     if (at == values_.end() || Absent(at->second)) return std::nullopt;
     return at->second;
   }
   std::map<std::string, std::string_view> values_;
+  mutable std::set<std::string> read_;
 };
 
 }  // namespace
 
-Settings ParseSettings(std::string_view text) {
-  const Facts facts(text);
+namespace {
+
+Settings Parse(const Facts& facts) {
   Settings s;
   facts.Read("Me", s.me);
   facts.Read("NInstances", s.instances);
@@ -339,6 +350,15 @@
   facts.Read("ResultMix.WorstWindow", s.mix.worst_window);
   facts.Read("ResultMix.NinesPart", s.mix.nines);
   facts.Read("ResultMix.TopNines", s.mix.top_nines);
+  if (facts.Has("ResultMix.NinesPart") && s.mix.nines < 0) {
+    throw Bad("ResultMix.NinesPart", std::to_string(s.mix.nines), "0 or more");
+  }
+  if (facts.Has("ResultMix.TopNines") && s.mix.top_nines <= 0) {
+    throw Bad("ResultMix.TopNines", std::to_string(s.mix.top_nines), "a number above 0");
+  }
+  if (s.mix.nines > 0 && !facts.Has("ResultMix.TopNines")) {
+    throw Bad("ResultMix.NinesPart", std::to_string(s.mix.nines), "ResultMix.TopNines beside it");
+  }
   facts.Read("Obligations.AnswerSlack", s.obligations.answer_slack);
   facts.Read("Obligations.DrainGrace", s.obligations.drain_grace);
   facts.Read("Obligations.MustAskIn", s.obligations.must_ask_in);
@@ -358,6 +378,16 @@
   return s;
 }
 
+}  // namespace
+
+Settings ParseSettings(std::string_view text) { return Parse(Facts(text)); }
+
+std::vector<std::string> UnreadSettings(std::string_view text) {
+  const Facts facts(text);
+  Parse(facts);
+  return facts.Unread();
+}
+
 // ---- Reading --------------------------------------------------------------------------------
 
 bool Reader::GetLine() {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -62,6 +62,9 @@
 // Settings from path=value pairs; unknown ones are ignored. Throws std::invalid_argument.
 Settings ParseSettings(std::string_view facts);
 
+// The names among the pairs that ParseSettings does not look at, in order.
+std::vector<std::string> UnreadSettings(std::string_view facts);
+
 // Appends the line of an action for an instance, newline included.
 void Print(int64_t instance, const Action& action, std::string& out);
 void PrintPanic(int64_t instance, std::string_view reason, std::string& out);
--- a/tests/main_test.cpp
+++ b/tests/main_test.cpp
@@ -10,6 +10,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <iterator>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -227,6 +228,90 @@
   EXPECT_EQ(Wait(), 0);
 }
 
+// What an operator's move runs: a file of a bank's proxy in, one for a gateway beside its client
+// out. Nothing may be lost on the way, neither a key nor a file that is there.
+class Migration : public Program {
+ protected:
+  Migration() {
+    std::string text = kConfig;
+    text.insert(text.rfind("}}"), R"(,"Strange":{"Key":1},"KindOfService":"proxy")");
+    text.insert(1, R"("listen":"127.0.0.4:5000","owner":"ops",)");
+    std::ofstream(path_) << text;
+    to_ = path_ + ".new-shape";
+    std::remove(to_.c_str());
+  }
+  ~Migration() override { std::remove(to_.c_str()); }
+  // The exit code of one call; its text is in Text().
+  int Call(const std::vector<std::string>& words) {
+    words_ = words;
+    Start();
+    return Wait();
+  }
+  static std::string Slurp(const std::string& path) {
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+  }
+  std::string to_;
+};
+
+TEST_F(Migration, WritesAFileThatPassesTheCheckAndStartsAGateway) {
+  const std::string before = Slurp(path_);
+  ASSERT_EQ(Call({"migrate", path_, "--gateways", "900", "--warm-keys", "--to", to_}), 0) << Text();
+  for (const char* const line :
+       {"kept, but not known here: owner", "settings.Strange.Key", "not carried over: listen",
+        "not carried over: settings.Me, seed", "changed: settings.KindOfService: \"proxy\" to"}) {
+    EXPECT_NE(Text().find(line), std::string::npos) << line << "\n" << Text();
+  }
+  EXPECT_EQ(Slurp(path_), before);
+  const auto json = nlohmann::json::parse(Slurp(to_), nullptr, false);
+  ASSERT_TRUE(json.is_object());
+  EXPECT_EQ(json["owner"], "ops");
+  EXPECT_EQ(json["settings"]["Strange"]["Key"], 1);
+  EXPECT_EQ(json["settings"]["NInstances"], 900);
+  EXPECT_EQ(json["settings"]["FamilyInfo"]["WarmKeys"], true);
+  EXPECT_EQ(json["listen"], "127.0.0.1:5000");
+  EXPECT_EQ(Call({"check", to_}), 0) << Text();
+  env_["LB_CONFIG"] = to_;
+  words_.clear();
+  Start();
+  EXPECT_TRUE(Says("listens on"));
+}
+
+TEST_F(Migration, ADryRunWritesNothing) {
+  const std::string before = Slurp(path_);
+  EXPECT_EQ(Call({"migrate", path_, "--gateways", "900", "--dry-run"}), 0);
+  EXPECT_NE(Text().find("changed: settings.NInstances"), std::string::npos) << Text();
+  EXPECT_EQ(Slurp(path_), before);
+  EXPECT_NE(access(to_.c_str(), F_OK), 0);
+}
+
+TEST_F(Migration, WhatCannotBeDoneIsOneLineAndLeavesAllAsItWas) {
+  const auto fails = [&](const std::vector<std::string>& words, const std::string& what) {
+    const size_t from = Text().size();
+    EXPECT_EQ(Call(words), 2) << what;
+    const std::string said = Text().substr(from);
+    EXPECT_EQ(std::ranges::count(said, '\n'), 1) << said;
+    EXPECT_NE(said.find(what), std::string::npos) << said;
+  };
+  fails({"migrate", path_, "--gateways", "900"}, "expected --to FILE or --dry-run");
+  fails({"migrate", path_, "--gateways", "0", "--dry-run"}, "--gateways");
+  fails({"migrate", path_ + ".none", "--gateways", "9", "--to", to_}, "expected a file");
+  fails({"migrate", path_, "--gateways", "9", "--to", "/proc/none/x"}, "cannot write it");
+  std::ofstream(path_ + ".bad") << "{\"seed\"";
+  fails({"migrate", path_ + ".bad", "--gateways", "9", "--to", to_}, "expected JSON");
+  std::remove((path_ + ".bad").c_str());
+  EXPECT_NE(access(to_.c_str(), F_OK), 0);
+  ASSERT_EQ(Call({"migrate", path_, "--gateways", "9", "--to", to_}), 0);
+  const std::string written = Slurp(to_);
+  const std::string again = to_ + "2";
+  fails({"migrate", to_, "--gateways", "9", "--to", again}, "of the new shape already");
+  std::ofstream(to_) << "mine";
+  fails({"migrate", path_, "--gateways", "9", "--to", to_}, "expected a new name or --replace");
+  EXPECT_EQ(Slurp(to_), "mine");
+  EXPECT_EQ(Call({"migrate", path_, "--gateways", "9", "--to", to_, "--replace"}), 0);
+  EXPECT_EQ(Slurp(to_), written);
+}
+
 // Each of five hundred clients has sent all but the last byte of the longest body.
 TEST_F(Program, HoldsATableOfLongRequestsInItsMemory) {
   rlimit files{};
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -106,6 +106,42 @@
   EXPECT_EQ(nested.classes[1].deadline, wire.classes[1].deadline);
 }
 
+// The nines of the result and warm keys: read, checked, and absent as padana's files leave them.
+TEST_F(ConfigFile, SettingsOfTheNewShapeAreCheckedAndDefaultToTheOld) {
+  const auto with = [](const std::string& more) { return "{" + more + "," + kSettings.substr(1); };
+  Write(File(kSettings));
+  EXPECT_FALSE(Read().settings.warm_keys);
+  EXPECT_EQ(Read().settings.mix.nines, 0);
+  Write(File(with(R"("FamilyInfo":{"WarmKeys":true},"ResultMix":{"NinesPart":0.2,"TopNines":3})")));
+  EXPECT_TRUE(Read().settings.warm_keys);
+  EXPECT_EQ(Read().settings.mix.nines, 0.2);
+  EXPECT_EQ(Read().settings.mix.top_nines, 3);
+  const std::pair<std::string, std::string> wrong[] = {
+      {R"({"NinesPart":-0.2,"TopNines":3})",
+       "bad ResultMix.NinesPart '-0.200000', expected 0 or more"},
+      {R"({"NinesPart":"much","TopNines":3})", "bad ResultMix.NinesPart 'much', expected a number"},
+      {R"({"NinesPart":0.2})", "expected ResultMix.TopNines beside it"},
+      {R"({"TopNines":0})", "bad ResultMix.TopNines '0.000000', expected a number above 0"}};
+  for (const auto& [mix, what] : wrong) {
+    Write(File(with(R"("ResultMix":)" + mix)));
+    EXPECT_NE(Error().find(what), std::string::npos) << Error();
+    const auto faults = CheckConfig(path_);
+    ASSERT_EQ(faults.size(), 1u) << mix;
+    EXPECT_NE(faults[0].find(what), std::string::npos) << faults[0];
+  }
+}
+
+// What sockets cannot do is told, never silently taken.
+TEST_F(ConfigFile, WhatSocketsDoNotCarryOutIsNamed) {
+  Settings settings;
+  EXPECT_TRUE(NotCarriedOut(settings).empty());
+  settings.allowed.peer_messages = true;
+  settings.allowed.max_streams = 8;
+  ASSERT_EQ(NotCarriedOut(settings).size(), 2u);
+  EXPECT_NE(NotCarriedOut(settings)[0].find("Allowed.PeerMessages"), std::string::npos);
+  EXPECT_NE(NotCarriedOut(settings)[1].find("Allowed.MaxStreams"), std::string::npos);
+}
+
 TEST_F(ConfigFile, NamesEachMissingOrMalformedVariable) {
   Write(File(kSettings));
   for (const char* const name : {"LB_NAME", "LB_LISTEN", "LB_DISCOVERY", "LB_CONFIG"}) {
--- a/tests/net/servers_test.cpp
+++ b/tests/net/servers_test.cpp
@@ -290,6 +290,25 @@
   EXPECT_EQ(servers->connections(), 0u);
 }
 
+// The trouble: hosts hold few connections, and a thousand gateways met each of them.
+TEST_F(ServersTest, IdleConnectionsToAHostAreClosedAndThoseAtWorkStay) {
+  Make(Plain());
+  Send("id1");
+  Peer first = Host();
+  Send("id2");
+  Peer second = Host();
+  first.Say(testing::Http200("ok"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(servers->idle(), 1u);
+  servers->CloseIdle("h1");
+  servers->CloseIdle("nobody");
+  EXPECT_EQ(servers->idle(), 0u);
+  EXPECT_TRUE(RunUntil(loop, [&] { return first.Ended(); }));
+  second.Say(testing::Http200("ok"));
+  ASSERT_TRUE(Ended(2));
+  EXPECT_EQ(ends[1].outcome, Outcome::kOk);
+}
+
 TEST_F(ServersTest, ACancelClosesAndIsTheOnlyOutcome) {
   Make(Plain());
   const auto exchange = Send();
