--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -357,11 +357,11 @@
     });
   }
 
-  void AddToPool(size_t ep, double latency) {
+  void AddToPool(size_t ep, double latency, double way) {
     std::erase_if(pool, [&](const PoolEntry& p) { return p.ep == ep; });
     const int uses = static_cast<int>(ReuseBudget() + Uniform());
     if (pool.size() >= PoolBound()) pool.erase(pool.begin());  // the oldest
-    pool.push_back({ep, latency, now, uses});
+    pool.push_back({ep, latency, way, now, uses});
   }
 
   // Exact rank over the pool's in-flight figures.
@@ -377,13 +377,13 @@
   using Key = std::pair<bool, double>;
   [[nodiscard]] Key Rank(const PoolEntry& p, double cut, const Request* r = nullptr) const {
     const double rif = Load(eps[p.ep]);  // as of now, own sends and ends with it
-    return rif <= cut ? Key{false, p.latency * (r ? Chill(*r, p.ep) : 1)} : Key{true, rif};
+    return rif <= cut ? Key{false, p.latency * (r ? Chill(*r, p.ep) : 1) + p.way} : Key{true, rif};
   }
 
   // The part of the usual time that an endpoint takes for this request, by how warm its key is.
   [[nodiscard]] double Chill(const Request& r, size_t ep) const {
     const auto at = std::ranges::find(r.homes, ep) - r.homes.begin();
-    return std::min(1.0, kWarmTime + kLessWarm * static_cast<double>(at));
+    return r.homes.empty() ? 1 : std::min(1.0, kWarmTime + kLessWarm * static_cast<double>(at));
   }
 
   // Place in the pool of the best entry that is allowed, ties at random.
@@ -750,7 +750,7 @@
     e.reported = now;
     // Reported latency omits the link: the measured way and the price of crossing come on top.
     const double price = e.info.zone != s.zone ? s.charges.cross_zone * target / kAimShare : 0;
-    AddToPool(ep, std::max(latency, 0.0) * 1000 + e.link + price);
+    AddToPool(ep, std::max(latency, 0.0) * 1000, e.link + price);
   }
 
   void On(const ProbeResult& in) {
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -91,7 +91,8 @@
 
 struct PoolEntry {
   size_t ep = 0;
-  double latency = 0;
+  double latency = 0;  // us; reported, and on top of it the way and the price of crossing
+  double way = 0;
   Time at{0};
   int uses = 1;
 };
