--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -85,7 +85,7 @@
         if (!probe && !text.ends_with("body")) continue;
         peer.Forget();
         ++(probe ? host->probes : host->requests);
-        const std::string answer = probe ? Http200("inflight=1,latency_ms=5") : host->script(text);
+        const std::string answer = probe ? Http200(report) : host->script(text);
         if (answer == "reset") {
           peer.Reset();
         } else {
@@ -123,6 +123,7 @@
     return "HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
   }
 
+  std::string report = "inflight=1,latency_ms=5";  // of all hosts
   EventLoop loop;
   Port agent;
   Config config;
@@ -131,6 +132,31 @@
   std::unique_ptr<Gateway> gateway;
 };
 
+// The new shape on sockets: the key and the hint come in X-Call-Info, the request waits for the
+// probes of its key's hosts, and gateways that know nothing of one another send it to the same one.
+TEST_F(GatewayTest, GatewaysOfWarmHostsAskFirstAndAgreeOnAKeysHost) {
+  for (int i = 0; i < 5; ++i) AddHost("h" + std::to_string(i), Ok);
+  report = "inflight=1,latency_ms=100";
+  config.settings.warm_keys = true;
+  config.settings.instances = 900;
+  for (const uint64_t seed : {5, 6}) {
+    config.seed = seed;
+    Start();
+    for (int i = 0; i < 6; ++i) {
+      std::string text = Request("r" + std::to_string(seed) + std::to_string(i));
+      text.insert(text.find("Content-Length"), "X-Call-Info: Subject=abc,Expected=20.0\r\n");
+      Peer client = Ask(text);
+      ASSERT_TRUE(Until([&] { return client.Has("served"); }));
+    }
+    for (const auto& host : hosts) host->peers.clear();
+  }
+  EXPECT_EQ(Requests(), 12);
+  int used = 0, probes = 0;
+  for (const auto& host : hosts) used += host->requests > 0 ? 1 : 0, probes += host->probes;
+  EXPECT_EQ(used, 1);
+  EXPECT_GT(probes, 0);
+}
+
 TEST_F(GatewayTest, ServesARequest) {
   AddHost("h1", Ok);
   Start();
