--- a/tests/homes_test.cpp
+++ b/tests/homes_test.cpp
@@ -179,6 +179,37 @@
   }
 }
 
+// A burst after a long silence, with and without a fleet that is all cold: each request gets its
+// one answer in time, and no host is sent more than its part of a burst.
+TEST(Homes, ABurstAfterALongSilenceIsAnsweredWholeAndKeepsToTheLimits) {
+  for (const bool cold : {false, true}) {
+    Thin g(MakeThin());
+    for (int k = 0; k < 30; ++k) g.HomeOf("key" + std::to_string(k));
+    g.Pass(Ms(600'000));
+    if (cold) {
+      for (int i = 0; i < 20; ++i)
+        g.Change("e" + std::to_string(i), EndpointState::kUp, g.now, i % 2);
+    }
+    const size_t before = g.sends.size();
+    for (int i = 0; i < 300; ++i) {
+      g.AskKey("b" + std::to_string(i), "key" + std::to_string(i % 30));
+      g.Answer();
+    }
+    for (int i = 0; i < 200; ++i) g.Answer(), g.Pass(Ms(5));
+    std::map<std::string, int> at;
+    std::set<std::string> done;
+    for (size_t i = before; i < g.sends.size(); ++i) {
+      ++at[g.sends[i].endpoint];
+      done.insert(g.sends[i].id);
+    }
+    for (const auto& [host, n] : at) EXPECT_LE(n, cold ? 2 : 20) << host;
+    for (int i = 0; i < 300; ++i) {
+      const std::string id = "b" + std::to_string(i);
+      EXPECT_NE(done.contains(id), g.GivenUp(id)) << id;
+    }
+  }
+}
+
 TEST(Homes, EdgesOfTheShape) {
   Settings s = MakeThin();
   s.allowed.probes = false;  // forbidden, so none is sent; the request goes by the fallback
