--- a/tests/homes_test.cpp
+++ b/tests/homes_test.cpp
@@ -202,7 +202,7 @@
       ++at[g.sends[i].endpoint];
       done.insert(g.sends[i].id);
     }
-    for (const auto& [host, n] : at) EXPECT_LE(n, cold ? 2 : 20) << host;
+    for (const auto& [host, n] : at) EXPECT_LE(n, cold ? 2 : 12) << host;
     for (int i = 0; i < 300; ++i) {
       const std::string id = "b" + std::to_string(i);
       EXPECT_NE(done.contains(id), g.GivenUp(id)) << id;
