--- /dev/null
+++ b/src/net/admin.h
@@ -0,0 +1,55 @@
+// Where operators call: a listener of its own, one short HTTP/1.1 call to a connection.
+//   GET /admin/health    200 once this process can serve, else 503
+//   POST /admin/quiesce  empties the gateway; it stays, and may be told again
+//   POST /admin/resume   takes clients again; 409 where another process has taken over, or at the
+//   end
+// Any other path is 404, any other method 405, what cannot be read 4xx.
+#ifndef PADDLESTILE_NET_ADMIN_H_
+#define PADDLESTILE_NET_ADMIN_H_
+
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/config.h"
+#include "net/event_loop.h"
+#include "net/life.h"
+
+namespace paddlestile::net {
+
+class Admin {
+ public:
+  // Callers at once; the longest waiting goes for the next. Their descriptors are of the reserve.
+  static constexpr size_t kMostCallers = 12;
+
+  // Listens at once; throws std::system_error.
+  Admin(EventLoop& loop, const Address& listen, Life& life);
+  ~Admin();
+  Admin(const Admin&) = delete;
+  Admin& operator=(const Admin&) = delete;
+
+  [[nodiscard]] const Address& address() const { return address_; }
+  [[nodiscard]] size_t callers() const { return callers_.size(); }
+
+ private:
+  class Listening;
+  class Caller;
+  struct Said {
+    int status = 0;
+    std::string text;
+  };
+  void Accept();
+  void Drop(Caller& caller);
+  Said Call(std::string_view method, std::string_view path);
+
+  EventLoop& loop_;
+  Life& life_;
+  Address address_;
+  std::unique_ptr<Listening> listening_;
+  std::list<std::shared_ptr<Caller>> callers_;  // the longest waiting first
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_ADMIN_H_
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -161,28 +161,26 @@
 
 class Clients::Listening final : public EventLoop::Handler {
  public:
-  Listening(Clients& clients, const Address& listen) : clients_(clients), loop_(clients.loop_) {
-    fd_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    const int on = 1;
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(listen.port);
-    address.sin_addr.s_addr = htonl(listen.host);
-    const auto* const name = reinterpret_cast<const sockaddr*>(&address);
-    if (!fd_ || setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
-        setsockopt(fd_.get(), SOL_SOCKET, SO_RCVBUF, &kReceive, sizeof(kReceive)) != 0 ||
-        bind(fd_.get(), name, sizeof(address)) != 0 || ::listen(fd_.get(), kBacklog) != 0 ||
-        !loop_.Watch(fd_.get(), this, token_)) {
+  Listening(Clients& clients, const Address& listen, Fd handed, bool shared)
+      : clients_(clients), loop_(clients.loop_) {
+    fd_ = handed ? std::move(handed) : Listen(listen, kBacklog, shared);
+    if (!fd_ || setsockopt(fd_.get(), SOL_SOCKET, SO_RCVBUF, &kReceive, sizeof(kReceive)) != 0) {
       throw std::system_error(errno, std::generic_category(), "listen on " + ToText(listen));
     }
-    socklen_t size = sizeof(address);
-    getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&address), &size);
-    clients_.address_.port = ntohs(address.sin_port);  // where any port was asked for
+    clients_.address_ = BoundTo(fd_.get());  // where any port was asked for
   }
   Listening(const Listening&) = delete;
   Listening& operator=(const Listening&) = delete;
-  virtual ~Listening() { loop_.Unwatch(fd_.get(), token_); }
-
+  virtual ~Listening() { Watch(false); }
+
+  // Whether connections are told of; what waits already is told at once. False where the kernel
+  // refuses.
+  bool Watch(bool on) {
+    if (on == watched_) return true;
+    if (!on) loop_.Unwatch(fd_.get(), token_);
+    watched_ = on && loop_.Watch(fd_.get(), this, token_);
+    return watched_ == on;
+  }
   [[nodiscard]] int fd() const { return fd_.get(); }
   void OnEvents(uint32_t) override { clients_.Accept(); }
 
@@ -191,6 +189,7 @@
   EventLoop& loop_;
   Fd fd_;
   uint64_t token_ = 0;
+  bool watched_ = false;
 };
 
 // ---- Connections ----------------------------------------------------------------------------
@@ -289,7 +288,7 @@
     const std::string_view base = request.bytes.view();
     if (request.message.target.In(base) == "/_health") {
       ++Count().health_checks;
-      return Reply({.status = clients_.draining_ ? 503 : 200});
+      return Reply({.status = clients_.life_.wants_clients() ? 200 : 503});
     }
     Taken taken = clients_.listener_->OnRequest(std::move(request),
                                                 [this](const Answer& answer) { Reply(answer); });
@@ -318,7 +317,7 @@
     exchange_ = nullptr;
     if (!PADDLESTILE_CHECK(state_ == State::kWaiting)) return;
     state_ = State::kWriting;
-    keep_alive_ = keep_alive_ && !clients_.draining_;
+    keep_alive_ = keep_alive_ && !clients_.emptying_;
     SetTimer(kAnswerTime, [this] { clients_.Drop(*this); });  // it never reads
     stream_.Write(HeadForClient(answer, keep_alive_) + answer.why, answer.from,
                   answer.from ? answer.from->body() : std::string_view());
@@ -396,9 +395,11 @@
 
 // ---- Clients --------------------------------------------------------------------------------
 
-Clients::Clients(EventLoop& loop, Descriptors& budget, const Address& listen, Listener* listener)
-    : loop_(loop), budget_(budget), listener_(listener), address_(listen) {
-  listening_ = std::make_unique<Listening>(*this, listen);
+Clients::Clients(EventLoop& loop, Descriptors& budget, const Address& listen, const Life& life,
+                 Listener* listener, Fd handed, bool shared)
+    : loop_(loop), budget_(budget), life_(life), listener_(listener), address_(listen) {
+  listening_ = std::make_unique<Listening>(*this, listen, std::move(handed), shared);
+  LifeChanged();
 }
 
 Clients::~Clients() {
@@ -409,7 +410,7 @@
 }
 
 void Clients::Accept() {
-  for (int accepted = 0; listening_; ++accepted) {
+  for (int accepted = 0; listening_ && life_.accepts(); ++accepted) {
     if (accepted == kAcceptAtOnce) {
       if (std::exchange(accept_yielded_, true)) return;
       loop_.Yield([this, alive = std::weak_ptr(alive_)] {
@@ -496,34 +497,49 @@
   return false;
 }
 
-void Clients::Drain(Duration at_most, std::function<void()> done) {
-  draining_ = true;
+int Clients::listening() const { return listening_ ? listening_->fd() : -1; }
+
+void Clients::LifeChanged() {
+  if (listening_ && !listening_->Watch(life_.accepts())) {
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  }
+  if (std::exchange(emptying_, life_.empties()) == life_.empties()) return;
+  loop_.Cancel(drain_timer_);
   drain_since_ = loop_.Now();
-  drain_until_ = drain_since_ + at_most;
+  if (emptying_) DrainStep();
+}
+
+void Clients::End(Duration at_most, std::function<void()> done) {
+  end_at_ = loop_.Now() + at_most;
   drained_ = std::move(done);
-  DrainStep();
 }
 
-void Clients::DrainStep() {
-  Accept();
+void Clients::EndIdle() {
   const Time now = loop_.Now();
-  const bool quiet = now - drain_since_ >= kDrainIdleAfter && now - last_accept_ >= kDrainQuiet;
-  if (now - drain_since_ >= kDrainIdleAfter) {
-    for (auto* const among : {&silent_, &idle_}) {
-      for (auto at = among->begin(); at != among->end();) {
-        Connection* const connection = *at++;
-        if (connection->stream().Quiet()) Drop(*connection);
-      }
+  for (auto* const among : {&silent_, &idle_}) {
+    for (auto at = among->begin(); at != among->end();) {
+      Connection* const connection = *at++;
+      // A newcomer's request may be a moment behind it.
+      if (among == &silent_ && !drained_ && now - connection->opened() < kSilentGrace) break;
+      if (connection->stream().Quiet()) Drop(*connection);
     }
   }
-  if (now >= drain_until_) {
+}
+
+void Clients::DrainStep() {
+  Accept();
+  const Time now = loop_.Now();
+  if (now - drain_since_ >= kDrainIdleAfter) EndIdle();
+  if (drained_ && now >= end_at_) {
     // Whoever still has no request in hand had time enough; what is in hand is answered first.
     for (auto at = connections_.begin(); at != connections_.end();) {
       Connection& connection = **at++;
       if (!connection.in_hand()) Drop(connection);
     }
   }
-  if (quiet && connections_.empty()) {
+  const bool quiet = !life_.accepts() ||
+                     (now - drain_since_ >= kDrainIdleAfter && now - last_accept_ >= kDrainQuiet);
+  if (drained_ && quiet && connections_.empty()) {
     listening_.reset();
     drained_();
     return;
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -13,6 +13,7 @@
 #include "net/event_loop.h"
 #include "net/exchange.h"
 #include "net/http.h"
+#include "net/life.h"
 #include "net/stream.h"
 
 namespace paddlestile::net {
@@ -48,16 +49,23 @@
     ~Listener() = default;
   };
 
-  // Listens at once; throws std::system_error.
-  Clients(EventLoop& loop, Descriptors& budget, const Address& listen, Listener* listener);
+  // Listens at once, on `handed` where it is a listening socket; throws std::system_error. `life`
+  // tells when connections are taken and when they end. `shared`: another process may listen too.
+  Clients(EventLoop& loop, Descriptors& budget, const Address& listen, const Life& life,
+          Listener* listener, Fd handed = Fd(), bool shared = false);
   ~Clients();
   Clients(const Clients&) = delete;
   Clients& operator=(const Clients&) = delete;
 
-  // From now on each connection closes after its answer, and those between requests close too, a
-  // while after no new one has come. After `at_most` only those with a request in hand are waited
-  // for. `done` runs when none is left.
-  void Drain(Duration at_most, std::function<void()> done);
+  // To be called after each change of the life. While it empties, each connection closes after its
+  // answer, and those between requests close too, a while after it began.
+  void LifeChanged();
+  // At the end of the life: after `at_most` only connections with a request in hand are waited for.
+  // `done` runs when none is left and no new one has come for a while.
+  void End(Duration at_most, std::function<void()> done);
+
+  // The listening socket, for another process to take over.
+  [[nodiscard]] int listening() const;
 
   // Closes the connection that has said nothing for longest, else the one that has been between
   // requests for longest; false where there is none.
@@ -76,9 +84,11 @@
   bool CloseOne(std::list<Connection*>& among, Time opened_before);
   void Drop(Connection& connection);
   void DrainStep();
+  void EndIdle();
 
   EventLoop& loop_;
   Descriptors& budget_;
+  const Life& life_;
   Listener* listener_;
   Address address_;
   std::unique_ptr<Listening> listening_;
@@ -86,9 +96,9 @@
   std::list<Connection*> silent_;  // have said nothing yet, the longest first
   std::list<Connection*> idle_;    // between requests, the longest first
   EventLoop::TimerId accept_timer_, drain_timer_;
-  bool draining_ = false, accept_yielded_ = false;
+  bool emptying_ = false, accept_yielded_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
-  Time last_accept_{0}, drain_since_{0}, drain_until_{0};
+  Time last_accept_{0}, drain_since_{0}, end_at_{0};
   std::function<void()> drained_;
 };
 
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -88,6 +88,19 @@
   }
 }
 
+std::optional<Address> AdminOf(const Json& json,
+                               const std::function<const char*(const char*)>& env) {
+  const char* const told = env("LB_ADMIN");
+  if (told != nullptr && *told != '\0') return AddressVariable(env, "LB_ADMIN");
+  const Json* const admin = json.Find("admin");
+  if (admin == nullptr || admin->type() == Json::Type::kNull) return std::nullopt;
+  try {
+    return ParseAddress(json.Need("admin", Json::Type::kString).text());
+  } catch (const ConfigError& error) {
+    throw ConfigError(fmt::format("'admin': {}", error.what()));
+  }
+}
+
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
   std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
@@ -287,8 +300,8 @@
       faults.push_back(fmt::format("{}{}{}", where, where.empty() ? "" : ": ", error.what()));
     }
   };
-  for (const char* const name : {"listen", "discovery"}) {
-    // A gateway takes both from the environment at its start; a new discovery from here.
+  for (const char* const name : {"listen", "discovery", "admin"}) {
+    // A gateway takes them from the environment at its start; a new discovery from here.
     const Json* const address = json.Find(name);
     if (address == nullptr) continue;
     look(name, [&] { ParseAddress(json.Need(name, Json::Type::kString).text()); });
@@ -322,7 +335,9 @@
   const std::string path = NeedVariable(env, "LB_CONFIG");
   const std::string text = ReadFile(path);
   try {
-    Config config = ParseConfig(Json::Parse(text), from_wall);
+    const Json json = Json::Parse(text);
+    Config config = ParseConfig(json, from_wall);
+    config.admin = AdminOf(json, env);
     config.path = path;
     config.name = name;
     config.listen = listen;
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -63,6 +64,7 @@
 struct Config {
   std::string path, name;  // the file's path; the gateway's name
   Address listen, discovery;
+  std::optional<Address> admin;  // where operators call; LB_ADMIN, else the file's `admin`
   uint64_t seed = 0;
   size_t sockets = 1024;
   Settings settings;
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -14,6 +14,9 @@
   X(clients_reclaimed)  /* idle ones closed for want of descriptors */ \
   X(accept_waits)       /* times that accepting had to wait */         \
   X(health_checks)      /* GET /_health */                             \
+  X(admin_calls)        /* operators' calls that could be read */      \
+  X(drains)             /* begun by an operator */                     \
+  X(hand_overs)         /* of the clients' address, to or from */      \
   X(requests_taken)     /* requests handed to the module */            \
   X(requests_malformed) /* answered 4xx or 5xx without the module */   \
   X(requests_beyond)    /* over the most that may be held */           \
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -20,6 +20,8 @@
 
 constexpr int64_t kBefore = 24LL * 3600 * 1'000'000;  // us; hosts that started before are warm
 constexpr Duration kLag{20'000};                      // us; a round that long delays others
+constexpr Duration kUrgentWait{50'000};               // us; for what is urgent, within a round
+constexpr uint64_t kUrgentToken = ~0ULL;              // of the inner epoll
 
 int64_t Mono() {
   return duration_cast<microseconds>(std::chrono::steady_clock::now().time_since_epoch()).count();
@@ -46,11 +48,17 @@
   return Time(std::max<int64_t>(0, std::llround(unix_ms * 1000) - wall_zero_us_));
 }
 
-EventLoop::EventLoop() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
-  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+EventLoop::EventLoop()
+    : epoll_(epoll_create1(EPOLL_CLOEXEC)), urgent_(epoll_create1(EPOLL_CLOEXEC)) {
+  epoll_event event{};
+  event.events = EPOLLIN;  // by level: told as long as anything urgent is left
+  event.data.u64 = kUrgentToken;
+  if (!epoll_ || !urgent_ || epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, urgent_.get(), &event) != 0) {
+    throw std::system_error(errno, std::generic_category(), "epoll_create1");
+  }
 }
 
-bool EventLoop::Watch(int fd, Handler* handler, uint64_t& token) {
+bool EventLoop::Watch(int fd, Handler* handler, uint64_t& token, bool urgent) {
   if (free_.empty()) {
     free_.push_back(static_cast<uint32_t>(slots_.size()));
     slots_.emplace_back();
@@ -60,8 +68,10 @@
   epoll_event event{};
   event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
   event.data.u64 = token;
-  if (epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0) return false;
+  const Fd& epoll = urgent ? urgent_ : epoll_;
+  if (epoll_ctl(epoll.get(), EPOLL_CTL_ADD, fd, &event) != 0) return false;
   slots_[place].handler = handler;
+  slots_[place].urgent = urgent;
   free_.pop_back();
   return true;
 }
@@ -69,7 +79,8 @@
 void EventLoop::Unwatch(int fd, uint64_t token) {
   const auto place = static_cast<uint32_t>(token);
   if (!PADDLESTILE_CHECK(place < slots_.size() && slots_[place].generation == token >> 32)) return;
-  epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr);
+  const Fd& epoll = slots_[place].urgent ? urgent_ : epoll_;
+  epoll_ctl(epoll.get(), EPOLL_CTL_DEL, fd, nullptr);
   slots_[place].handler = nullptr;
   ++slots_[place].generation;
   free_.push_back(place);
@@ -113,6 +124,25 @@
   }
 }
 
+void EventLoop::RunEvent(uint64_t token, uint32_t events) {
+  const auto place = static_cast<uint32_t>(token);
+  if (place >= slots_.size()) return;
+  const Slot slot = slots_[place];
+  if (slot.handler == nullptr || slot.generation != token >> 32) return;  // closed meanwhile
+  slot.handler->OnEvents(events);
+  RunDeferred();
+}
+
+void EventLoop::RunUrgent() {
+  urgent_at_ = Now();
+  std::array<epoll_event, 16> events;
+  const int n = epoll_wait(urgent_.get(), events.data(), static_cast<int>(events.size()), 0);
+  for (int i = 0; i < n; ++i) {
+    const epoll_event& event = events[static_cast<size_t>(i)];
+    RunEvent(event.data.u64, event.events);
+  }
+}
+
 void EventLoop::RunOnce(Duration at_most) {
   RunDeferred();
   Duration wait = yielded_.empty() ? std::max(at_most, Duration(0)) : Duration(0);
@@ -124,13 +154,12 @@
   std::array<epoll_event, 256> events;
   const int n = epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), ms);
   const Time began = Now();
+  RunUrgent();
   RunYielded();
   for (int i = 0; i < n; ++i) {
-    const uint64_t token = events[static_cast<size_t>(i)].data.u64;
-    const Slot slot = slots_[static_cast<uint32_t>(token)];
-    if (slot.handler == nullptr || slot.generation != token >> 32) continue;  // closed meanwhile
-    slot.handler->OnEvents(events[static_cast<size_t>(i)].events);
-    RunDeferred();
+    const epoll_event& event = events[static_cast<size_t>(i)];
+    if (event.data.u64 != kUrgentToken) RunEvent(event.data.u64, event.events);
+    if (Now() - urgent_at_ > kUrgentWait) RunUrgent();
   }
   // After the sockets: what had come in by the time a limit is reached still counts.
   RunTimers();
--- a/src/net/event_loop.h
+++ b/src/net/event_loop.h
@@ -69,8 +69,9 @@
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  // Reports all edges of a descriptor until Unwatch. False where the kernel refuses.
-  bool Watch(int fd, Handler* handler, uint64_t& token);
+  // Reports all edges of a descriptor until Unwatch. False where the kernel refuses. What is urgent
+  // has its turn before all else of a round, and within a long one.
+  bool Watch(int fd, Handler* handler, uint64_t& token, bool urgent = false);
   void Unwatch(int fd, uint64_t token);
 
   TimerId After(Duration delay, std::function<void()> then);
@@ -95,14 +96,18 @@
  private:
   struct Slot {
     Handler* handler = nullptr;
+    bool urgent = false;
     uint32_t generation = 0;  // tells a stale event of a closed descriptor from one of its heir
   };
   void RunDeferred();
+  void RunEvent(uint64_t token, uint32_t events);
+  void RunUrgent();
   void RunTimers();
   void RunYielded();
 
   Clock clock_;
-  Fd epoll_;
+  Fd epoll_, urgent_;  // the second is watched by the first
+  Time urgent_at_{0};  // when what is urgent last had its turn
   std::vector<Slot> slots_;
   std::vector<uint32_t> free_;
   std::map<std::pair<Time, uint64_t>, std::function<void()>> timers_;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -16,6 +16,7 @@
 
 constexpr Duration kConnectUnknown{1'000'000};  // us; where the settings name no time-out
 constexpr Duration kDrainSpare{600'000};        // us; beyond the longest deadline, after SIGTERM
+constexpr Duration kReadyMost{1'000'000};       // us; without a list from discovery
 constexpr size_t kRecentMost = 8192;            // ids remembered after their requests
 
 void CountOutcome(Outcome outcome) {
@@ -48,12 +49,15 @@
 }  // namespace
 
 Gateway::~Gateway() {
+  life_.OnChange(nullptr);
+  loop_.Cancel(ready_timer_);
   for (auto& [exchange, timer] : overdue_) loop_.Cancel(timer);
 }
 
-Gateway::Gateway(EventLoop& loop, Config config)
+Gateway::Gateway(EventLoop& loop, Config config, Life& life, Fd handed, bool shared)
     : loop_(loop),
       config_(std::move(config)),
+      life_(life),
       budget_(config_.sockets),
       brain_(config_.settings, config_.seed) {
   servers_ = std::make_unique<Servers>(loop_, budget_, ServerOptions(config_), this);
@@ -64,11 +68,23 @@
   TakeList(std::move(config_.known), ListKind::kCached);
   list_->Start();
   // Last: a client that is let in finds all the rest at work.
-  clients_ = std::make_unique<Clients>(loop_, budget_, config_.listen, this);
+  clients_ = std::make_unique<Clients>(loop_, budget_, config_.listen, life_, this,
+                                       std::move(handed), shared);
+  life_.OnChange([this] { LifeChanged(); });
+  if (!life_.accepts()) ready_timer_ = loop_.After(kReadyMost, [this] { life_.set_ready(); });
 }
 
 void Gateway::Drain(std::function<void()> done) {
-  clients_->Drain(longest_ + kDrainSpare, std::move(done));
+  clients_->End(longest_ + kDrainSpare, std::move(done));
+  life_.set_ending();
+}
+
+void Gateway::LifeChanged() {
+  const Stage stage = life_.stage();
+  if (stage == Stage::kDrained) ++Count().drains;
+  net::Log(Level::kInfo, "life: {}, {} connections of clients", ToText(stage),
+           clients_->connections());
+  clients_->LifeChanged();
 }
 
 std::string Gateway::StateText() const {
@@ -196,6 +212,7 @@
 void Gateway::OnList(HostList list) {
   const ListKind kind = list.complete ? ListKind::kFull : ListKind::kDelta;
   TakeList(std::move(list), kind);
+  life_.set_ready();
 }
 
 void Gateway::OnListFailed() { Post(Members{ListKind::kFailed, {}}); }
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -18,6 +18,7 @@
 #include "net/config.h"
 #include "net/event_loop.h"
 #include "net/exchange.h"
+#include "net/life.h"
 #include "net/list.h"
 #include "net/servers.h"
 #include "net/stream.h"
@@ -26,8 +27,10 @@
 
 class Gateway final : public Clients::Listener, public Servers::Listener, public List::Listener {
  public:
-  // Listens at once; throws std::system_error, or std::invalid_argument for bad settings.
-  Gateway(EventLoop& loop, Config config);
+  // Listens at once, on `handed` where it is a listening socket; throws std::system_error, or
+  // std::invalid_argument for bad settings. A life that is not ready becomes so with the first list
+  // from discovery, or after a second without one. `shared`: another process may listen there too.
+  Gateway(EventLoop& loop, Config config, Life& life, Fd handed = Fd(), bool shared = false);
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
   virtual ~Gateway();
@@ -42,6 +45,8 @@
   [[nodiscard]] std::string StateText() const;
 
   [[nodiscard]] const Address& address() const { return clients_->address(); }
+  [[nodiscard]] const Clients& clients() const { return *clients_; }
+  [[nodiscard]] Descriptors& budget() { return budget_; }
   [[nodiscard]] size_t in_hand() const { return exchanges_.size(); }
   [[nodiscard]] const Stats& stats() const { return brain_.stats(); }
 
@@ -59,6 +64,7 @@
   void OnList(HostList list) override;
   void OnListFailed() override;
 
+  void LifeChanged();
   void TakeList(HostList list, ListKind kind);
   void Post(Event event);
   void Pump();
@@ -84,6 +90,8 @@
   EventLoop& loop_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
   Config config_;
+  Life& life_;
+  EventLoop::TimerId ready_timer_;
   Descriptors budget_;
   Brain brain_;
   std::unordered_map<std::string, std::shared_ptr<Exchange>> exchanges_;
--- /dev/null
+++ b/src/net/handover.cpp
@@ -0,0 +1,327 @@
+#include "net/handover.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <string_view>
+#include <utility>
+
+#include "net/counters.h"
+#include "net/http.h"
+#include "net/log.h"
+
+namespace paddlestile::net {
+namespace {
+
+constexpr std::string_view kVersion = "paddlestile 1 ";
+constexpr std::string_view kBusy = "busy";
+constexpr int kAskMs = 500;
+constexpr size_t kMostLine = 256;  // bytes
+constexpr Duration kTell{50'000};  // us
+// What the old process may still open: connections to hosts for what it has in hand.
+constexpr size_t kSpare = 16;
+constexpr size_t kFiles = 24;  // descriptors outside of the budget, of a process that ends
+
+// An address of any length, by way of an open folder. `folder` has to stay open while it is used.
+bool ToUnix(const std::string& path, sockaddr_un& address, Fd& folder) {
+  address.sun_family = AF_UNIX;
+  std::string text = path;
+  if (text.size() >= sizeof(address.sun_path)) {
+    const size_t slash = path.rfind('/');
+    folder = Fd(open(path.substr(0, slash).c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC));
+    if (!folder) return false;
+    text = fmt::format("/proc/self/fd/{}{}", folder.get(), path.substr(slash));
+    if (text.size() >= sizeof(address.sun_path)) return false;
+  }
+  std::memcpy(address.sun_path, text.c_str(), text.size() + 1);
+  return true;
+}
+
+// Of the same user: nobody else is given clients, or believed.
+bool Trusted(int fd) {
+  ucred peer{};
+  socklen_t size = sizeof(peer);
+  return getsockopt(fd, SOL_SOCKET, SO_PEERCRED, &peer, &size) == 0 && peer.uid == geteuid();
+}
+
+bool SendLine(int fd, const std::string& line, int passed) {
+  iovec part{const_cast<char*>(line.data()), line.size()};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+  if (passed >= 0) {
+    message.msg_control = control;
+    message.msg_controllen = sizeof(control);
+    cmsghdr* const head = CMSG_FIRSTHDR(&message);
+    head->cmsg_level = SOL_SOCKET;
+    head->cmsg_type = SCM_RIGHTS;
+    head->cmsg_len = CMSG_LEN(sizeof(int));
+    std::memcpy(CMSG_DATA(head), &passed, sizeof(int));
+  }
+  return sendmsg(fd, &message, MSG_NOSIGNAL) == static_cast<ssize_t>(line.size());
+}
+
+// One line within the time, and the descriptor that came with it.
+bool ReceiveLine(int fd, std::string& line, Fd& passed) {
+  line.clear();
+  while (line.empty() || line.back() != '\n') {
+    pollfd waiting{fd, POLLIN, 0};
+    if (line.size() >= kMostLine || poll(&waiting, 1, kAskMs) <= 0) return false;
+    char bytes[kMostLine];
+    iovec part{bytes, sizeof(bytes) - line.size()};
+    alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+    msghdr message{};
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = sizeof(control);
+    const ssize_t n = recvmsg(fd, &message, MSG_CMSG_CLOEXEC);
+    if (n <= 0) return false;
+    for (cmsghdr* head = CMSG_FIRSTHDR(&message); head != nullptr;
+         head = CMSG_NXTHDR(&message, head)) {
+      if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
+      int given = -1;
+      std::memcpy(&given, CMSG_DATA(head), sizeof(given));
+      passed = Fd(given);
+    }
+    line.append(bytes, static_cast<size_t>(n));
+  }
+  line.pop_back();
+  return true;
+}
+
+bool ListensAt(int fd, const Address& listen) {
+  int on = 0;
+  socklen_t size = sizeof(on);
+  return getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &on, &size) == 0 && on != 0 &&
+         BoundTo(fd) == listen;
+}
+
+// The number behind a word; nothing where the line is another.
+std::optional<uint64_t> NumberOf(std::string_view line, std::string_view word) {
+  if (!line.starts_with(word)) return std::nullopt;
+  return ToWhole(line.substr(word.size()));
+}
+
+// Each whole line that has come; false where one has no end.
+template <typename Then>
+bool TakeLines(Buffer& in, const Then& then) {
+  for (size_t end = 0; (end = in.view().find('\n')) != std::string_view::npos;) {
+    const std::string line(in.view().substr(0, end));
+    in.Consume(end + 1);
+    then(line);
+  }
+  return in.size() < kMostLine;
+}
+
+}  // namespace
+
+std::string HandoverPath(const char* tmpdir, const Address& listen) {
+  if (tmpdir == nullptr || *tmpdir != '/') return {};
+  return fmt::format("{}/paddlestile-{}.sock", tmpdir, ToText(listen));
+}
+
+TakenOver TakeOver(const std::string& path, const Address& listen) {
+  TakenOver taken;
+  if (path.empty()) return taken;
+  sockaddr_un address{};
+  Fd folder;
+  Fd fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  if (!fd || !ToUnix(path, address, folder) ||
+      connect(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    return taken;  // nobody, or a file that somebody left
+  }
+  std::string line;
+  const bool heard = Trusted(fd.get()) &&
+                     SendLine(fd.get(), fmt::format("{}take {}\n", kVersion, ToText(listen)), -1) &&
+                     ReceiveLine(fd.get(), line, taken.listening);
+  if (heard && line == std::string(kVersion) + std::string(kBusy)) {
+    throw std::runtime_error("another process is taking over at " + ToText(listen));
+  }
+  const auto holds = NumberOf(line, std::string(kVersion) + "listen ");
+  if (!heard || !holds || !taken.listening || !ListensAt(taken.listening.get(), listen)) {
+    Log(Level::kWarning, "hand-over: no use in what the running process says");
+    taken.listening.Reset();
+    return taken;
+  }
+  fcntl(fd.get(), F_SETFL, O_NONBLOCK);
+  taken.channel = std::move(fd);
+  taken.holds = static_cast<size_t>(*holds);
+  ++Count().hand_overs;
+  Log(Level::kInfo, "hand-over: given the listening socket of {}", ToText(listen));
+  return taken;
+}
+
+// ---- The new process ------------------------------------------------------------------------
+
+Successor::Successor(EventLoop& loop, TakenOver taken, Descriptors& budget)
+    : loop_(loop),
+      budget_(budget),
+      stream_(loop, Socket(std::move(taken.channel), nullptr), this, false) {
+  stream_.set_most_unread(kMostLine);
+  budget_.set_elsewhere(taken.holds);
+  if (!stream_.Start()) OnBroken();
+}
+
+void Successor::Ready() {
+  Log(Level::kInfo, "hand-over: ready, the running process is told");
+  stream_.Write("ready\n");
+}
+
+void Successor::OnRead() {
+  const bool good = TakeLines(stream_.in(), [this](const std::string& line) {
+    if (const auto holds = NumberOf(line, "holds ")) {
+      budget_.set_elsewhere(static_cast<size_t>(*holds));
+    }
+  });
+  if (!good || stream_.ended()) OnBroken();
+}
+
+void Successor::OnBroken() {
+  if (stream_.closed()) return;
+  stream_.Close();
+  budget_.set_elsewhere(0);
+  Log(Level::kInfo, "hand-over: the process before has gone");
+}
+
+// ---- The old one ----------------------------------------------------------------------------
+
+class Predecessor::Listening final : public EventLoop::Handler {
+ public:
+  Listening(Predecessor& owner, Fd fd) : owner_(owner), fd_(std::move(fd)) {
+    watched_ = owner_.loop_.Watch(fd_.get(), this, token_);
+  }
+  Listening(const Listening&) = delete;
+  Listening& operator=(const Listening&) = delete;
+  virtual ~Listening() {
+    if (watched_) owner_.loop_.Unwatch(fd_.get(), token_);
+  }
+  [[nodiscard]] int fd() const { return fd_.get(); }
+  void OnEvents(uint32_t) override { owner_.Accept(); }
+
+ private:
+  Predecessor& owner_;
+  Fd fd_;
+  uint64_t token_ = 0;
+  bool watched_ = false;
+};
+
+class Predecessor::Channel final : public Stream::Owner {
+ public:
+  Channel(Predecessor& owner, Fd fd)
+      : owner_(owner),
+        fd_(fd.get()),
+        stream_(owner.loop_, Socket(std::move(fd), nullptr), this, false) {
+    stream_.set_most_unread(kMostLine);
+  }
+  bool Start() { return stream_.Start(); }
+  Stream& stream() { return stream_; }
+  [[nodiscard]] bool given() const { return given_; }
+
+ private:
+  void OnRead() override {
+    const bool good = TakeLines(stream_.in(), [this](const std::string& line) { OnLine(line); });
+    if (!good || stream_.ended()) owner_.Gone();
+  }
+  void OnBroken() override { owner_.Gone(); }
+
+  void OnLine(const std::string& line) {
+    if (stream_.closed()) return;
+    if (line == "ready" && given_) {
+      Log(Level::kInfo, "hand-over: the new process serves, this one ends what is open");
+      owner_.life_.set_handed_over(true);
+      return owner_.TellHeld();
+    }
+    const Address& at = owner_.clients_.address();
+    const int listening = owner_.clients_.listening();
+    if (line != fmt::format("{}take {}", kVersion, ToText(at)) || given_ || listening < 0) {
+      Log(Level::kWarning, "hand-over: a call of no sense, not followed");
+      return owner_.Gone();
+    }
+    const size_t held = owner_.budget_.used() + kSpare + kFiles;
+    given_ = SendLine(fd_, fmt::format("{}listen {}\n", kVersion, held), listening);
+    if (!given_) return owner_.Gone();
+    ++Count().hand_overs;
+    Log(Level::kInfo, "hand-over: a new process has the listening socket");
+    owner_.TellHeld();
+  }
+
+  Predecessor& owner_;
+  int fd_;
+  Stream stream_;
+  bool given_ = false;
+};
+
+Predecessor::Predecessor(EventLoop& loop, std::string path, Life& life, const Clients& clients,
+                         Descriptors& budget)
+    : loop_(loop), path_(std::move(path)), life_(life), clients_(clients), budget_(budget) {
+  if (path_.empty()) return;
+  Fd fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  sockaddr_un address{};
+  Fd folder;
+  unlink(path_.c_str());  // of a process that was killed, or of the one before
+  const bool good =
+      fd && ToUnix(path_, address, folder) &&
+      bind(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 &&
+      chmod(path_.c_str(), S_IRUSR | S_IWUSR) == 0 && ::listen(fd.get(), 4) == 0;
+  if (!good) {
+    Log(Level::kWarning, "hand-over: no Unix socket at {}: {}", path_, std::strerror(errno));
+    return;
+  }
+  listening_ = std::make_unique<Listening>(*this, std::move(fd));
+}
+
+Predecessor::~Predecessor() {
+  loop_.Cancel(tell_);
+  if (channel_) channel_->stream().Close();
+  // Once handed over the file is the new process's.
+  if (listening_ && !life_.handed_over()) unlink(path_.c_str());
+}
+
+void Predecessor::Accept() {
+  while (true) {
+    Fd fd(accept4(listening_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd) return;
+    if (!Trusted(fd.get())) continue;
+    if (channel_) {
+      SendLine(fd.get(), fmt::format("{}{}\n", kVersion, kBusy), -1);
+      continue;
+    }
+    channel_ = std::make_shared<Channel>(*this, std::move(fd));
+    if (!channel_->Start()) Gone();
+  }
+}
+
+void Predecessor::Gone() {
+  if (!channel_) return;
+  loop_.Cancel(tell_);
+  budget_.set_elsewhere(0);
+  channel_->stream().Close();
+  // Its handler may be at work.
+  loop_.Defer([kept = std::exchange(channel_, nullptr)] {});
+  if (life_.handed_over() && life_.stage() != Stage::kEnding) {
+    Log(Level::kWarning, "hand-over: the new process has gone, this one serves on");
+    life_.set_handed_over(false);
+  }
+}
+
+// The two have one budget: what this one may still take is held to what it has.
+void Predecessor::TellHeld() {
+  loop_.Cancel(tell_);
+  const size_t may = std::min(budget_.used() + kSpare, budget_.most());
+  if (life_.handed_over()) budget_.set_elsewhere(budget_.most() - may);
+  channel_->stream().Write(fmt::format("holds {}\n", may + kFiles));
+  tell_ = loop_.After(kTell, [this] { TellHeld(); });
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/handover.h
@@ -0,0 +1,82 @@
+// A new version takes over from the running one: the listening socket of the clients' address goes
+// from process to process over a Unix socket in $TMPDIR, and no connection in its queue is lost.
+//
+//   new: paddlestile 1 take 10.0.0.4:5000      old: paddlestile 1 listen 180   (with the socket)
+//   new: ready                                 old: holds 164                  (again and again)
+//
+// `holds` is how many descriptors the old one keeps of the two's one budget; it is gone when its
+// end closes. The old one stops to accept at `ready`, and takes up again where the new one
+// vanishes.
+#ifndef PADDLESTILE_NET_HANDOVER_H_
+#define PADDLESTILE_NET_HANDOVER_H_
+
+#include <memory>
+#include <string>
+
+#include "net/clients.h"
+#include "net/config.h"
+#include "net/event_loop.h"
+#include "net/life.h"
+#include "net/stream.h"
+
+namespace paddlestile::net {
+
+// Where the process at `listen` can be asked; empty where $TMPDIR is not set.
+std::string HandoverPath(const char* tmpdir, const Address& listen);
+
+// What a new process was given.
+struct TakenOver {
+  Fd listening;  // none: nobody gave one
+  Fd channel;
+  size_t holds = 0;
+};
+
+// Asks at `path`, for half a second at most. Gives nothing where there is no one, or one that makes
+// no sense or does not answer; throws std::runtime_error where another new process has asked.
+TakenOver TakeOver(const std::string& path, const Address& listen);
+
+// Of the new process, as long as the old one lives.
+class Successor final : public Stream::Owner {
+ public:
+  Successor(EventLoop& loop, TakenOver taken, Descriptors& budget);
+  // To be called once this process can serve.
+  void Ready();
+
+ private:
+  void OnRead() override;
+  void OnBroken() override;
+
+  EventLoop& loop_;
+  Descriptors& budget_;
+  Stream stream_;
+};
+
+// Waits at `path` for a new process. Without a Unix socket it does nothing.
+class Predecessor {
+ public:
+  Predecessor(EventLoop& loop, std::string path, Life& life, const Clients& clients,
+              Descriptors& budget);
+  ~Predecessor();
+  Predecessor(const Predecessor&) = delete;
+  Predecessor& operator=(const Predecessor&) = delete;
+
+ private:
+  class Listening;
+  class Channel;
+  void Accept();
+  void Gone();
+  void TellHeld();
+
+  EventLoop& loop_;
+  std::string path_;
+  Life& life_;
+  const Clients& clients_;
+  Descriptors& budget_;
+  std::unique_ptr<Listening> listening_;
+  std::shared_ptr<Channel> channel_;
+  EventLoop::TimerId tell_;
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_HANDOVER_H_
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -8,13 +8,17 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "net/admin.h"
 #include "net/config.h"
 #include "net/counters.h"
 #include "net/event_loop.h"
 #include "net/gateway.h"
+#include "net/handover.h"
+#include "net/life.h"
 #include "net/log.h"
 
 namespace paddlestile::net {
@@ -28,6 +32,7 @@
 // comes once it does: it is looked at again for a while.
 constexpr Duration kRereadAgain{200'000};  // us
 constexpr int kRereads = 15;
+constexpr Duration kReadyLook{100'000};  // us
 
 // SIGTERM and SIGINT drain, SIGUSR1 prints the counters, SIGHUP has the file read again.
 class Signals final : public EventLoop::Handler {
@@ -112,9 +117,27 @@
     for (const std::string& line : NotCarriedOut(config.settings)) {
       Log(Level::kWarning, "not carried out: {}", line);
     }
-    Gateway gateway(loop, std::move(config));
+    // Only where operators call may a second process be started beside this one.
+    const std::optional<Address> admin_at = config.admin;
+    const std::string path_over =
+        admin_at ? HandoverPath(std::getenv("TMPDIR"), config.listen) : std::string();
+    TakenOver taken = TakeOver(path_over, config.listen);
+    Life life(!taken.listening);
+    Gateway gateway(loop, std::move(config), life, std::move(taken.listening),
+                    admin_at.has_value());
+    std::optional<Admin> admin;
+    if (admin_at) admin.emplace(loop, *admin_at, life);
+    std::optional<Successor> successor;
+    if (taken.channel) successor.emplace(loop, std::move(taken), gateway.budget());
     Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
     const Signals signals(loop, gateway, path, signals_set);
+    while (!life.accepts() && !loop.stopped()) loop.RunOnce(kReadyLook);
+    if (successor) successor->Ready();
+    // From now on this process can itself be followed by a newer one.
+    std::optional<Predecessor> predecessor;
+    if (admin_at) {
+      predecessor.emplace(loop, path_over, life, gateway.clients(), gateway.budget());
+    }
     loop.Run();
     PrintCounters(gateway);
     return 0;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -23,6 +23,31 @@
 constexpr size_t kDiscardAtOnce = 1 << 17;
 }  // namespace
 
+Fd Listen(const Address& listen, int backlog, bool shared) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(listen.port);
+  address.sin_addr.s_addr = htonl(listen.host);
+  const auto* const name = reinterpret_cast<const sockaddr*>(&address);
+  if (!fd || setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+      (shared && setsockopt(fd.get(), SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on)) != 0) ||
+      bind(fd.get(), name, sizeof(address)) != 0 || ::listen(fd.get(), backlog) != 0) {
+    const int error = errno;
+    fd.Reset();
+    errno = error;
+  }
+  return fd;
+}
+
+Address BoundTo(int fd) {
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  if (getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) return {};
+  return {ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)};
+}
+
 std::optional<Socket> Connect(const Address& to, Descriptors* budget, bool& refused) {
   refused = false;
   if (budget != nullptr && !budget->Take()) return std::nullopt;
@@ -47,7 +72,9 @@
 
 Stream::~Stream() { Close(); }
 
-bool Stream::Start() { return watched_ = loop_.Watch(socket_.get(), this, token_); }
+bool Stream::Start(bool urgent) {
+  return watched_ = loop_.Watch(socket_.get(), this, token_, urgent);
+}
 
 void Stream::Close() {
   if (closed_) return;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -22,17 +22,20 @@
   static constexpr size_t kReserve = 32;
   explicit Descriptors(size_t limit) : most_(limit > 2 * kReserve ? limit - kReserve : limit / 2) {}
   bool Take() {
-    if (used_ >= most_) return false;
+    if (used_ + elsewhere_ >= most_) return false;
     ++used_;
     return true;
   }
   void Give() { --used_; }
   [[nodiscard]] size_t used() const { return used_; }
+  // All that the gateway may hold, of which the uses of it have their shares.
   [[nodiscard]] size_t most() const { return most_; }
+  // Another process of the same gateway holds so many.
+  void set_elsewhere(size_t count) { elsewhere_ = count; }
 
  private:
   size_t most_;
-  size_t used_ = 0;
+  size_t used_ = 0, elsewhere_ = 0;
 };
 
 // A descriptor counted in the budget for as long as it is open.
@@ -63,6 +66,12 @@
   Descriptors* budget_;
 };
 
+// A listening socket; none where the kernel refuses, with errno. `shared`: others of the same user
+// may listen there too.
+Fd Listen(const Address& listen, int backlog, bool shared);
+// Where a socket is bound.
+Address BoundTo(int fd);
+
 // Begins a connection, out of the reserve where no budget is given. Nothing where the budget or the
 // kernel has no descriptor; `refused` where the address itself gives none.
 std::optional<Socket> Connect(const Address& to, Descriptors* budget, bool& refused);
@@ -86,7 +95,7 @@
   Stream& operator=(const Stream&) = delete;
 
   // False where the kernel does not watch it.
-  bool Start();
+  bool Start(bool urgent = false);
 
   Buffer& in() { return in_; }
   [[nodiscard]] bool ended() const { return ended_; }  // the peer has sent its last
--- a/tests/main_test.cpp
+++ b/tests/main_test.cpp
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "net/child.h"
 #include "net/peers.h"
 
 namespace paddlestile::net {
@@ -41,65 +42,15 @@
             {"LB_CONFIG", path_}};
     std::ofstream(path_) << kConfig;
   }
-  ~Program() override {
-    if (pid_ > 0) {
-      kill(pid_, SIGKILL);
-      waitpid(pid_, nullptr, 0);
-    }
-    std::remove(path_.c_str());
-  }
+  ~Program() override { std::remove(path_.c_str()); }
 
   void Start() {
-    int ends[2] = {-1, -1};
-    ASSERT_EQ(pipe(ends), 0);
-    pid_ = fork();
-    if (pid_ == 0) {
-      dup2(ends[1], STDERR_FILENO);
-      close(ends[0]);
-      std::vector<std::string> words;
-      for (const auto& [name, value] : env_) words.push_back(name + "=" + value);
-      std::vector<char*> env;
-      for (std::string& word : words) env.push_back(word.data());
-      env.push_back(nullptr);
-      words_.insert(words_.begin(), "paddlestile");
-      std::vector<char*> args;
-      for (std::string& word : words_) args.push_back(word.data());
-      args.push_back(nullptr);
-      execve(PADDLESTILE_PROGRAM, args.data(), env.data());
-      _exit(127);
-    }
-    close(ends[1]);
-    err_ = Fd(ends[0]);
-    fcntl(err_.get(), F_SETFL, O_NONBLOCK);
-  }
-  // Its log so far.
-  const std::string& Text() {
-    char bytes[4096];
-    ssize_t n = 0;
-    while ((n = read(err_.get(), bytes, sizeof(bytes))) > 0) {
-      text_.append(bytes, static_cast<size_t>(n));
-    }
-    return text_;
-  }
-  bool Says(const std::string& what) {
-    for (int i = 0; i < 1000; ++i) {
-      if (Text().find(what) != std::string::npos) return true;
-      usleep(5000);
-    }
-    return false;
-  }
-  // Its exit code; -1 where it does not end in ten seconds or by a signal.
-  int Wait() {
-    for (int i = 0; i < 2000; ++i) {
-      int status = 0;
-      if (waitpid(pid_, &status, WNOHANG) == pid_) {
-        pid_ = -1;
-        return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-      }
-      usleep(5000);
-    }
-    return -1;
+    child_.Kill();
+    child_.Start(env_, words_);
   }
+  const std::string& Text() { return child_.Text(); }
+  bool Says(const std::string& what) { return child_.Says(what); }
+  int Wait() { return child_.Wait(); }
 
   Port discovery;
   Address address;
@@ -108,12 +59,10 @@
   std::string path_;
 
  private:
-  pid_t pid_ = -1;
-  Fd err_;
-  std::string text_;
+  testing::Child child_;
 
  protected:
-  [[nodiscard]] pid_t pid() const { return pid_; }
+  [[nodiscard]] pid_t pid() const { return child_.pid(); }
 };
 
 TEST_F(Program, ABadStartEndsAtOnceWithOneLine) {
--- a/tests/net/clients_test.cpp
+++ b/tests/net/clients_test.cpp
@@ -26,7 +26,7 @@
 class ClientsTest : public ::testing::Test, public Clients::Listener {
  protected:
   explicit ClientsTest(size_t descriptors = 1024) : budget(descriptors) {
-    clients = std::make_unique<Clients>(loop, budget, Address{INADDR_LOOPBACK, 0}, this);
+    clients = std::make_unique<Clients>(loop, budget, Address{INADDR_LOOPBACK, 0}, life, this);
   }
   Taken OnRequest(Held request, Exchange::Reply reply) override {
     const std::string_view base = request.bytes.view();
@@ -58,6 +58,7 @@
   }
 
   EventLoop loop;
+  Life life;
   Descriptors budget;
   RequestClass cls = paddlestile::testing::MakeClass(Effect::kSafe);
   std::vector<std::shared_ptr<Exchange>> taken;
@@ -340,12 +341,45 @@
   EXPECT_TRUE(Hears(peer, "HTTP/1.1 502 "));
 }
 
+// An operator's drain: the front takes a yes back within tenths of a second, but clients go on with
+// the connections that they have, and some never ask again.
+TEST_F(ClientsTest, DrainedItEndsWhatIsOpenAndTakesClientsAgain) {
+  Peer idle = Dial(), busy = Dial();
+  idle.Say("GET /_health HTTP/1.1\r\n\r\n");
+  busy.Say(Get("a"));
+  ASSERT_TRUE(Hears(idle, "200 OK"));
+  ASSERT_TRUE(HasTaken(1));
+  for (int twice = 0; twice < 2; ++twice) {
+    life.set_drained(true);
+    clients->LifeChanged();
+  }
+  Peer front = Dial();
+  front.Say("GET /_health HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(Hears(front, "503 "));
+  EXPECT_TRUE(RunUntil(
+      loop, [&] { return idle.Ended(); }, Ms(1000)));
+  EXPECT_FALSE(busy.Ended());
+  taken[0]->Finish({.status = 200});
+  EXPECT_TRUE(Hears(busy, "Connection: close"));
+  EXPECT_TRUE(RunUntil(loop, [&] { return busy.Ended(); }));
+  life.set_drained(false);
+  clients->LifeChanged();
+  Peer again = Dial();
+  again.Say(Get("b"));
+  ASSERT_TRUE(HasTaken(2));
+  taken[1]->Finish({.status = 200});
+  EXPECT_TRUE(Hears(again, "200 OK"));
+  EXPECT_FALSE(again.Has("Connection: close"));
+}
+
 TEST_F(ClientsTest, DrainingServesWhatComesAndClosesAfterEachAnswer) {
   Peer old = Dial(), idle = Dial();
   old.Say("GET /_health HTTP/1.1\r\n\r\n");
   ASSERT_TRUE(Hears(old, "\r\n\r\n"));
   bool done = false;
-  clients->Drain(Ms(3600), [&] { done = true; });
+  clients->End(Ms(3600), [&] { done = true; });
+  life.set_ending();
+  clients->LifeChanged();
   old.Say(Get("a"));
   Peer fresh = Dial();  // still let in
   fresh.Say(Get("b"));
@@ -363,7 +397,9 @@
 
 TEST_F(ClientsTest, DrainingKeepsAcceptingForAWhile) {
   bool done = false;
-  clients->Drain(Ms(3600), [&] { done = true; });
+  clients->End(Ms(3600), [&] { done = true; });
+  life.set_ending();
+  clients->LifeChanged();
   RunFor(loop, Ms(400));
   EXPECT_FALSE(done);
   Peer late = Dial();
@@ -380,7 +416,9 @@
   stuck.Say(Get("a").substr(0, 20));
   bool done = false;
   const Time begun = loop.Now();
-  clients->Drain(Ms(800), [&] { done = true; });
+  clients->End(Ms(800), [&] { done = true; });
+  life.set_ending();
+  clients->LifeChanged();
   ASSERT_TRUE(RunUntil(loop, [&] { return done; }));
   EXPECT_LT(loop.Now() - begun, Ms(1000));
 }
@@ -391,7 +429,9 @@
   client.Say(Get("a"));
   ASSERT_TRUE(HasTaken(1));
   bool done = false;
-  clients->Drain(Ms(500), [&] { done = true; });
+  clients->End(Ms(500), [&] { done = true; });
+  life.set_ending();
+  clients->LifeChanged();
   RunFor(loop, Ms(800));
   EXPECT_FALSE(done);
   taken[0]->Finish({.status = 502});
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -70,7 +70,7 @@
     return *hosts.back();
   }
   void Start() {
-    gateway = std::make_unique<Gateway>(loop, config);
+    gateway = std::make_unique<Gateway>(loop, config, life);
     address = gateway->address();
   }
 
@@ -125,6 +125,7 @@
 
   std::string report = "inflight=1,latency_ms=5";  // of all hosts
   EventLoop loop;
+  Life life;
   Port agent;
   Config config;
   Address address;
--- /dev/null
+++ b/tests/net/upgrade_test.cpp
@@ -0,0 +1,240 @@
+// A second process of the program takes over from the first, under load.
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "net/child.h"
+#include "net/peers.h"
+
+namespace paddlestile::net {
+namespace {
+
+using testing::Child;
+using testing::Peer;
+using testing::Port;
+
+// A host that answers each request after a moment and counts its ids.
+class Host {
+ public:
+  Host() : thread_([this] { Play(); }) {}
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+  ~Host() {
+    stop_ = true;
+    thread_.join();
+  }
+  Port port;
+  // Once the load has ended.
+  std::map<std::string, int> seen;
+
+ private:
+  void Play() {
+    std::vector<Peer> peers;
+    while (!stop_) {
+      while (Peer peer = port.TryTake()) peers.push_back(std::move(peer));
+      for (Peer& peer : peers) {
+        if (!peer || peer.Ended() || !peer.Has("\r\n\r\n")) continue;
+        const std::string text = peer.Heard();
+        peer.Forget();
+        const size_t at = text.find("X-Call-Id: ");
+        if (at != std::string::npos) ++seen[text.substr(at + 11, text.find('\r', at) - at - 11)];
+        peer.Say(testing::Http200("served"));
+      }
+      usleep(500);
+    }
+  }
+  std::atomic<bool> stop_ = false;
+  std::thread thread_;
+};
+
+// Clients who keep their connections and open new ones, until told to stop. Each counts what it
+// was not answered.
+class Load {
+ public:
+  // Clients of the numbers from `first` on, which their requests' ids begin with.
+  Load(const Address& to, int first, int clients) {
+    for (int i = first; i < first + clients; ++i) {
+      threads_.emplace_back([this, to, i] { Play(to, i); });
+    }
+  }
+  Load(const Load&) = delete;
+  Load& operator=(const Load&) = delete;
+  ~Load() { Stop(); }
+  void Stop() {
+    stop_ = true;
+    for (std::thread& thread : threads_) thread.join();
+    threads_.clear();
+  }
+  std::atomic<int> asked = 0, served = 0, turned_back = 0;
+
+ private:
+  void Play(const Address& to, int client) {
+    Peer peer;
+    for (int n = 0; !stop_; ++n) {
+      usleep(5000);
+      // Every third time on a new connection.
+      const bool fresh = !peer || n % 3 == 0 || peer.Ended();
+      if (fresh) peer = Peer::To(to);
+      peer.Forget();
+      const std::string id = std::to_string(client) + "-" + std::to_string(n);
+      ++asked;
+      peer.Say("GET /read HTTP/1.1\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 1000\r\n\r\n");
+      for (int i = 0; i < 3000 && !peer.Has("served") && !peer.Ended(); ++i) usleep(300);
+      if (peer.Has("served")) {
+        ++served;
+        if (peer.Has("Connection: close")) peer = Peer();
+      } else {
+        ++turned_back;
+        ADD_FAILURE() << id << " was told: " << peer.Heard();
+        peer = Peer();
+      }
+    }
+  }
+  std::atomic<bool> stop_ = false;
+  std::vector<std::thread> threads_;
+};
+
+class Upgrade : public ::testing::Test {
+ protected:
+  Upgrade() : folder_(::testing::TempDir() + "paddlestile-up-" + std::to_string(getpid())) {
+    std::filesystem::create_directory(folder_);
+    address = {0x7f4e0000U | (static_cast<uint32_t>(getpid()) & 0xffffU), 5000};
+    std::ofstream(folder_ + "/config.json")
+        << R"({"name":"n1","seed":"1f","limits":{"sockets":256},"known":{"revision":1,)"
+        << R"("complete":true,"members":[{"id":"h","host_port":")" << host.port.text()
+        << R"(","phase":"active"}]},"settings":{"Classes":[{"Name":"read","Effect":"safe",)"
+        << R"("Slo":400.0,"Deadline":1000.0}],"Allowed":{"SendCap":3,"ConnectTimeout":250.0}}})";
+  }
+  ~Upgrade() override { std::filesystem::remove_all(folder_); }
+  void Start(Child& child, uint16_t admin) {
+    child.Start({{"LB_NAME", "n1"},
+                 {"LB_LISTEN", ToText(address)},
+                 {"LB_DISCOVERY", discovery.text()},
+                 {"LB_CONFIG", folder_ + "/config.json"},
+                 {"LB_ADMIN", ToText({address.host, admin})},
+                 {"TMPDIR", folder_}},
+                {});
+  }
+  // The answer to GET /admin/health.
+  bool Yes(uint16_t admin) {
+    Peer peer = Peer::To({address.host, admin});
+    peer.Say("GET /admin/health HTTP/1.1\r\n\r\n");
+    for (int i = 0; i < 500 && !peer.Ended(); ++i) usleep(2000);
+    return peer.Heard().starts_with("HTTP/1.1 200");
+  }
+  std::string Socket() { return folder_ + "/paddlestile-" + ToText(address) + ".sock"; }
+  // Each request that was answered ran once; none was turned back.
+  void ExpectWhole(Load& load) {
+    load.Stop();
+    EXPECT_GT(load.served, 50);
+    EXPECT_EQ(load.turned_back, 0);
+    EXPECT_EQ(load.asked, load.served);
+    for (const auto& [id, times] : host.seen) EXPECT_EQ(times, 1) << id;
+  }
+
+  std::string folder_;
+  Host host;
+  Port discovery;
+  Address address;
+};
+
+// The trouble: with an address each the kernel resets what is queued at the process that ends.
+TEST_F(Upgrade, NobodyIsTurnedBackWhileTheNewProcessTakesOver) {
+  Child first, second, third;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Load load(address, 0, 8);
+  usleep(200'000);
+  Start(second, 6002);
+  ASSERT_TRUE(second.Says("ready, the running process is told")) << second.Text();
+  EXPECT_TRUE(Yes(6002));
+  ASSERT_TRUE(first.Says("the new process serves"));
+  EXPECT_FALSE(Yes(6001));
+  first.Signal(SIGTERM);
+  EXPECT_EQ(first.Wait(), 0);
+  ASSERT_TRUE(second.Says("the process before has gone"));
+  usleep(200'000);
+  // And once more, killed at once: nothing is open at the old one by then.
+  Start(third, 6003);
+  ASSERT_TRUE(second.Says("this one ends what is open"));
+  usleep(700'000);
+  second.Kill();
+  usleep(200'000);
+  ExpectWhole(load);
+  EXPECT_TRUE(Yes(6003));
+}
+
+TEST_F(Upgrade, TheOldProcessServesOnWhereTheNewOneDies) {
+  Child first, second, third;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Load load(address, 0, 8);
+  Start(second, 6002);  // waits up to a second for a list
+  ASSERT_TRUE(first.Says("a new process has the listening socket"));
+  Start(third, 6003);
+  EXPECT_EQ(third.Wait(), 1);
+  EXPECT_NE(third.Text().find("another process is taking over"), std::string::npos);
+  second.Kill();
+  usleep(300'000);
+  ExpectWhole(load);
+  EXPECT_TRUE(Yes(6001));
+  // Also once it had said that it was ready.
+  Child fourth;
+  Start(fourth, 6004);
+  ASSERT_TRUE(first.Says("the new process serves"));
+  fourth.Kill();
+  ASSERT_TRUE(first.Says("this one serves on"));
+  Load more(address, 10, 4);
+  usleep(300'000);
+  ExpectWhole(more);
+}
+
+TEST_F(Upgrade, WhatLiesInTheFolderHarmsNothing) {
+  const auto starts = [&](const std::string& what) {
+    Child child;
+    Start(child, 6001);
+    EXPECT_TRUE(child.Says("listens on")) << what << child.Text();
+    EXPECT_TRUE(Yes(6001)) << what;
+    child.Kill();  // leaves its own socket there
+  };
+  starts("nothing");
+  starts("the socket of a killed process");
+  std::filesystem::remove(Socket());
+  std::ofstream(Socket()) << "no socket";
+  starts("a file");
+  std::filesystem::remove(Socket());
+  // One that listens and speaks no sense, and one that says nothing.
+  for (const char* const said : {"paddlestile 9 listen 1\n", ""}) {
+    const Fd fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_un at{};
+    at.sun_family = AF_UNIX;
+    ASSERT_LT(Socket().size(), sizeof(at.sun_path));
+    Socket().copy(at.sun_path, Socket().size());
+    ASSERT_EQ(bind(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+    ASSERT_EQ(listen(fd.get(), 1), 0);
+    std::thread answer([&] {
+      const Fd caller(accept(fd.get(), nullptr, nullptr));
+      send(caller.get(), said, std::string(said).size(), MSG_NOSIGNAL);
+      usleep(700'000);
+    });
+    starts(said);
+    answer.join();
+    std::filesystem::remove(Socket());
+  }
+}
+
+}  // namespace
+}  // namespace paddlestile::net
