--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -619,7 +619,8 @@
     if (!r.over && r.out == 0) {
       // What was turned away cost its endpoint nothing; a fraction of a token keeps storms off.
       const double price = in.outcome == Outcome::kFull ? kFullPrice : 1;
-      if (retry_tokens < price || Us(r.arrived + r.cls.aim - now) < times[r.in.cls] / 2) {
+      if (in.spent || retry_tokens < price ||
+          Us(r.arrived + r.cls.aim - now) < times[r.in.cls] / 2) {
         GiveUp(r);
       } else {
         retry_tokens -= price, r.waiting = true, r.known = 0;
--- a/src/brain.h
+++ b/src/brain.h
@@ -155,6 +155,7 @@
   Duration took{0};
   bool final = false;
   std::optional<Report> report;
+  bool spent = false;  // the request is no longer held whole: no further attempt can be made
 };
 
 struct ClientLeft {
--- /dev/null
+++ b/src/net/body.cpp
@@ -0,0 +1,69 @@
+#include "net/body.h"
+
+#include <fmt/format.h>
+
+#include <string>
+
+namespace paddlestile::net {
+
+BodyWriter::BodyWriter(EventLoop& loop, Stream& stream, std::shared_ptr<Body> body, bool chunked,
+                       bool last, std::function<void(bool whole)> done)
+    : loop_(loop),
+      stream_(stream),
+      body_(std::move(body)),
+      done_(std::move(done)),
+      chunked_(chunked),
+      last_(last) {
+  body_->OnMore([this] { Go(); });
+}
+
+BodyWriter::~BodyWriter() {
+  if (!body_) return;
+  body_->OnMore(nullptr);
+  if (last_) body_->Stop();
+}
+
+void BodyWriter::Finish(bool whole) {
+  // Whoever is told may end this writer.
+  if (whole) body_->OnMore(nullptr);
+  if (whole) body_ = nullptr;
+  const auto done = std::exchange(done_, nullptr);
+  if (done) done(whole);
+}
+
+void BodyWriter::Go() {
+  if (busy_ || !done_ || stream_.closed()) return;
+  if (!stream_.flushed()) return;
+  if (over_) return Finish(true);
+  if (put_off_) return;
+  Buffer piece;
+  const Progress progress = body_->Take(piece);
+  if (progress == Progress::kBad) return Finish(false);
+  over_ = progress == Progress::kDone;
+  std::string head;
+  if (chunked_ && !piece.empty()) {
+    head = fmt::format("{}{:x}\r\n", first_ ? "" : "\r\n", piece.size());
+    first_ = false;
+  }
+  busy_ = true;  // what is written at once is told of at once
+  const std::weak_ptr<bool> alive = alive_;
+  if (!piece.empty()) {
+    const auto kept = std::make_shared<Buffer>(std::move(piece));
+    stream_.Write(std::move(head), kept, kept->view());
+  }
+  if (alive.expired()) return;
+  if (over_ && chunked_) stream_.Write(first_ ? "0\r\n\r\n" : "\r\n0\r\n\r\n");
+  if (alive.expired()) return;
+  busy_ = false;
+  if (stream_.closed() || !stream_.flushed()) return;
+  if (over_) return Finish(true);
+  // One piece a turn: many large bodies must not keep the others waiting.
+  put_off_ = true;
+  loop_.Yield([this, alive] {
+    if (alive.expired()) return;
+    put_off_ = false;
+    Go();
+  });
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/body.h
@@ -0,0 +1,98 @@
+// A message's body that passes on as it comes, from the connection that it is read from to the one
+// that it is written to. The writing side pulls: what it has no room for stays unread, and stops
+// the far end by TCP's own means.
+#ifndef PADDLESTILE_NET_BODY_H_
+#define PADDLESTILE_NET_BODY_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "net/buffer.h"
+#include "net/event_loop.h"
+#include "net/http.h"
+#include "net/stream.h"
+
+namespace paddlestile::net {
+
+// Bytes that one transfer reads ahead, and moves in one turn of the loop.
+constexpr size_t kPieceMost = 16'384;
+
+class Body {
+ public:
+  // `take` gives what has come: kMore (also with nothing), kDone with the last, kBad where it was
+  // cut. `stop` says that nobody will take more.
+  Body(std::optional<uint64_t> length, std::function<Progress(Buffer&)> take,
+       std::function<void()> stop)
+      : length_(length), take_(std::move(take)), stop_(std::move(stop)) {}
+
+  // Where it is known before the end.
+  [[nodiscard]] std::optional<uint64_t> length() const { return length_; }
+  // Whether something was taken: it cannot be had again.
+  [[nodiscard]] bool begun() const { return begun_; }
+  // Whether somebody writes it.
+  [[nodiscard]] bool written() const { return static_cast<bool>(more_); }
+
+  // ---- Of the reading side: something has come; or it has gone, and what is missing never comes.
+  void More() {
+    if (const auto more = more_) more();
+  }
+  void Cut() {
+    take_ = nullptr;
+    stop_ = nullptr;
+    More();
+  }
+
+  // ---- Of the writing side.
+  void OnMore(std::function<void()> more) { more_ = std::move(more); }
+  Progress Take(Buffer& piece) {
+    if (!take_) return Progress::kBad;
+    const auto take = take_;
+    const Progress progress = take(piece);
+    begun_ = begun_ || !piece.empty() || progress != Progress::kMore;
+    if (progress != Progress::kMore) take_ = nullptr, stop_ = nullptr;
+    return progress;
+  }
+  void Stop() {
+    more_ = nullptr;
+    take_ = nullptr;
+    if (const auto stop = std::exchange(stop_, nullptr)) stop();
+  }
+
+ private:
+  std::optional<uint64_t> length_;
+  std::function<Progress(Buffer&)> take_;
+  std::function<void()> stop_, more_;
+  bool begun_ = false;
+};
+
+// Writes a body to a stream, in chunks where asked.
+class BodyWriter {
+ public:
+  // `done` tells once whether all of it is with the kernel, or it was cut. `last`: nobody else will
+  // take the body, so that it stops where this writer ends before it.
+  BodyWriter(EventLoop& loop, Stream& stream, std::shared_ptr<Body> body, bool chunked, bool last,
+             std::function<void(bool whole)> done);
+  BodyWriter(const BodyWriter&) = delete;
+  BodyWriter& operator=(const BodyWriter&) = delete;
+  ~BodyWriter();
+
+  // Goes on; to be called when the stream has flushed.
+  void Go();
+
+ private:
+  void Finish(bool whole);
+
+  EventLoop& loop_;
+  Stream& stream_;
+  std::shared_ptr<Body> body_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
+  std::function<void(bool)> done_;
+  bool chunked_, last_, first_ = true, over_ = false, busy_ = false, put_off_ = false;
+};
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_BODY_H_
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -23,7 +23,14 @@
 // For a whole request: from the connect on for the first, else from its first byte; never begun
 // anew, or a byte at a time would hold a descriptor for ever.
 constexpr Duration kRequestTime{2'500'000};  // us
-constexpr Duration kAnswerTime{10'000'000};  // us; to take an answer
+constexpr Duration kAnswerTime{10'000'000};  // us; to take an answer, or the next piece of one
+// Of a body past kMaxBody: at the least so many bytes a second, after a moment, and no pause longer
+// than that. The slowest that are good send four times as much.
+constexpr double kBodyRate = 16'000;
+constexpr Duration kBodyGrace{1'000'000}, kBodyLook{250'000};  // us
+// Held whole, such a request can be repeated; all of them together, and one at the most.
+constexpr size_t kHeldMost = 6U << 20, kHeldOne = 1U << 20;  // bytes
+constexpr size_t kPassOnFrom = 16'384;  // bytes of a body, before it takes a host's connection
 // Many ask once and keep their connection for good, and some never ask: what they hold the others
 // lack, here and on their own side.
 constexpr Duration kIdleTime{2'000'000};    // us; between two requests
@@ -42,6 +49,7 @@
 constexpr Duration kDrainQuiet{150'000};      // us; without a new connection
 constexpr int kBacklog = 4096;
 constexpr int kReceive = 1 << 17;  // bytes that the kernel may hold of a client; a request is less
+constexpr size_t kReadFirst = 2048;  // bytes; most requests are short
 constexpr size_t kIdMost = 64;
 constexpr uint64_t kBudgetMost = 600'000;  // ms
 
@@ -91,7 +99,7 @@
 
 }  // namespace
 
-std::string HeadForClient(const Answer& answer, bool keep_alive) {
+std::string HeadForClient(const Answer& answer, bool keep_alive, bool to_http10) {
   std::string head = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, Reason(answer.status));
   if (answer.from) {
     const Message& m = answer.from->message;
@@ -108,8 +116,13 @@
                         static_cast<double>(answer.retry_after.count()) / 1e6);
   }
   if (!answer.why.empty()) head += "Content-Type: text/plain\r\n";
-  const size_t size = answer.from ? answer.from->message.body.size : answer.why.size();
-  head += fmt::format("Content-Length: {}\r\n", size);
+  std::optional<uint64_t> size = answer.from ? answer.from->message.body.size : answer.why.size();
+  if (answer.from && answer.from->rest) size = answer.from->rest->length();
+  if (size) {
+    head += fmt::format("Content-Length: {}\r\n", *size);
+  } else if (keep_alive || !to_http10) {
+    head += "Transfer-Encoding: chunked\r\n";
+  }
   if (!keep_alive) head += "Connection: close\r\n";
   return head + "\r\n";
 }
@@ -220,26 +233,35 @@
 
   Stream& stream() { return stream_; }
   [[nodiscard]] Time opened() const { return opened_; }
-  [[nodiscard]] bool in_hand() const { return state_ == State::kWaiting; }
+  [[nodiscard]] bool in_hand() const {
+    return state_ == State::kWaiting || state_ == State::kUploading || writer_;
+  }
 
   // Before it goes: whoever works for it must not answer it any more.
   void Leave() {
     loop_.Cancel(timer_);
     StopIdling();
+    GiveBack();
+    if (const auto body = std::exchange(body_, nullptr)) body->Cut();
     if (const auto exchange = std::exchange(exchange_, nullptr); exchange && !exchange->over()) {
       exchange->Abandon();
       clients_.listener_->OnClientLeft(exchange);
     }
+    writer_.reset();
     stream_.Close();
   }
 
   std::list<std::shared_ptr<Connection>>::iterator place;
 
  private:
-  enum class State { kReading, kWaiting, kWriting, kLingering };
+  enum class State { kReading, kUploading, kWaiting, kWriting, kLingering };
 
   void OnRead() override {
     if (state_ == State::kReading) Read();
+    if (state_ == State::kUploading && body_ && !stream_.ended()) {
+      body_->More();
+      return;
+    }
     if (stream_.closed()) return;
     // The end of what the client sends is taken for its leaving: it closes when it has gone.
     if (stream_.ended() && state_ != State::kReading) clients_.Drop(*this);
@@ -252,6 +274,7 @@
     }
     StopIdling();
     if (!parser_.begun()) {
+      begun_at_ = spoken_ ? loop_.Now() : opened_;
       const Duration passed = spoken_ ? Duration(0) : loop_.Now() - opened_;
       SetTimer(kRequestTime - passed, [this] { OutOfTime(); });
     }
@@ -261,6 +284,113 @@
     if (progress == Progress::kDone) return Take();
     if (stream_.ended()) return clients_.Drop(*this);  // it broke off in the middle
     Continue();
+    if (parser_.head_done()) ReadLarge();
+  }
+
+  // A body that may be past what is held of each.
+  void ReadLarge() {
+    if (body_at_ == Time(0)) {
+      body_at_ = loop_.Now();
+      const Duration passed = body_at_ - begun_at_;
+      SetTimer(std::max(kRequestTime - passed, kBodyLook), [this] { LookAtRate(); });
+    }
+    const size_t come = parser_.body_come(stream_.in());
+    if (come > came_) last_byte_ = loop_.Now();
+    came_ = std::max(came_, come);
+    const auto length = parser_.length();
+    if (length ? *length <= kMaxBody : come < kMaxBody) return;
+    if (length && held_ == 0 && *length <= kHeldOne && clients_.held_ + *length <= kHeldMost) {
+      held_ = static_cast<size_t>(*length);
+      clients_.held_ += held_;
+      stream_.set_most_unread(kMaxHead + held_);
+      stream_.set_read_at_least(kPieceMost);
+    }
+    if (held_ == 0 && come >= kPassOnFrom) TakeLarge();
+  }
+
+  // By its rate: one that is slow sends on, one that stalls or drips holds a descriptor for ever.
+  void LookAtRate() {
+    const Time now = loop_.Now();
+    const Duration since = now - body_at_ - kBodyGrace;
+    const bool slow =
+        static_cast<double>(came_) < kBodyRate * static_cast<double>(since.count()) / 1e6;
+    // What waits here unread, or to be written, is no fault of the client's.
+    const bool unread = state_ == State::kUploading && !stream_.in().empty();
+    if (unread) last_byte_ = now, body_at_ = std::max(body_at_, now - kBodyGrace);
+    if (!unread && (slow || now - last_byte_ > kBodyGrace)) return TooSlow();
+    SetTimer(kBodyLook, [this] { LookAtRate(); });
+  }
+
+  void TooSlow() {
+    ++Count().bodies_cut;
+    if (state_ == State::kReading) return Refuse(408, "request too slow");
+    Log(Level::kInfo, "body cut: request {} came too slowly", exchange_ ? exchange_->id() : "");
+    BreakOff(408, "request too slow");
+  }
+
+  // The rest of a request that passes on cannot be had: nobody works for it any more.
+  void BreakOff(int status, std::string_view why) {
+    if (const auto body = std::exchange(body_, nullptr)) body->Cut();
+    if (const auto exchange = std::exchange(exchange_, nullptr); exchange && !exchange->over()) {
+      exchange->Abandon();
+      clients_.listener_->OnClientLeft(exchange);
+    }
+    Refuse(status, why);
+  }
+
+  void GiveBack() { clients_.held_ -= std::exchange(held_, 0); }
+
+  // Begins with what has come; the rest passes on.
+  void TakeLarge() {
+    const auto length = parser_.length();
+    Held request;
+    request.message = parser_.TakeHead(stream_.in(), request.bytes);
+    stream_.set_most_unread(kPieceMost);
+    stream_.set_read_at_least(kPieceMost);
+    ++Count().requests_passed_on;
+    body_ = request.rest = std::make_shared<Body>(
+        length, [this](Buffer& piece) { return TakeBody(piece); }, nullptr);
+    http10_ = request.message.http10;
+    keep_alive_ = request.message.keep_alive;
+    state_ = State::kUploading;
+    Begin(std::move(request));
+  }
+
+  Progress TakeBody(Buffer& piece) {
+    const Progress progress = parser_.TakeBody(stream_.in(), piece, stream_.ended());
+    came_ += piece.size();
+    if (!piece.empty()) last_byte_ = loop_.Now();
+    // Not within this call: what comes is told to whoever is at work here.
+    if (progress == Progress::kMore) {
+      loop_.Yield([self = Self()] {
+        if (!self->stream_.closed() && self->state_ == State::kUploading) self->stream_.Resume();
+      });
+      return progress;
+    }
+    body_ = nullptr;
+    if (progress == Progress::kBad) {
+      const int status = parser_.status_for_bad();
+      loop_.Defer([self = Self(), status] {
+        if (!self->stream_.closed()) self->BreakOff(status, "malformed request");
+      });
+      return progress;
+    }
+    loop_.Cancel(timer_);
+    EndOfRequest();
+    state_ = State::kWaiting;
+    if (exchange_) clients_.listener_->OnWhole(exchange_);
+    return progress;
+  }
+
+  // For the next one on this connection.
+  void EndOfRequest() {
+    parser_.Reset();
+    GiveBack();
+    stream_.set_most_unread(kMaxHead + kMaxBody);
+    stream_.set_read_at_least(kReadFirst);
+    asked_ = false;
+    body_at_ = Time(0);
+    came_ = 0;
   }
 
   void OutOfTime() {
@@ -285,10 +415,14 @@
     Held request;
     request.message = parser_.message();
     request.bytes = stream_.in().TakeFront(request.message.size);
-    parser_.Reset();
-    asked_ = false;
+    EndOfRequest();
+    http10_ = request.message.http10;
     keep_alive_ = request.message.keep_alive;
     state_ = State::kWaiting;
+    Begin(std::move(request));
+  }
+
+  void Begin(Held request) {
     const std::string_view base = request.bytes.view();
     if (request.message.target.In(base) == "/_health") {
       ++Count().health_checks;
@@ -313,22 +447,48 @@
     Log(Level::kInfo, "request answered {}: {}", status, why);
     state_ = State::kWaiting;
     keep_alive_ = false;
+    GiveBack();
     stream_.in().Consume(stream_.in().size());
     Reply({.status = status, .why = std::string(why) + '\n'});
   }
 
   void Reply(const Answer& answer) {
     exchange_ = nullptr;
-    if (!PADDLESTILE_CHECK(state_ == State::kWaiting)) return;
+    if (!PADDLESTILE_CHECK(state_ == State::kWaiting || state_ == State::kUploading)) return;
+    // Answered before it was heard: the rest of the request is of no use.
+    if (const auto body = std::exchange(body_, nullptr)) {
+      body->Cut();
+      keep_alive_ = false;
+    }
     state_ = State::kWriting;
-    keep_alive_ = keep_alive_ && !clients_.emptying_;
+    const auto rest = answer.from ? answer.from->rest : nullptr;
+    const bool sized = !rest || rest->length();
+    keep_alive_ = keep_alive_ && !clients_.emptying_ && (sized || !http10_);
     SetTimer(kAnswerTime, [this] { clients_.Drop(*this); });  // it never reads
-    stream_.Write(HeadForClient(answer, keep_alive_) + answer.why, answer.from,
+    if (rest) {
+      writer_ = std::make_unique<BodyWriter>(loop_, stream_, rest, !sized && !http10_, true,
+                                             [this](bool whole) { BodyOver(whole); });
+    }
+    stream_.Write(HeadForClient(answer, keep_alive_, http10_) + answer.why, answer.from,
                   answer.from ? answer.from->body() : std::string_view());
+    if (writer_) writer_->Go();
+  }
+
+  // The answer that passed on is written, or its host is gone: the client is shown that it is cut.
+  void BodyOver(bool whole) {
+    // It may be told from within the writer.
+    loop_.Defer([kept = std::shared_ptr<BodyWriter>(std::move(writer_))] {});
+    if (whole) return OnFlushed();
+    stream_.CloseByReset();
+    loop_.Defer([self = Self()] { self->clients_.DropClosed(*self); });
   }
 
   void OnFlushed() override {
     if (state_ != State::kWriting) return;  // that was "100 Continue"
+    if (writer_) {
+      SetTimer(kAnswerTime, [this] { clients_.Drop(*this); });
+      return writer_->Go();
+    }
     if (keep_alive_) {
       loop_.Cancel(timer_);
       state_ = State::kReading;
@@ -386,9 +546,14 @@
   Clients& clients_;
   EventLoop& loop_;  // may outlive the clients, as what is put off may
   Stream stream_;
-  MessageParser parser_{MessageParser::Kind::kRequest};
+  MessageParser parser_{MessageParser::Kind::kRequest, kMostBody};
   State state_ = State::kReading;
-  bool keep_alive_ = true, asked_ = false;
+  bool keep_alive_ = true, asked_ = false, http10_ = false;
+  std::shared_ptr<Body> body_;                    // of a request that passes on
+  std::unique_ptr<BodyWriter> writer_;            // of an answer that does
+  size_t held_ = 0;                               // of the clients' bytes held whole past kMaxBody
+  Time begun_at_{0}, body_at_{0}, last_byte_{0};  // of the present request; its body
+  size_t came_ = 0;                               // bytes of it
   Time opened_{0};
   bool spoken_ = false;                      // has sent its first byte
   std::list<Connection*>* among_ = nullptr;  // the list it idles in
@@ -467,6 +632,10 @@
 
 void Clients::Drop(Connection& connection) {
   if (connection.stream().closed()) return;
+  DropClosed(connection);
+}
+
+void Clients::DropClosed(Connection& connection) {
   connection.Leave();
   ++Count().clients_closed;
   // It may be the one whose handler is at work: its memory goes once that has returned.
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -19,7 +19,7 @@
 namespace paddlestile::net {
 
 // The head that an answer goes to a client with.
-std::string HeadForClient(const Answer& answer, bool keep_alive);
+std::string HeadForClient(const Answer& answer, bool keep_alive, bool to_http10 = false);
 
 // What a request says of itself for the module; or the status to answer and why.
 struct Understood {
@@ -42,6 +42,8 @@
    public:
     virtual Taken OnRequest(Held request, Exchange::Reply reply) = 0;
     virtual void OnClientLeft(const std::shared_ptr<Exchange>& exchange) = 0;
+    // The last byte of a request that is not held whole has come: its time runs from here.
+    virtual void OnWhole(const std::shared_ptr<Exchange>& exchange) = 0;
     // Descriptors are short; true where one was set free.
     virtual bool OnShort() = 0;
 
@@ -83,6 +85,7 @@
   void TrimIdle();
   bool CloseOne(std::list<Connection*>& among, Time opened_before);
   void Drop(Connection& connection);
+  void DropClosed(Connection& connection);
   void DrainStep();
   void EndIdle();
 
@@ -98,6 +101,7 @@
   EventLoop::TimerId accept_timer_, drain_timer_;
   bool emptying_ = false, accept_yielded_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
+  size_t held_ = 0;  // bytes of requests past kMaxBody that are held whole, of kHeldMost
   Time last_accept_{0}, drain_since_{0}, end_at_{0};
   std::function<void()> drained_;
 };
--- a/src/net/counters.h
+++ b/src/net/counters.h
@@ -23,6 +23,9 @@
   X(answers_served)     /* 200 */                                      \
   X(answers_refused)    /* 503 */                                      \
   X(answers_failed)     /* 502 */                                      \
+  X(answers_passed_on)  /* of those served, as they came */            \
+  X(requests_passed_on) /* not held whole */                           \
+  X(bodies_cut)         /* that broke off while they passed on */      \
   X(answers_overdue)    /* 502 because the module gave none */         \
   X(clients_left)       /* gone before their answer */                 \
   X(sends)              /* attempts asked for by the module */         \
--- a/src/net/exchange.h
+++ b/src/net/exchange.h
@@ -12,15 +12,18 @@
 #include <utility>
 
 #include "brain.h"
+#include "net/body.h"
 #include "net/buffer.h"
 #include "net/http.h"
 
 namespace paddlestile::net {
 
-// A message together with the memory that it lies in.
+// A message together with the memory that it lies in. Of one too large to be held it is the head;
+// the body passes on by `rest`.
 struct Held {
   Buffer bytes;
   Message message;
+  std::shared_ptr<Body> rest{};
   [[nodiscard]] std::string_view body() const { return message.body.In(bytes.view()); }
 };
 
@@ -47,6 +50,12 @@
   [[nodiscard]] const std::string& id() const { return id_; }
   [[nodiscard]] const Held& request() const { return request_; }
   [[nodiscard]] Time deadline() const { return deadline_; }
+  void set_deadline(Time deadline) { deadline_ = deadline; }
+  // How long the client waits from its last byte on.
+  [[nodiscard]] Duration patience() const { return patience_; }
+  void set_patience(Duration patience) { patience_ = patience; }
+  // Whether a part of the request is no longer held: it cannot be sent again.
+  [[nodiscard]] bool spent() const { return request_.rest && request_.rest->begun(); }
   [[nodiscard]] const RequestClass& cls() const { return *cls_; }
 
   // Whether it has had its one answer, or nobody waits for it any more.
@@ -86,6 +95,7 @@
   std::string id_;
   Held request_;
   Time deadline_;
+  Duration patience_{0};
   std::shared_ptr<const RequestClass> cls_;
   Reply reply_;
   size_t attempts_ = 0;
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -135,14 +135,25 @@
       submit.id, std::move(request), submit.deadline,
       std::shared_ptr<const RequestClass>(config_, &config_->settings.classes[submit.cls]),
       std::move(reply));
+  exchange->set_patience(submit.deadline - now);
   exchanges_.emplace(submit.id, exchange);
-  const Duration slack = config_->settings.obligations.answer_slack;
-  overdue_.emplace(exchange.get(), loop_.After(submit.deadline + slack - now,
-                                               [this, exchange] { OnOverdue(exchange); }));
+  if (exchange->request().rest == nullptr) AwaitAnswer(exchange);
   Post(std::move(submit));
   return {std::move(exchange), 0, {}};
 }
 
+void Gateway::AwaitAnswer(const std::shared_ptr<Exchange>& exchange) {
+  const Duration slack = config_->settings.obligations.answer_slack;
+  overdue_.emplace(exchange.get(), loop_.After(exchange->deadline() + slack - loop_.Now(),
+                                               [this, exchange] { OnOverdue(exchange); }));
+}
+
+void Gateway::OnWhole(const std::shared_ptr<Exchange>& exchange) {
+  if (exchange->over()) return;
+  exchange->set_deadline(loop_.Now() + exchange->patience());
+  AwaitAnswer(exchange);
+}
+
 bool Gateway::IsRecent(const std::string& id) {
   const Time now = loop_.Now();
   while (!recent_.empty() && now - recent_.front().first > longest_) {
@@ -208,7 +219,7 @@
     --held_;
   }
   Post(Settled{exchange->id(), attempt, endpoint, outcome, took, exchange->over(),
-               std::move(report)});
+               std::move(report), exchange->spent()});
   MaybeForget(exchange);
 }
 
@@ -320,7 +331,7 @@
   }
   const size_t attempt = exchange->NextAttempt();
   const int cap = config_->settings.allowed.send_cap;
-  if (exchange->over() || static_cast<int>(attempt) >= cap) {
+  if (exchange->over() || exchange->spent() || static_cast<int>(attempt) >= cap) {
     return OnSettled(exchange, attempt, send.endpoint, Outcome::kMoot, Duration(0), {}, nullptr);
   }
   const Time now = loop_.Now();
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -57,6 +57,7 @@
  private:
   Taken OnRequest(Held request, Exchange::Reply reply) override;
   void OnClientLeft(const std::shared_ptr<Exchange>& exchange) override;
+  void OnWhole(const std::shared_ptr<Exchange>& exchange) override;
   bool OnShort() override;
   void OnSettled(const std::shared_ptr<Exchange>& exchange, size_t attempt,
                  const std::string& endpoint, Outcome outcome, Duration took,
@@ -87,6 +88,7 @@
   // Whether an id was taken within the longest deadline.
   bool IsRecent(const std::string& id);
   void Remember(const std::string& id);
+  void AwaitAnswer(const std::shared_ptr<Exchange>& exchange);
   void OnOverdue(const std::shared_ptr<Exchange>& exchange);
   void MaybeForget(const std::shared_ptr<Exchange>& exchange);
   void Forget(const std::shared_ptr<Exchange>& exchange);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -4,6 +4,7 @@
 #include <cctype>
 #include <charconv>
 #include <cstring>
+#include <utility>
 
 namespace paddlestile::net {
 namespace {
@@ -60,8 +61,9 @@
 // ---- Chunks ---------------------------------------------------------------------------------
 
 Progress ChunkDecoder::Decode(std::string_view in, char* out, size_t& read, size_t& written) {
-  constexpr int kMostDigits = 7;          // a chunk of 256 MiB is no chunk of ours
-  constexpr size_t kMostExtension = 256;  // bytes after a size that nobody reads
+  constexpr int kMostDigits = 16;          // with zeroes ahead
+  constexpr size_t kMostChunk = 1U << 28;  // bytes; none of ours is as long
+  constexpr size_t kMostExtension = 256;   // bytes after a size that nobody reads
   while (state_ != State::kDone && read < in.size()) {
     if (state_ == State::kData) {
       const size_t n = std::min(left_, in.size() - read);
@@ -75,9 +77,9 @@
     switch (state_) {
       case State::kSize:
         if (std::isxdigit(u)) {
-          if (++digits_ > kMostDigits) return Progress::kBad;
           left_ =
               left_ * 16 + static_cast<size_t>(std::isdigit(u) ? u - '0' : (u | 0x20) - 'a' + 10);
+          if (++digits_ > kMostDigits || left_ > kMostChunk) return Progress::kBad;
           break;
         }
         if (digits_ == 0) return Progress::kBad;
@@ -163,6 +165,7 @@
     const std::string_view version = text.substr(0, first), code = text.substr(first + 1, 3);
     if (version != "HTTP/1.1" && version != "HTTP/1.0") return Bad(400);
     message_.keep_alive = version == "HTTP/1.1";
+    message_.http10 = !message_.keep_alive;
     const auto status = ToWhole(code);
     if (code.size() != 3 || !status || *status < 100 || *status > 599) return Bad(400);
     if (text.size() > first + 4 && text[first + 4] != ' ') return Bad(400);
@@ -179,6 +182,7 @@
     return Bad(version.starts_with("HTTP/") ? 505 : 400);
   }
   message_.keep_alive = version == "HTTP/1.1";
+  message_.http10 = !message_.keep_alive;
   return Progress::kMore;
 }
 
@@ -213,7 +217,10 @@
     state_ = State::kStart;
     return Progress::kMore;
   }
-  if (codings > 0) {
+  if (kind_ == Kind::kAnswer && (message_.status == 204 || message_.status == 304)) {
+    length_ = 0;  // whatever its head says
+    state_ = State::kLength;
+  } else if (codings > 0) {
     if (!SameName(*message_.Find(all, "Transfer-Encoding"), "chunked")) return Bad(501);
     message_.chunked = true;
     state_ = State::kChunks;
@@ -223,9 +230,11 @@
     if (*length > max_body_) return Bad(413);
     length_ = static_cast<size_t>(*length);
     state_ = State::kLength;
-  } else if (kind_ == Kind::kAnswer && message_.status != 204 && message_.status != 304) {
-    // Its end would be that of the connection, which a host's death looks like too.
-    return Bad(400);
+  } else if (kind_ == Kind::kAnswer) {
+    // A host that dies resets its connections; one that has said all closes them.
+    message_.until_close = true;
+    message_.keep_alive = false;
+    state_ = State::kUntilClose;
   } else {
     length_ = 0;
     state_ = State::kLength;
@@ -267,6 +276,11 @@
 Progress MessageParser::Feed(Buffer& in) {
   if (bad_ != 0) return Progress::kBad;
   if (const Progress head = Lines(in.view()); head != Progress::kDone) return head;
+  if (state_ == State::kUntilClose) {
+    message_.body.size = in.size() - message_.body.at;
+    if (message_.body.size > max_body_) return Bad(413);
+    return Progress::kMore;
+  }
   if (state_ == State::kLength) {
     if (in.size() < message_.body.at + length_) return Progress::kMore;
     message_.body.size = length_;
@@ -292,4 +306,59 @@
   return Progress::kDone;
 }
 
+bool MessageParser::EndsWithConnection(Buffer& in) {
+  if (state_ != State::kUntilClose || Feed(in) == Progress::kBad) return false;
+  message_.size = in.size();
+  state_ = State::kDone;
+  return true;
+}
+
+std::optional<uint64_t> MessageParser::length() const {
+  if (state_ != State::kLength) return std::nullopt;
+  return length_;
+}
+
+size_t MessageParser::body_come(const Buffer& in) const {
+  if (state_ == State::kLength) return in.size() - std::min(in.size(), message_.body.at);
+  return message_.body.size;
+}
+
+Message MessageParser::TakeHead(Buffer& in, Buffer& head) {
+  decoded_ = state_ == State::kChunks ? message_.body.size : 0;
+  head.Append(in.view().substr(0, message_.body.at));
+  in.Consume(message_.body.at);
+  message_.body.size = 0;
+  message_.size = message_.body.at;
+  return message_;
+}
+
+Progress MessageParser::TakeBody(Buffer& in, Buffer& piece, bool ended) {
+  if (bad_ != 0) return Progress::kBad;
+  if (state_ == State::kDone) return Progress::kDone;
+  Progress progress = Progress::kMore;
+  if (state_ == State::kLength) {
+    const size_t n = std::min(length_ - passed_, in.size());
+    if (n == in.size()) {
+      piece = std::exchange(in, Buffer());
+    } else {
+      piece = in.TakeFront(n);
+    }
+    if (passed_ + n == length_) progress = Progress::kDone;
+  } else if (state_ == State::kUntilClose) {
+    piece = std::exchange(in, Buffer());
+    if (ended) progress = Progress::kDone;
+  } else if (!in.empty()) {
+    size_t read = 0, written = 0;
+    const size_t before = std::exchange(decoded_, 0);
+    progress = chunks_.Decode(in.view().substr(before), in.data() + before, read, written);
+    if (progress == Progress::kBad) return Bad(400);
+    piece = in.TakeFront(before + read);
+    piece.Truncate(before + written);
+  }
+  passed_ += piece.size();
+  if (passed_ > max_body_) return Bad(413);
+  if (progress == Progress::kDone) state_ = State::kDone;
+  return progress == Progress::kMore && piece.empty() && ended ? Bad(400) : progress;
+}
+
 }  // namespace paddlestile::net
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -14,7 +14,8 @@
 namespace paddlestile::net {
 
 constexpr size_t kMaxHead = 16'384;
-constexpr size_t kMaxBody = 65'536;
+constexpr size_t kMaxBody = 65'536;      // of a message held whole
+constexpr size_t kMostBody = 34U << 20;  // of any
 constexpr size_t kMaxHeaders = 100;
 
 enum class Progress { kMore, kDone, kBad };
@@ -48,6 +49,8 @@
   size_t size = 0;  // all its bytes in the buffer
   bool keep_alive = true;
   bool chunked = false;
+  bool until_close = false;  // an answer that ends with its connection
+  bool http10 = false;       // its peer knows no chunks
 
   // The value of a header that stands there once; nothing where it is absent.
   [[nodiscard]] std::optional<std::string_view> Find(std::string_view base,
@@ -69,13 +72,30 @@
   // The same, but done once the head is: for a body without end.
   Progress FeedHead(Buffer& in);
 
+  // The peer has sent its last: whether that was the end of an answer that has no other.
+  bool EndsWithConnection(Buffer& in);
+
+  // ---- Where a body is not to be held whole.
+  [[nodiscard]] bool head_done() const {
+    return state_ == State::kLength || state_ == State::kChunks || state_ == State::kUntilClose;
+  }
+  // What the head says of the length; nothing where only the end tells.
+  [[nodiscard]] std::optional<uint64_t> length() const;
+  // Bytes of the body that have come, in a buffer that Feed has seen.
+  [[nodiscard]] size_t body_come(const Buffer& in) const;
+  // Takes the head out of `in`, a message without a body. From here on TakeBody gives the rest.
+  Message TakeHead(Buffer& in, Buffer& head);
+  // Gives what has come of the body, its framing undone. kDone with the last; kBad is final.
+  // `ended`: the peer has sent its last.
+  Progress TakeBody(Buffer& in, Buffer& piece, bool ended);
+
   [[nodiscard]] const Message& message() const { return message_; }
   [[nodiscard]] int status_for_bad() const { return bad_; }  // what to answer where kBad
   [[nodiscard]] bool begun() const { return at_ > 0; }
   void Reset();
 
  private:
-  enum class State { kStart, kHeaders, kLength, kChunks, kDone };
+  enum class State { kStart, kHeaders, kLength, kChunks, kUntilClose, kDone };
   Progress Bad(int status);
   Progress Lines(std::string_view all);
   Progress StartLine(std::string_view all, Range line);
@@ -89,6 +109,8 @@
   size_t at_ = 0;    // bytes looked at
   size_t line_ = 0;  // where the present line begins
   size_t length_ = 0;
+  size_t passed_ = 0;   // bytes of the body given by TakeBody
+  size_t decoded_ = 0;  // at the front of the buffer, of which TakeBody has seen none
   ChunkDecoder chunks_;
   int bad_ = 0;
 };
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -24,6 +24,11 @@
 // An answer comes in one piece from a host that lives; one that stops in the middle is spoilt, and
 // to wait for its end would cost the time of the next attempt.
 constexpr Duration kPause{600'000};  // us; between two reads of one answer
+// One that passes on has no next attempt; its host may be slow and is given up where it is dead.
+constexpr Duration kPauseLarge{5'000'000};  // us; and between two writes of a large request
+// Bytes of a body that have to come before a client sees the first: a spoilt answer is short as a
+// rule, and until then another attempt may serve. More where its end is not known.
+constexpr size_t kPassOnFrom = 8'192, kPassOnUnknown = 16'384;
 // What lies between may forget a connection that idles and break it at its next request. Where so
 // many of those that idled for as long broke of late, others that old are not used.
 constexpr double kBrokenMost = 0.2;  // of those tried
@@ -32,6 +37,8 @@
 // A probe is given up after so many connect time-outs: one to connect, one to be answered.
 constexpr int kProbeTimeouts = 2;
 
+constexpr size_t kReadFirst = 2048;  // bytes; most answers are short
+
 double Ms(Duration d) { return static_cast<double>(d.count()) / 1000; }
 
 }  // namespace
@@ -86,8 +93,13 @@
   }
   const auto ms = std::max<int64_t>(1, left.count() / 1000);
   head += fmt::format("X-Budget-Ms: {}\r\n", ms);
-  const bool bodiless = m.method.In(base) == "GET" && m.body.size == 0;
-  if (!bodiless) head += fmt::format("Content-Length: {}\r\n", m.body.size);
+  const std::optional<uint64_t> length = request.rest ? request.rest->length() : m.body.size;
+  const bool bodiless = m.method.In(base) == "GET" && length == 0;
+  if (!length) {
+    head += "Transfer-Encoding: chunked\r\n";
+  } else if (!bodiless) {
+    head += fmt::format("Content-Length: {}\r\n", *length);
+  }
   return head + "\r\n";
 }
 
@@ -117,6 +129,16 @@
   Connection& operator=(const Connection&) = delete;
   virtual ~Connection() { CancelTimers(); }
 
+  // A request that is not held whole is on its way.
+  [[nodiscard]] bool uploading() const {
+    return job_ && job_->exchange && job_->exchange->request().rest && !written_;
+  }
+  // Before it goes: who takes its answer, or gives its request, is told.
+  void Leave() {
+    writer_.reset();
+    if (const auto body = std::exchange(body_, nullptr)) body->Cut();
+  }
+
   bool Open() {
     if (!stream_.Start()) return false;
     connect_timer_ = loop_.After(servers_.options_.connect_timeout, [this] {
@@ -130,8 +152,14 @@
     job_ = std::move(job);
     parser_.Reset();
     written_ = heard_ = false;
-    const Time now = loop_.Now();
-    limit_ = loop_.After(job_->until - now, [this] {
+    // One that is not held whole has its time from its last byte on.
+    if (!job_->exchange || !job_->exchange->request().rest) SetLimit(job_->until);
+    if (stream_.connected()) Write();
+  }
+
+  void SetLimit(Time until) {
+    loop_.Cancel(limit_);
+    limit_ = loop_.After(until - loop_.Now(), [this] {
       limit_ = {};
       // With the time up before the connection is, nothing was sent and the host not shown at
       // fault.
@@ -140,7 +168,6 @@
                                                     : Outcome::kMoot;
       servers_.End(*this, outcome, std::nullopt, nullptr);
     });
-    if (stream_.connected()) Write();
   }
 
   std::unique_ptr<Job> Finish() {
@@ -184,12 +211,56 @@
       return;
     }
     const Held& request = job_->exchange->request();
+    if (request.rest) return WriteRest(request);
     stream_.Write(HeadForHost(request, job_->until - loop_.Now()), job_->exchange, request.body());
   }
 
-  void OnFlushed() override { written_ = true; }
+  void WriteRest(const Held& request) {
+    writer_ = std::make_unique<BodyWriter>(loop_, stream_, request.rest, !request.rest->length(),
+                                           false, [this](bool whole) {
+                                             // A client that has gone is told of by its own side,
+                                             // which ends this attempt.
+                                             if (whole) Uploaded();
+                                           });
+    stream_.Write(HeadForHost(request, job_->until - loop_.Now()));
+    if (writer_) AwaitRoom();
+  }
+
+  // The last byte is written: from here on it is a request like others.
+  void Uploaded() {
+    loop_.Cancel(pause_);
+    // It may be told from within the writer.
+    loop_.Defer([kept = std::shared_ptr<BodyWriter>(std::move(writer_))] {});
+    written_ = true;
+    job_->sent = loop_.Now();
+    job_->until = job_->exchange->deadline();
+    SetLimit(job_->until);
+  }
+
+  void OnFlushed() override {
+    if (!writer_) {
+      written_ = true;
+      return;
+    }
+    writer_->Go();
+    if (writer_) AwaitRoom();
+  }
+
+  // A host that reads nothing for so long is not there.
+  void AwaitRoom() {
+    loop_.Cancel(pause_);
+    pause_ = loop_.After(kPauseLarge, [this] {
+      pause_ = {};
+      if (stream_.flushed()) return AwaitRoom();  // it is the client that is slow
+      servers_.End(*this, Outcome::kConnectFailed, std::nullopt, nullptr);
+    });
+  }
 
   void OnRead() override {
+    if (body_) {  // passing on: whoever writes takes it
+      AwaitBody();
+      return body_->More();
+    }
     if (!job_) {  // idle: the host closes, or says what nobody asked for
       ++Count().host_idle_lost;
       servers_.Drop(*this);
@@ -208,10 +279,101 @@
     }
     MaybeEstablished();
     if (progress == Progress::kDone) return Done();
+    if (stream_.ended() && parser_.EndsWithConnection(stream_.in())) return Done();
     if (stream_.ended()) return OnBroken();
+    if (IsLarge()) return PassOn();
     AwaitMore();
   }
 
+  // Not to be held whole, and enough of it has come.
+  [[nodiscard]] bool IsLarge() {
+    if (!parser_.head_done()) return false;
+    const auto length = parser_.length();
+    if (length && *length <= kMaxBody) return false;
+    return parser_.body_come(stream_.in()) >= (length ? kPassOnFrom : kPassOnUnknown);
+  }
+
+  void PassOn() {
+    auto held = std::make_shared<Held>();
+    const auto length = parser_.length();
+    held->message = parser_.TakeHead(stream_.in(), held->bytes);
+    const Outcome outcome = OutcomeOf(held->message, held->bytes.view());
+    auto report = ReportOf(*held, outcome);
+    // Of what is not served only the head tells anything; the rest costs the connection.
+    if (outcome != Outcome::kOk || !job_->exchange) {
+      return servers_.End(*this, outcome, std::move(report), nullptr);
+    }
+    stream_.set_most_unread(kPieceMost);
+    stream_.set_read_at_least(kPieceMost);
+    body_ = held->rest = std::make_shared<Body>(
+        length, [this](Buffer& piece) { return TakeBody(piece); },
+        [this] {
+          body_ = nullptr;
+          servers_.Drop(*this);
+        });
+    CancelTimers();
+    AwaitBody();
+    writer_.reset();  // a host that answers before it has heard all
+    const auto body = body_;
+    auto job = std::move(job_);
+    ++Count().answers_passed_on;
+    servers_.Tell(std::move(job), outcome, std::move(report), std::move(held));
+    if (!body->written()) body->Stop();  // nobody waits for it any more
+  }
+
+  Progress TakeBody(Buffer& piece) {
+    const Progress progress = parser_.TakeBody(stream_.in(), piece, stream_.ended());
+    if (progress == Progress::kMore) {
+      // Not within this call: what comes is told to whoever is at work here.
+      loop_.Yield([this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired() && !stream_.closed()) stream_.Resume();
+      });
+      return progress;
+    }
+    loop_.Cancel(pause_);
+    body_ = nullptr;
+    if (progress == Progress::kBad) {
+      ++Count().bodies_cut;
+      Log(Level::kInfo, "body cut: {} broke off within an answer", host_.id);
+    }
+    reusable_ = progress == Progress::kDone && parser_.message().keep_alive && written_ &&
+                stream_.in().empty();
+    Reusable() ? Rest() : servers_.Drop(*this);
+    return progress;
+  }
+
+  // Between requests again.
+  void Rest() {
+    stream_.set_most_unread(2 * kMaxBody);
+    stream_.set_read_at_least(kReadFirst);
+    servers_.Park(*this);
+  }
+
+  void AwaitBody() {
+    loop_.Cancel(pause_);
+    pause_ = loop_.After(kPauseLarge, [this] {
+      pause_ = {};
+      if (!body_) return;
+      if (!stream_.in().empty()) return AwaitBody();  // it is the client that is slow
+      ++Count().bodies_cut;
+      Log(Level::kInfo, "body cut: {} says nothing more within an answer", host_.id);
+      servers_.Drop(*this);
+    });
+  }
+
+  std::optional<Report> ReportOf(const Held& held, Outcome outcome) {
+    const Options& options = servers_.options_;
+    std::optional<std::string_view> text;
+    if (options.reports_in_answers) text = held.message.Find(held.bytes.view(), "X-Load-Report");
+    if (!job_->exchange && options.reports_in_probes && outcome == Outcome::kOk) {
+      text = held.body();
+    }
+    if (!text) return std::nullopt;
+    auto report = ParseReport(*text, options.report_fields);
+    if (!report) ++Count().reports_malformed;
+    return report;
+  }
+
   void AwaitMore() {
     loop_.Cancel(pause_);
     if (job_->exchange && job_->exchange->cls().streamed) return;  // its pauses are its own
@@ -242,22 +404,17 @@
     // Bytes behind the answer belong to nothing that was asked: the connection is out of step.
     reusable_ = held->message.keep_alive && written_ && stream_.in().empty();
     const Outcome outcome = OutcomeOf(held->message, base);
-    std::optional<Report> report;
-    const Options& options = servers_.options_;
-    std::optional<std::string_view> text;
-    if (options.reports_in_answers) text = held->message.Find(base, "X-Load-Report");
-    if (!job_->exchange && options.reports_in_probes && outcome == Outcome::kOk) {
-      text = held->body();
-    }
-    if (text) {
-      report = ParseReport(*text, options.report_fields);
-      if (!report) ++Count().reports_malformed;
-    }
+    std::optional<Report> report = ReportOf(*held, outcome);
     const bool pass_on = outcome == Outcome::kOk || outcome == Outcome::kUnusable;
     servers_.End(*this, outcome, std::move(report), pass_on ? std::move(held) : nullptr);
   }
 
   void OnBroken() override {
+    if (body_) {
+      ++Count().bodies_cut;
+      Log(Level::kInfo, "body cut: {} broke off within an answer", host_.id);
+      return servers_.Drop(*this);
+    }
     if (!job_) {
       ++Count().host_idle_lost;
       servers_.Drop(*this);
@@ -267,7 +424,8 @@
     if (came_up && !heard_ && idled >= Duration(0)) {
       servers_.CountReuse(idled, true);
       // Nothing whole was sent: the same send goes on a connection that lives.
-      if (!written_) return servers_.Again(*this);
+      if (!written_ && !job_->exchange) return servers_.Again(*this);
+      if (!written_ && !job_->exchange->spent()) return servers_.Again(*this);
     }
     // One that came up and broke before all was written shows no host at fault.
     servers_.End(*this,
@@ -282,10 +440,13 @@
   Host& host_;
   uint64_t epoch_;
   Stream stream_;
-  MessageParser parser_{MessageParser::Kind::kAnswer};
+  MessageParser parser_{MessageParser::Kind::kAnswer, kMostBody};
   std::unique_ptr<Job> job_;
   EventLoop::TimerId limit_, connect_timer_, pause_;
   bool written_ = false, reusable_ = false;
+  std::unique_ptr<BodyWriter> writer_;  // of a request that is not held whole
+  std::shared_ptr<Body> body_;          // of an answer that passes on
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
   bool heard_ = false;  // the first byte of the answer has come
 };
 
@@ -466,8 +627,10 @@
 void Servers::ClientLeft(const Exchange& exchange) {
   for (const auto& [connection, owned] : connections_) {
     const Job* const job = connection->job();
-    if (job == nullptr || job->exchange.get() != &exchange || !job->established) continue;
-    return End(*connection, Outcome::kCancelled, std::nullopt, nullptr);
+    if (job == nullptr || job->exchange.get() != &exchange) continue;
+    // What has not been written whole never runs.
+    if (connection->uploading()) return End(*connection, Outcome::kMoot, std::nullopt, nullptr);
+    if (job->established) return End(*connection, Outcome::kCancelled, std::nullopt, nullptr);
   }
 }
 
@@ -488,6 +651,7 @@
   }
   connection.CancelTimers();
   connection.stream().Close();
+  connection.Leave();
   --connection.host().open;
   MaybeForget(connection.host());
   // It may be the one whose handler is at work: its memory goes once that has returned.
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -77,7 +77,8 @@
   void Send(std::shared_ptr<Exchange> exchange, size_t attempt, const std::string& endpoint,
             Time until);
   void Cancel(const Exchange& exchange, size_t attempt);
-  // An answer that has begun to stream ends with its client; nothing else would end it.
+  // An answer that has begun to stream ends with its client, and so does a request that has not
+  // come whole; nothing else would end them.
   void ClientLeft(const Exchange& exchange);
   void Probe(const std::string& endpoint);
 
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -16,7 +16,6 @@
 
 namespace paddlestile::net {
 namespace {
-constexpr size_t kReadAtLeast = 2048;
 constexpr size_t kPiecesAtOnce = 16;
 // A peer may have 60 MB more to say: past so much it is left to its own full buffers.
 constexpr size_t kDiscardMost = 1 << 20;
@@ -118,7 +117,7 @@
   bool news = false;
   while (!closed_ && !ended_ && !broken_) {
     if (in_.size() >= most_unread_) return news;  // the edge stays open for Resume
-    char* const to = in_.Prepare(kReadAtLeast);
+    char* const to = in_.Prepare(read_at_least_);
     const ssize_t n = recv(socket_.get(), to, in_.Room(), 0);
     if (n > 0) {
       in_.Commit(static_cast<size_t>(n));
@@ -225,6 +224,12 @@
   if (connected_ && idle) Flush();
 }
 
+void Stream::CloseByReset() {
+  const linger now{1, 0};
+  if (!closed_) setsockopt(socket_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+  Close();
+}
+
 void Stream::ShutWrite() {
   if (!closed_) shutdown(socket_.get(), SHUT_WR);
 }
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -105,11 +105,15 @@
 
   // Stops reading once so much is unread, so that a peer cannot fill the memory; Resume goes on.
   void set_most_unread(size_t most) { most_unread_ = most; }
+  // What is read at once, at the least.
+  void set_read_at_least(size_t least) { read_at_least_ = least; }
   void Resume();
 
   // Queues bytes and writes what goes at once. `keep` holds the memory that `body` lies in.
   void Write(std::string head, std::shared_ptr<const void> keep = nullptr,
              std::string_view body = {});
+  // Has the peer see a reset where it closes next: what it was sent is not whole.
+  void CloseByReset();
   // Says that no more will be written.
   void ShutWrite();
   // From now on what comes is thrown away unseen, without a copy, up to a bound; OnRead tells only
@@ -142,6 +146,7 @@
   bool discarding_ = false;
   size_t discarded_ = 0;
   size_t most_unread_ = SIZE_MAX;
+  size_t read_at_least_ = 2048;
   Buffer in_;
   std::deque<Piece> out_;
 };
--- a/tests/net/clients_test.cpp
+++ b/tests/net/clients_test.cpp
@@ -39,6 +39,9 @@
   void OnClientLeft(const std::shared_ptr<Exchange>& exchange) override {
     left.push_back(exchange->id());
   }
+  void OnWhole(const std::shared_ptr<Exchange>& exchange) override {
+    whole.push_back(exchange->id());
+  }
   bool OnShort() override { return clients && clients->CloseOneIdle(); }
 
   Peer Dial() { return Peer::To(clients->address()); }
@@ -63,7 +66,7 @@
   std::shared_ptr<RequestClass> cls =
       std::make_shared<RequestClass>(paddlestile::testing::MakeClass(Effect::kSafe));
   std::vector<std::shared_ptr<Exchange>> taken;
-  std::vector<std::string> left;
+  std::vector<std::string> left, whole;
   std::unique_ptr<Clients> clients;
 };
 
