--- a/src/net/body.cpp
+++ b/src/net/body.cpp
@@ -35,7 +35,6 @@
   if (busy_ || !done_ || stream_.closed()) return;
   if (!stream_.flushed()) return;
   if (over_) return Finish(true);
-  if (put_off_) return;
   Buffer piece;
   const Progress progress = body_->Take(piece);
   if (progress == Progress::kBad) return Finish(false);
@@ -56,14 +55,8 @@
   if (alive.expired()) return;
   busy_ = false;
   if (stream_.closed() || !stream_.flushed()) return;
-  if (over_) return Finish(true);
-  // One piece a turn: many large bodies must not keep the others waiting.
-  put_off_ = true;
-  loop_.Yield([this, alive] {
-    if (alive.expired()) return;
-    put_off_ = false;
-    Go();
-  });
+  // What comes next is told of by the reading side.
+  if (over_) Finish(true);
 }
 
 }  // namespace paddlestile::net
--- a/src/net/body.h
+++ b/src/net/body.h
@@ -18,7 +18,7 @@
 namespace paddlestile::net {
 
 // Bytes that one transfer reads ahead, and moves in one turn of the loop.
-constexpr size_t kPieceMost = 16'384;
+constexpr size_t kPieceMost = 32'768;
 
 class Body {
  public:
@@ -90,7 +90,7 @@
   std::shared_ptr<Body> body_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
   std::function<void(bool)> done_;
-  bool chunked_, last_, first_ = true, over_ = false, busy_ = false, put_off_ = false;
+  bool chunked_, last_, first_ = true, over_ = false, busy_ = false;
 };
 
 }  // namespace paddlestile::net
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -304,6 +304,10 @@
       clients_.held_ += held_;
       stream_.set_most_unread(kMaxHead + held_);
       stream_.set_read_at_least(kPieceMost);
+      // What was left unread by the bound before has told of itself already.
+      loop_.Yield([self = Self()] {
+        if (!self->stream_.closed()) self->stream_.Resume();
+      });
     }
     if (held_ == 0 && come >= kPassOnFrom) TakeLarge();
   }
@@ -362,6 +366,7 @@
     if (!piece.empty()) last_byte_ = loop_.Now();
     // Not within this call: what comes is told to whoever is at work here.
     if (progress == Progress::kMore) {
+      if (!stream_.readable()) return progress;
       loop_.Yield([self = Self()] {
         if (!self->stream_.closed() && self->state_ == State::kUploading) self->stream_.Resume();
       });
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -325,6 +325,7 @@
     const Progress progress = parser_.TakeBody(stream_.in(), piece, stream_.ended());
     if (progress == Progress::kMore) {
       // Not within this call: what comes is told to whoever is at work here.
+      if (!stream_.readable()) return progress;
       loop_.Yield([this, alive = std::weak_ptr(alive_)] {
         if (!alive.expired() && !stream_.closed()) stream_.Resume();
       });
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -120,8 +120,14 @@
     char* const to = in_.Prepare(read_at_least_);
     const ssize_t n = recv(socket_.get(), to, in_.Room(), 0);
     if (n > 0) {
+      const bool all = static_cast<size_t>(n) < in_.Room();
       in_.Commit(static_cast<size_t>(n));
       news = true;
+      // Less than there was room for is all that there was: what comes next is an edge of its own.
+      if (all && !hung_up_) {
+        readable_ = false;
+        return news;
+      }
     } else if (n == 0) {
       ended_ = news = true;
     } else if (errno == EINTR) {
@@ -171,6 +177,7 @@
   }
   if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
     readable_ = true;
+    hung_up_ = hung_up_ || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
     if (ReadAll()) owner_->OnRead();
   }
 }
@@ -191,7 +198,7 @@
       if (errno == EINTR) continue;
       if (errno == EAGAIN || errno == EWOULDBLOCK) return;
       // A peer may have answered and closed before it read all: that answer is still there.
-      readable_ = true;
+      readable_ = hung_up_ = true;
       out_.clear();
       if (ReadAll()) owner_->OnRead();
       if (!closed_) Break();
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -108,6 +108,8 @@
   // What is read at once, at the least.
   void set_read_at_least(size_t least) { read_at_least_ = least; }
   void Resume();
+  // Whether there may be more to read than was read.
+  [[nodiscard]] bool readable() const { return readable_; }
 
   // Queues bytes and writes what goes at once. `keep` holds the memory that `body` lies in.
   void Write(std::string head, std::shared_ptr<const void> keep = nullptr,
@@ -143,6 +145,7 @@
   uint64_t token_ = 0;
   bool watched_ = false, connected_, closed_ = false, ended_ = false, broken_ = false;
   bool readable_ = false;  // an edge not yet read to its end
+  bool hung_up_ = false;   // an end or an error is to be read behind the last byte
   bool discarding_ = false;
   size_t discarded_ = 0;
   size_t most_unread_ = SIZE_MAX;
--- a/tests/net/upgrade_test.cpp
+++ b/tests/net/upgrade_test.cpp
@@ -184,6 +184,7 @@
   Load load(address, 0, 8);
   Start(second, 6002);  // waits up to a second for a list
   ASSERT_TRUE(first.Says("a new process has the listening socket"));
+  second.Signal(SIGSTOP);
   Start(third, 6003);
   EXPECT_EQ(third.Wait(), 1);
   EXPECT_NE(third.Text().find("another process is taking over"), std::string::npos);
