--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -79,8 +79,11 @@
 
 }  // namespace
 
-struct Brain::Impl {
-  Impl(const Settings& settings, uint64_t seed) : rng(seed) { Adopt(settings), mean_time = target; }
+struct Brain::Impl : Records {
+  Impl(const Settings& settings, uint64_t seed) : rng(seed) {
+    Adopt(settings);
+    mean_time = target, retry_tokens = kRetryMost / 2;
+  }
 
   // Classes and tenants keep their places, and so what was learned of them.
   void Adopt(const Settings& settings) {
@@ -98,31 +101,24 @@
   Settings s;
   std::mt19937_64 rng;
   Stats stats;
-  Time now{0}, refill_at{0}, paced{0}, arrivals_at{0};
+  Time now{0}, refill_at{0};
   std::vector<Action>* act = nullptr;
 
-  std::vector<Endpoint> eps;
-  std::unordered_map<std::string, size_t> ep_index;  // look-up only, never iterated
-  std::map<uint64_t, Request> open;                  // in order of arrival
-  std::unordered_map<std::string, uint64_t> by_id;   // look-up only
-  std::vector<uint64_t> waiting;                     // held requests, unsorted
-  std::vector<Pace> kinds;                           // of each kind of machine
+  std::map<uint64_t, Request> open;                 // in order of arrival
+  std::unordered_map<std::string, uint64_t> by_id;  // look-up only
+  std::vector<uint64_t> waiting;                    // held requests, unsorted
   std::vector<PoolEntry> pool;
   std::vector<size_t> set;  // the endpoints that this gateway works with
   bool set_whole = false;   // each of the set was usable at the last look, and nothing befell one
   std::set<size_t> gone;    // endpoints that have left the list
   uint64_t next_seq = 0;
   bool started = false, remove_oldest = true, sweeping = false;
-  double probe_due = 0, remove_due = 0, retry_tokens = kRetryMost / 2;
+  double probe_due = 0, remove_due = 0;
   int follow_failures = 0, probed = 0;
-  std::vector<double> served, shares;    // of each class: served in its aim, part of the arrivals
-  std::vector<double> times;             // us; mean time of each class
-  double mean_expected = 0;              // us; of the hints, where requests carry one
-  double mean_time = 0, target = 0;      // us; of a request over all classes, and aimed at
-  size_t up = 0;                         // endpoints that may get work
-  double pace = 0;                       // own finished work of late, in mean requests per us
-  std::vector<double> tenant_tokens;     // requests still within each tenant's share
-  double arrivals = 0, beyond_part = 0;  // decayed over kRateSpan; beyond their tenant's share
+  double target = 0;                  // us; aimed at
+  size_t up = 0;                      // endpoints that may get work
+  std::vector<double> tenant_tokens;  // requests still within each tenant's share
+  double beyond_part = 0;             // decayed; of the arrivals, beyond their tenant's share
 
   double Uniform() { return std::uniform_real_distribution<double>(0, 1)(rng); }
   size_t Below(size_t n) { return static_cast<size_t>(Uniform() * static_cast<double>(n)) % n; }
@@ -798,5 +794,7 @@
 }
 
 const Stats& Brain::stats() const { return impl_->stats; }
+const Records& Brain::learned() const { return *impl_; }
+void Brain::Learn(Time now, const Records& told) { TakeOver(*impl_, told, now); }
 
 }  // namespace paddlestile
--- a/src/brain.h
+++ b/src/brain.h
@@ -232,6 +232,8 @@
   Regime last = Regime::kNone;
 };
 
+struct Records;  // brain_state.h
+
 class Brain {
  public:
   // Throws std::invalid_argument, naming the setting, where the settings make no sense.
@@ -245,6 +247,10 @@
 
   [[nodiscard]] const Stats& stats() const;
 
+  // What it has learned, and taking over what another has learned of the same fleet.
+  [[nodiscard]] const Records& learned() const;
+  void Learn(Time now, const Records& told);
+
  private:
   struct Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/brain_state.cpp
+++ b/src/brain_state.cpp
@@ -23,6 +23,38 @@
   need(s.obligations.cold_from >= 0 && s.obligations.cold_from <= 1, "Obligations.ColdFrom");
 }
 
+void TakeOver(Records& mine, const Records& told, Time now) {
+  constexpr Duration kSameStart{100'000};  // us; clocks are read apart
+  for (const Endpoint& was : told.eps) {
+    const auto at = mine.ep_index.find(was.info.id);
+    if (at == mine.ep_index.end()) continue;
+    Endpoint& e = mine.eps[at->second];
+    const Duration apart = e.info.launched - was.info.launched;
+    if (apart > kSameStart || apart < -kSameStart) continue;
+    e.others = was.others, e.reported = was.reported;
+    e.link = was.link, e.latency = was.latency;
+    e.gap = was.gap, e.judged = was.judged, e.err = was.err;
+    e.away_until = was.away_until, e.trips = was.trips;
+    e.own = was.own;
+    e.cold_tokens = was.cold_tokens, e.cold_filled = was.cold_filled;
+  }
+  for (size_t i = 0; i < std::min(mine.kinds.size(), told.kinds.size()); ++i) {
+    if (told.kinds[i].done > 0) mine.kinds[i] = told.kinds[i];
+  }
+  for (size_t i = 0; i < std::min(mine.times.size(), told.times.size()); ++i) {
+    if (told.times[i] <= 0) continue;
+    mine.times[i] = told.times[i];
+    mine.served[i] = told.served[i];
+    mine.shares[i] = std::max(told.shares[i], 1e-6);
+  }
+  if (told.mean_time > 0) mine.mean_time = told.mean_time;
+  mine.mean_expected = std::max(told.mean_expected, 0.0);
+  mine.pace = told.pace;
+  mine.arrivals = told.arrivals;
+  mine.retry_tokens = std::min(told.retry_tokens, mine.retry_tokens);
+  mine.paced = mine.arrivals_at = now;
+}
+
 uint64_t Hash(const std::string& text) {
   uint64_t h = 0xcbf29ce484222325;
   for (const char c : text) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3;
--- a/src/brain_state.h
+++ b/src/brain_state.h
@@ -97,6 +97,25 @@
   int uses = 1;
 };
 
+// What a module has learned; see the fields' users in brain.cpp.
+struct Records {
+  std::vector<Endpoint> eps;
+  std::unordered_map<std::string, size_t> ep_index;  // look-up only, never iterated
+  std::vector<Pace> kinds;                           // of each kind of machine
+  std::vector<double> served, shares;  // of each class: served in its aim, part of the arrivals
+  std::vector<double> times;           // us; mean time of each class
+  double mean_expected = 0;            // us; of the hints, where requests carry one
+  double mean_time = 0;                // us; of a request over all classes
+  double pace = 0;                     // own finished work of late, in mean requests per us
+  double arrivals = 0;                 // decayed
+  double retry_tokens = 0;
+  Time paced{0}, arrivals_at{0};  // when pace and arrivals were last brought up to date
+};
+
+// Takes over what another module has learned of the same fleet, at the moment `now`: of endpoints
+// that are known here and have not started anew since, of kinds and classes that are told of.
+void TakeOver(Records& mine, const Records& told, Time now);
+
 // The same at every gateway and in every build, unlike std::hash (FNV-1a).
 uint64_t Hash(const std::string& text);
 // A number in (0, 1) for a pair of hashes, as good as drawn (the finish of splitmix64).
--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -47,6 +47,7 @@
 // may find no time to be answered, so that idle ones are closed in between.
 constexpr Duration kDrainIdleAfter{450'000};  // us
 constexpr Duration kDrainQuiet{150'000};      // us; without a new connection
+constexpr Duration kDrainShared{600'000};     // us; an end to waiting for that
 constexpr int kBacklog = 4096;
 constexpr int kReceive = 1 << 17;  // bytes that the kernel may hold of a client; a request is less
 constexpr size_t kReadFirst = 2048;  // bytes; most requests are short
@@ -571,7 +572,12 @@
 
 Clients::Clients(EventLoop& loop, Descriptors& budget, const Address& listen, const Life& life,
                  Listener* listener, Fd handed, bool shared)
-    : loop_(loop), budget_(budget), life_(life), listener_(listener), address_(listen) {
+    : loop_(loop),
+      budget_(budget),
+      life_(life),
+      listener_(listener),
+      address_(listen),
+      shared_(shared) {
   listening_ = std::make_unique<Listening>(*this, listen, std::move(handed), shared);
   LifeChanged();
 }
@@ -715,7 +721,9 @@
       if (!connection.in_hand()) Drop(connection);
     }
   }
-  const bool quiet = !life_.accepts() ||
+  // Another may listen at the address: to stay would be to take what is the other's for ever.
+  if (drained_ && shared_ && now - drain_since_ >= kDrainShared) listening_.reset();
+  const bool quiet = !listening_ || !life_.accepts() ||
                      (now - drain_since_ >= kDrainIdleAfter && now - last_accept_ >= kDrainQuiet);
   if (drained_ && quiet && connections_.empty()) {
     listening_.reset();
--- a/src/net/clients.h
+++ b/src/net/clients.h
@@ -99,7 +99,7 @@
   std::list<Connection*> silent_;  // have said nothing yet, the longest first
   std::list<Connection*> idle_;    // between requests, the longest first
   EventLoop::TimerId accept_timer_, drain_timer_;
-  bool emptying_ = false, accept_yielded_ = false;
+  bool emptying_ = false, accept_yielded_ = false, shared_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
   size_t held_ = 0;  // bytes of requests past kMaxBody that are held whole, of kHeldMost
   Time last_accept_{0}, drain_since_{0}, end_at_{0};
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -10,6 +10,7 @@
 
 #include "brain_state.h"
 #include "net/counters.h"
+#include "net/knowledge.h"
 #include "net/log.h"
 
 namespace paddlestile::net {
@@ -91,6 +92,17 @@
   list_->Redirect(config_->discovery);
 }
 
+std::string Gateway::Know() const {
+  return KnowledgeText(brain_.learned(), config_->names, loop_.Now());
+}
+
+bool Gateway::Learn(const std::string& text) {
+  Pump();  // the list that the hosts are known by
+  const auto told = ParseKnowledge(text, config_->names, loop_.Now());
+  if (told) brain_.Learn(loop_.Now(), *told);
+  return told.has_value();
+}
+
 void Gateway::LifeChanged() {
   const Stage stage = life_.stage();
   if (stage == Stage::kDrained) ++Count().drains;
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -45,6 +45,11 @@
   // module does not take its settings.
   void Adopt(Config config);
 
+  // What the module has learned, for another process, and taking over what one told. False where
+  // that makes no sense; it is then left out.
+  [[nodiscard]] std::string Know() const;
+  bool Learn(const std::string& text);
+
   // Counters and the present state, one line.
   [[nodiscard]] std::string StateText() const;
 
--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -17,6 +17,7 @@
 
 #include "net/counters.h"
 #include "net/http.h"
+#include "net/knowledge.h"
 #include "net/log.h"
 
 namespace paddlestile::net {
@@ -71,30 +72,36 @@
   return sendmsg(fd, &message, MSG_NOSIGNAL) == static_cast<ssize_t>(line.size());
 }
 
-// One line within the time, and the descriptor that came with it.
+// The next bytes within the time, so many at most, and the descriptor that came with them.
+bool Receive(int fd, size_t most, std::string& text, Fd& passed) {
+  pollfd waiting{fd, POLLIN, 0};
+  if (poll(&waiting, 1, kAskMs) <= 0) return false;
+  char bytes[16'384];
+  iovec part{bytes, std::min(most, sizeof(bytes))};
+  alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = control;
+  message.msg_controllen = sizeof(control);
+  const ssize_t n = recvmsg(fd, &message, MSG_CMSG_CLOEXEC);
+  if (n <= 0) return false;
+  for (cmsghdr* head = CMSG_FIRSTHDR(&message); head != nullptr;
+       head = CMSG_NXTHDR(&message, head)) {
+    if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
+    int given = -1;
+    std::memcpy(&given, CMSG_DATA(head), sizeof(given));
+    passed = Fd(given);
+  }
+  text.append(bytes, static_cast<size_t>(n));
+  return true;
+}
+
+// One line, a byte at a time: what follows it is somebody else's to read.
 bool ReceiveLine(int fd, std::string& line, Fd& passed) {
   line.clear();
   while (line.empty() || line.back() != '\n') {
-    pollfd waiting{fd, POLLIN, 0};
-    if (line.size() >= kMostLine || poll(&waiting, 1, kAskMs) <= 0) return false;
-    char bytes[kMostLine];
-    iovec part{bytes, sizeof(bytes) - line.size()};
-    alignas(cmsghdr) char control[CMSG_SPACE(sizeof(int))] = {};
-    msghdr message{};
-    message.msg_iov = &part;
-    message.msg_iovlen = 1;
-    message.msg_control = control;
-    message.msg_controllen = sizeof(control);
-    const ssize_t n = recvmsg(fd, &message, MSG_CMSG_CLOEXEC);
-    if (n <= 0) return false;
-    for (cmsghdr* head = CMSG_FIRSTHDR(&message); head != nullptr;
-         head = CMSG_NXTHDR(&message, head)) {
-      if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
-      int given = -1;
-      std::memcpy(&given, CMSG_DATA(head), sizeof(given));
-      passed = Fd(given);
-    }
-    line.append(bytes, static_cast<size_t>(n));
+    if (line.size() >= kMostLine || !Receive(fd, 1, line, passed)) return false;
   }
   line.pop_back();
   return true;
@@ -148,11 +155,18 @@
   if (heard && line == std::string(kVersion) + std::string(kBusy)) {
     throw std::runtime_error("another process is taking over at " + ToText(listen));
   }
-  const auto holds = NumberOf(line, std::string(kVersion) + "listen ");
-  if (!heard || !holds || !taken.listening || !ListensAt(taken.listening.get(), listen)) {
+  const size_t space = line.rfind(' ');
+  const auto holds = NumberOf(line.substr(0, space), std::string(kVersion) + "listen ");
+  const auto size = NumberOf(line, line.substr(0, space) + " ");
+  bool good = heard && holds && size && *size <= kMostKnowledge && taken.listening &&
+              ListensAt(taken.listening.get(), listen);
+  Fd none;
+  while (good && taken.knowledge.size() < *size) {
+    good = Receive(fd.get(), *size - taken.knowledge.size(), taken.knowledge, none);
+  }
+  if (!good) {
     Log(Level::kWarning, "hand-over: no use in what the running process says");
-    taken.listening.Reset();
-    return taken;
+    return {};
   }
   fcntl(fd.get(), F_SETFL, O_NONBLOCK);
   taken.channel = std::move(fd);
@@ -249,8 +263,12 @@
       return owner_.Gone();
     }
     const size_t held = owner_.budget_.used() + kSpare + kFiles;
-    given_ = SendLine(fd_, fmt::format("{}listen {}\n", kVersion, held), listening);
+    const std::string knowledge = owner_.know_();
+    given_ =
+        SendLine(fd_, fmt::format("{}listen {} {}\n", kVersion, held, knowledge.size()), listening);
     if (!given_) return owner_.Gone();
+    stream_.Write(knowledge);
+    if (stream_.closed()) return;
     ++Count().hand_overs;
     Log(Level::kInfo, "hand-over: a new process has the listening socket");
     owner_.TellHeld();
@@ -263,8 +281,13 @@
 };
 
 Predecessor::Predecessor(EventLoop& loop, std::string path, Life& life, const Clients& clients,
-                         Descriptors& budget)
-    : loop_(loop), path_(std::move(path)), life_(life), clients_(clients), budget_(budget) {
+                         Descriptors& budget, std::function<std::string()> know)
+    : loop_(loop),
+      path_(std::move(path)),
+      life_(life),
+      clients_(clients),
+      budget_(budget),
+      know_(std::move(know)) {
   if (path_.empty()) return;
   Fd fd(::socket(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   sockaddr_un address{};
--- a/src/net/handover.h
+++ b/src/net/handover.h
@@ -1,7 +1,9 @@
 // A new version takes over from the running one: the listening socket of the clients' address goes
 // from process to process over a Unix socket in $TMPDIR, and no connection in its queue is lost.
 //
-//   new: paddlestile 1 take 10.0.0.4:5000      old: paddlestile 1 listen 180   (with the socket)
+//   new: paddlestile 1 take 10.0.0.4:5000      old: paddlestile 1 listen 180 7012   (with the
+//   socket)
+//                                                   7012 bytes: what it has learned, as JSON
 //   new: ready                                 old: holds 164                  (again and again)
 //
 // `holds` is how many descriptors the old one keeps of the two's one budget; it is gone when its
@@ -10,6 +12,7 @@
 #ifndef PADDLESTILE_NET_HANDOVER_H_
 #define PADDLESTILE_NET_HANDOVER_H_
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -29,6 +32,7 @@
   Fd listening;  // none: nobody gave one
   Fd channel;
   size_t holds = 0;
+  std::string knowledge;  // empty: none was told
 };
 
 // Asks at `path`, for half a second at most. Gives nothing where there is no one, or one that makes
@@ -54,8 +58,9 @@
 // Waits at `path` for a new process. Without a Unix socket it does nothing.
 class Predecessor {
  public:
+  // `know` gives what the module has learned.
   Predecessor(EventLoop& loop, std::string path, Life& life, const Clients& clients,
-              Descriptors& budget);
+              Descriptors& budget, std::function<std::string()> know);
   ~Predecessor();
   Predecessor(const Predecessor&) = delete;
   Predecessor& operator=(const Predecessor&) = delete;
@@ -72,6 +77,7 @@
   Life& life_;
   const Clients& clients_;
   Descriptors& budget_;
+  std::function<std::string()> know_;
   std::unique_ptr<Listening> listening_;
   std::shared_ptr<Channel> channel_;
   EventLoop::TimerId tell_;
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -125,6 +125,12 @@
     Life life(!taken.listening);
     Gateway gateway(loop, std::move(config), life, std::move(taken.listening),
                     admin_at.has_value());
+    if (!taken.knowledge.empty()) {
+      const bool good = gateway.Learn(taken.knowledge);
+      Log(good ? Level::kInfo : Level::kWarning, "hand-over: {}",
+          good ? "what the running process has learned is taken over"
+               : "what the running process has learned makes no sense here, left out");
+    }
     std::optional<Admin> admin;
     if (admin_at) admin.emplace(loop, *admin_at, life);
     std::optional<Successor> successor;
@@ -136,7 +142,8 @@
     // From now on this process can itself be followed by a newer one.
     std::optional<Predecessor> predecessor;
     if (admin_at) {
-      predecessor.emplace(loop, path_over, life, gateway.clients(), gateway.budget());
+      predecessor.emplace(loop, path_over, life, gateway.clients(), gateway.budget(),
+                          [&] { return gateway.Know(); });
     }
     loop.Run();
     PrintCounters(gateway);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,6 +1,7 @@
 #include "net/stream.h"
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -37,6 +38,13 @@
     fd.Reset();
     errno = error;
   }
+  // Of several that listen there the newest gets all that comes, and the one that leaves can empty
+  // its queue. Without this, or with one alone, the kernel chooses.
+  sock_filter newest{BPF_RET | BPF_K, 0, 0, 1};
+  const sock_fprog choice{1, &newest};
+  if (fd && shared) {
+    setsockopt(fd.get(), SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &choice, sizeof(choice));
+  }
   return fd;
 }
 
--- a/tests/net/upgrade_test.cpp
+++ b/tests/net/upgrade_test.cpp
@@ -109,7 +109,9 @@
 
 class Upgrade : public ::testing::Test {
  protected:
-  Upgrade() : folder_(::testing::TempDir() + "paddlestile-up-" + std::to_string(getpid())) {
+  Upgrade()
+      : folder_(::testing::TempDir() + "paddlestile-up-" + std::to_string(getpid())),
+        temporary_(folder_) {
     std::filesystem::create_directory(folder_);
     address = {0x7f4e0000U | (static_cast<uint32_t>(getpid()) & 0xffffU), 5000};
     std::ofstream(folder_ + "/config.json")
@@ -125,7 +127,7 @@
                  {"LB_DISCOVERY", discovery.text()},
                  {"LB_CONFIG", folder_ + "/config.json"},
                  {"LB_ADMIN", ToText({address.host, admin})},
-                 {"TMPDIR", folder_}},
+                 {"TMPDIR", temporary_}},
                 {});
   }
   // The answer to GET /admin/health.
@@ -145,7 +147,7 @@
     for (const auto& [id, times] : host.seen) EXPECT_EQ(times, 1) << id;
   }
 
-  std::string folder_;
+  std::string folder_, temporary_;
   Host host;
   Port discovery;
   Address address;
@@ -159,6 +161,7 @@
   Load load(address, 0, 8);
   usleep(200'000);
   Start(second, 6002);
+  ASSERT_TRUE(second.Says("what the running process has learned is taken over")) << second.Text();
   ASSERT_TRUE(second.Says("ready, the running process is told")) << second.Text();
   EXPECT_TRUE(Yes(6002));
   ASSERT_TRUE(first.Says("the new process serves"));
@@ -177,6 +180,24 @@
   EXPECT_TRUE(Yes(6003));
 }
 
+// Where no Unix socket is to be had, both listen at the address; the newest gets what comes.
+TEST_F(Upgrade, WithoutAUnixSocketNobodyIsTurnedBackEither) {
+  temporary_ = folder_ + "/none";
+  Child first, second;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("hand-over: no Unix socket"));
+  Load load(address, 0, 8);
+  usleep(300'000);
+  Start(second, 6002);
+  ASSERT_TRUE(second.Says("listens on")) << second.Text();
+  usleep(100'000);
+  EXPECT_TRUE(Yes(6002));
+  first.Signal(SIGTERM);
+  EXPECT_EQ(first.Wait(), 0);
+  usleep(200'000);
+  ExpectWhole(load);
+}
+
 TEST_F(Upgrade, TheOldProcessServesOnWhereTheNewOneDies) {
   Child first, second, third;
   Start(first, 6001);
