--- a/tests/main_test.cpp
+++ b/tests/main_test.cpp
@@ -261,6 +261,53 @@
   EXPECT_EQ(Slurp(to_), written);
 }
 
+// Sixty answers of 32 MiB to clients that read nothing, then sixty requests as long to a host that
+// does not: what the program holds of them is bounded, whatever their length.
+TEST_F(Program, HoldsDozensOfSlowLargeBodiesInItsMemory) {
+  Port host;
+  std::string config = kConfig;
+  config.replace(config.find("256"), 3, "1024");
+  config.replace(config.find("[]"), 2,
+                 R"([{"id":"h","host_port":")" + host.text() + R"(","phase":"active"}])");
+  std::ofstream(path_) << config;
+  Start();
+  ASSERT_TRUE(Says("listens on"));
+  constexpr size_t kBodies = 60;
+  const std::string part(1 << 18, 'x');
+  for (const bool answers : {true, false}) {
+    std::vector<Peer> clients, hosts;
+    for (size_t i = 0; i < kBodies; ++i) {
+      clients.push_back(Peer::To(address));
+      clients.back().Say((answers ? "GET /read HTTP/1.1\r\n"
+                                  : "POST /read HTTP/1.1\r\nContent-Length: 33554432\r\n") +
+                         ("X-Call-Id: " + std::to_string(i)) + (answers ? "a" : "r") +
+                         "\r\nX-Budget-Ms: 60000\r\n\r\n");
+    }
+    size_t sent = 0;
+    for (int round = 0; round < 600; ++round) {
+      while (Peer peer = host.TryTake()) {
+        hosts.push_back(std::move(peer));
+        if (answers) hosts.back().Say("HTTP/1.1 200 OK\r\nContent-Length: 33554432\r\n\r\n");
+      }
+      for (Peer& peer : answers ? hosts : clients) {
+        const ssize_t n = send(peer.fd(), part.data(), part.size(), MSG_NOSIGNAL);
+        if (n > 0) sent += static_cast<size_t>(n);
+      }
+      usleep(2000);
+    }
+    EXPECT_EQ(hosts.size(), kBodies);
+    EXPECT_GT(sent, kBodies << 20);  // most of it in the kernel's buffers
+  }
+#ifndef __SANITIZE_ADDRESS__  // which keeps its own memory
+  std::ifstream status("/proc/" + std::to_string(pid()) + "/status");
+  long kib = 0;
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("VmHWM:")) kib = std::stol(line.substr(6));
+  }
+  EXPECT_LT(kib, 32L * 1024);
+#endif
+}
+
 // Each of five hundred clients has sent all but the last byte of the longest body.
 TEST_F(Program, HoldsATableOfLongRequestsInItsMemory) {
   rlimit files{};
