A new process told to end before it serves leaves the old one alone; its socket's file is only its own

Seen by reading: after SIGTERM during the start the old process was told 'ready' and would have stopped to accept for a process that ends; its test fails without the change.

--- a/src/net/handover.cpp
+++ b/src/net/handover.cpp
@@ -107,6 +107,11 @@
   return true;
 }
 
+uint64_t InodeOf(const std::string& path) {
+  struct stat file {};
+  return stat(path.c_str(), &file) == 0 ? file.st_ino : 0;
+}
+
 bool ListensAt(int fd, const Address& listen) {
   int on = 0;
   socklen_t size = sizeof(on);
@@ -300,13 +305,14 @@
     return;
   }
   listening_ = std::make_unique<Listening>(*this, std::move(fd));
+  inode_ = InodeOf(path_);
 }
 
 Predecessor::~Predecessor() {
   loop_.Cancel(tell_);
   if (channel_) channel_->stream().Close();
-  // Once handed over the file is the new process's.
-  if (listening_ && !life_.handed_over()) unlink(path_.c_str());
+  // By now the file may be a newer process's.
+  if (listening_ && InodeOf(path_) == inode_) unlink(path_.c_str());
 }
 
 void Predecessor::Accept() {
--- a/src/net/handover.h
+++ b/src/net/handover.h
@@ -12,6 +12,7 @@
 #ifndef PADDLESTILE_NET_HANDOVER_H_
 #define PADDLESTILE_NET_HANDOVER_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -78,6 +79,7 @@
   Descriptors& budget_;
   std::function<std::string()> know_;
   std::unique_ptr<Listening> listening_;
+  uint64_t inode_ = 0;  // of the socket's file
   std::shared_ptr<Channel> channel_;
   EventLoop::TimerId tell_;
 };
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -138,10 +138,12 @@
     Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
     const Signals signals(loop, gateway, signals_set);
     while (!life.accepts() && !loop.stopped()) loop.RunOnce(kReadyLook);
-    if (successor) successor->Ready();
+    // One that was told to end meanwhile leaves the old one as it was.
+    const bool serves = !loop.stopped() && life.stage() != Stage::kEnding;
+    if (successor && serves) successor->Ready();
     // From now on this process can itself be followed by a newer one.
     std::optional<Predecessor> predecessor;
-    if (admin_at) {
+    if (admin_at && serves) {
       predecessor.emplace(loop, path_over, life, gateway.clients(), gateway.budget(),
                           [&] { return gateway.Know(); });
     }
--- a/tests/net/upgrade_test.cpp
+++ b/tests/net/upgrade_test.cpp
@@ -224,6 +224,25 @@
   ExpectWhole(more);
 }
 
+// One that is told to end before it could serve must not have the old one stop for it.
+TEST_F(Upgrade, ANewProcessEndedBeforeItServesChangesNothing) {
+  Child first, second, third;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Load load(address, 0, 4);
+  Start(second, 6002);
+  ASSERT_TRUE(second.Says("listens on"));
+  second.Signal(SIGTERM);
+  EXPECT_EQ(second.Wait(), 0);
+  EXPECT_EQ(second.Text().find("the running process is told"), std::string::npos);
+  usleep(200'000);
+  EXPECT_TRUE(Yes(6001));
+  ExpectWhole(load);
+  // And it can still be followed.
+  Start(third, 6003);
+  EXPECT_TRUE(first.Says("the new process serves"));
+}
+
 TEST_F(Upgrade, WhatLiesInTheFolderHarmsNothing) {
   const auto starts = [&](const std::string& what) {
     Child child;
