--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -88,10 +88,7 @@
   }
 }
 
-std::optional<Address> AdminOf(const Json& json,
-                               const std::function<const char*(const char*)>& env) {
-  const char* const told = env("LB_ADMIN");
-  if (told != nullptr && *told != '\0') return AddressVariable(env, "LB_ADMIN");
+std::optional<Address> AdminOf(const Json& json) {
   const Json* const admin = json.Find("admin");
   if (admin == nullptr || admin->type() == Json::Type::kNull) return std::nullopt;
   try {
@@ -466,11 +463,14 @@
   const Address listen = AddressVariable(env, "LB_LISTEN");
   const Address discovery = AddressVariable(env, "LB_DISCOVERY");
   const std::string path = NeedVariable(env, "LB_CONFIG");
+  std::optional<Address> admin;
+  const char* const told = env("LB_ADMIN");
+  if (told != nullptr && *told != '\0') admin = AddressVariable(env, "LB_ADMIN");
   const std::string text = ReadFile(path);
   try {
     const Json json = Json::Parse(text);
     Config config = ParseConfig(json, from_wall);
-    config.admin = AdminOf(json, env);
+    config.admin = admin ? admin : AdminOf(json);
     config.path = path;
     config.name = name;
     config.listen = listen;
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -240,6 +240,23 @@
   EXPECT_EQ(CheckConfig("/no/such").size(), 1u);
 }
 
+// Where operators call: the variable goes before the file, and neither is needed.
+TEST_F(ConfigFile, TheAdminAddressComesFromTheVariableElseTheFile) {
+  Write(File(kSettings));
+  EXPECT_FALSE(Read().admin);
+  std::string text = File(kSettings);
+  Write(text.insert(1, R"("admin":"127.0.0.4:6000",)"));
+  ASSERT_TRUE(Read().admin);
+  EXPECT_EQ(ToText(*Read().admin), "127.0.0.4:6000");
+  env_["LB_ADMIN"] = "127.0.0.4:6001";
+  EXPECT_EQ(ToText(*Read().admin), "127.0.0.4:6001");
+  env_["LB_ADMIN"] = "here";
+  EXPECT_EQ(Error(), "LB_ADMIN: no address and port: 'here'");
+  env_.erase("LB_ADMIN");
+  Write(File(kSettings).insert(1, R"("admin":"there",)"));
+  EXPECT_NE(Error().find("'admin'"), std::string::npos);
+}
+
 // ---- Read again ------------------------------------------------------------------------------
 
 class ReadAgainTest : public ConfigFile {
