--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -77,6 +77,24 @@
   EXPECT_GT(g.brain.stats().picks, fallbacks);
 }
 
+// A request too large to be held cannot be sent again: asking for it would cost the client its
+// time.
+TEST(Attempts, WhatIsNoLongerHeldIsGivenUpAtOnce) {
+  Gateway g(MakeSettings());
+  g.Endpoints(4);
+  g.WarmUp(60);
+  for (const bool spent : {false, true}) {
+    const std::string id = spent ? "large" : "held";
+    g.Ask(id);
+    ASSERT_EQ(g.sends.back().id, id);
+    Settled turned{id, 0, g.sends.back().endpoint, Outcome::kFull, Ms(5), false, std::nullopt};
+    turned.spent = spent;
+    const auto told = g.Give(turned);
+    EXPECT_EQ(Gateway::All<Send>(told).size(), spent ? 0u : 1u);
+    EXPECT_EQ(Gateway::All<Refuse>(told).size(), spent ? 1u : 0u);
+  }
+}
+
 TEST(Membership, NothingGoesToDrainingOrRemoved) {
   Gateway g(MakeSettings());
   g.Endpoints(3);
