--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "lab/bank_world.h"
 #include "lab/bench.h"
 #include "lab/experiment.h"
 #include "lab/fleet_report.h"
@@ -38,6 +39,8 @@
   size_t gateways = 0;
   bool module = false;
   BenchOptions bench;
+  WorldsOptions worlds;
+  std::string mischief = "none";
 };
 
 int Fail(std::string_view text) {
@@ -144,6 +147,17 @@
   return kDone;
 }
 
+int Worlds(Words& w) {
+  for (int i = 0; i < kMischiefs; ++i) {
+    if (w.mischief == NameOf(static_cast<Mischief>(i))) {
+      w.worlds.world.mischief = static_cast<Mischief>(i);
+    }
+  }
+  const WorldsResult result = PlayWorlds(w.worlds);
+  fmt::print("{}", ToText(result, w.worlds));
+  return result.broken == 0 ? kDone : kDidNotHold;
+}
+
 }  // namespace
 
 std::vector<std::string> CheckExperiment(const std::string& path) {
@@ -223,6 +237,32 @@
   bench->add_flag("--module", words->module, "the decision module alone (make bench builds it)");
   bench->footer("Example:\n  paddlestile lab bench --seconds 5 --json bench.json");
 
+  CLI::App* const world = lab->add_subcommand(
+      "world", "Play the bank's deciders in simulated time, a schedule of faults a seed");
+  world->add_option("--schedules", words->worlds.schedules, "how many, each with the next seed")
+      ->check(CLI::Range(1, 1'000'000'000))
+      ->capture_default_str();
+  world->add_option("--seed", words->worlds.world.seed, "of the first")->capture_default_str();
+  world->add_option("--jobs", words->worlds.jobs, "threads")
+      ->check(CLI::Range(1, 256))
+      ->capture_default_str();
+  world->add_option("--followers", words->worlds.world.followers, "beside three or five voters")
+      ->check(CLI::Range(0, 10'000))
+      ->capture_default_str();
+  world->add_option("--faults", words->worlds.world.faults, "in each schedule")
+      ->check(CLI::Range(0, 1000))
+      ->capture_default_str();
+  std::vector<std::string> mischiefs;
+  for (int i = 0; i < kMischiefs; ++i) mischiefs.emplace_back(NameOf(static_cast<Mischief>(i)));
+  world->add_option("--mischief", words->mischief, "members that break a term on purpose")
+      ->check(CLI::IsMember(mischiefs))
+      ->capture_default_str();
+  world->add_flag("--trace", words->worlds.world.trace, "say what happens, on standard error");
+  world->footer(
+      "Exit codes: 0 all held, 1 a term was broken: each seed with the command that plays it.\n\n"
+      "Examples:\n  paddlestile lab world --schedules 100000 --jobs 8\n"
+      "  paddlestile lab world --schedules 100 --mischief acts-on");
+
   return [=] {
     if (!lab->parsed()) return -1;
     try {
@@ -230,6 +270,7 @@
       if (list->parsed()) return List(*words);
       if (report->parsed()) return Report(*words);
       if (fleet->parsed()) return Fleet(*words);
+      if (world->parsed()) return Worlds(*words);
       return Bench(*words);
     } catch (const Interrupted& error) {
       fmt::print(stderr, "paddlestile: {}\n", error.what());
