--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
 
 #include "brain.h"
 #include "lab/commands.h"
+#include "net/bank_commands.h"
 #include "net/config.h"
 #include "net/log.h"
 #include "net/migrate.h"
@@ -92,6 +93,9 @@
                    "seconds between two lines of counters in the log, for lab fleet-report")
       ->check(CLI::Range(0.1, 3600.0));
 
+  std::string operator_file;
+  serve->add_option("--operator", operator_file, "the operator's file (TOML): [bank]");
+
   std::string file;
   CLI::App* const check = app.add_subcommand("check", "Say what is wrong in a file, all of it");
   check->add_option("FILE", file, "a gateway's configuration (JSON) or an experiment (.toml)")
@@ -125,6 +129,7 @@
       "  paddlestile migrate bank.json --gateways 900 --warm-keys --to beside.json");
 
   const std::function<int()> lab = lab::AddCommands(app);
+  const std::function<int()> bank = net::AddBankCommands(app);
   CLI::App* const version = app.add_subcommand("version", "Print the version");
 
   try {
@@ -153,7 +158,8 @@
     return MigrateFile(file, to, options, replace);
   }
   if (const int code = lab(); code >= 0) return code;
-  return net::Serve({Duration(std::llround(counters_every * 1e6))});
+  if (const int code = bank(); code >= 0) return code;
+  return net::Serve({Duration(std::llround(counters_every * 1e6)), operator_file});
 }
 
 }  // namespace
--- /dev/null
+++ b/src/net/bank_commands.cpp
@@ -0,0 +1,368 @@
+#include "net/bank_commands.h"
+
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <ctime>
+#include <fstream>
+#include <iterator>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "bank/codec.h"
+#include "net/bank_config.h"
+#include "net/buffer.h"
+#include "net/membership.h"
+#include "peer/frames.h"
+#include "peer/links.h"
+
+namespace paddlestile::net {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kDone = 0;
+constexpr int kFailed = 1;
+constexpr int kWrongUsage = 2;
+constexpr Duration kCallWithin{5'000'000};  // us
+constexpr Duration kAgainAfter{100'000};    // us
+
+struct Words {
+  std::string file, operator_file, name, id, author, reason;
+  std::vector<std::string> at;
+  std::optional<uint64_t> expect;
+  uint64_t a = 0, b = 0;
+  double within = 10;
+  bool as_json = false;
+};
+
+int Say(int code, const std::string& text) {
+  fmt::print(stderr, "paddlestile: bank: {}\n", text);
+  return code;
+}
+
+// The members to ask, in turn.
+std::vector<Address> Places(const Words& w) {
+  std::vector<Address> places;
+  for (const std::string& text : w.at) places.push_back(ParseAddress(text));
+  if (!w.operator_file.empty()) {
+    std::ifstream file(w.operator_file, std::ios::binary);
+    const std::string text((std::istreambuf_iterator<char>(file)),
+                           std::istreambuf_iterator<char>());
+    if (!file)
+      throw ConfigError(w.operator_file + ": cannot read it, expected the operator's file");
+    for (const auto& [name, address] : MembersOf(text, w.operator_file)) places.push_back(address);
+  }
+  if (places.empty()) throw ConfigError("nobody to ask, expected --at ADDRESS or --operator FILE");
+  return places;
+}
+
+// The first that answers.
+std::optional<json> AskAny(const Words& w, const json& call) {
+  for (const Address& at : Places(w)) {
+    if (auto answer = CallMember(at, call, kCallWithin)) return answer;
+  }
+  return std::nullopt;
+}
+
+int Nobody() { return Say(kFailed, "no member answers"); }
+
+int Status(const Words& w) {
+  json all = json::array();
+  bool any = false;
+  for (const Address& at : Places(w)) {
+    auto answer = CallMember(at, {{"what", "status"}}, kCallWithin);
+    any = any || answer.has_value();
+    json one = answer ? std::move(*answer) : json{{"error", "no answer"}};
+    one["address"] = ToText(at);
+    all.push_back(std::move(one));
+  }
+  if (w.as_json) {
+    fmt::print("{}\n", all.dump(2));
+    return any ? kDone : kFailed;
+  }
+  for (const json& one : all) {
+    if (one.contains("error")) {
+      fmt::print("{:<10} {:<21} {}\n", "?", one["address"].get<std::string>(), "no answer");
+      continue;
+    }
+    const std::string leader = one["leader"];
+    fmt::print(
+        "{:<10} {:<21} {:<9} {:<8} version {} on, {} taken; term {}, {}; lease {} ms; disk {}\n",
+        one["name"].get<std::string>(), one["address"].get<std::string>(),
+        one["role"].get<std::string>(), one["stance"].get<std::string>(),
+        one["version_on"].get<uint64_t>(), one["version_latest"].get<uint64_t>(),
+        one["term"].get<uint64_t>(),
+        leader.empty() ? fmt::format("nobody has led for {} ms", one["no_leader_ms"].get<int64_t>())
+                       : leader + " leads",
+        one["lease_ms"].get<int64_t>(), one["disk"].get<std::string>());
+  }
+  for (const json& one : all) {
+    if (one.contains("error")) continue;
+    fmt::print(
+        "bound: no two gateways act on rules that contradict each other for longer than {} ms\n",
+        one["bound_ms"].get<int64_t>());
+    break;
+  }
+  return any ? kDone : kFailed;
+}
+
+int History(const Words& w) {
+  const auto answer = AskAny(w, {{"what", "history"}});
+  if (!answer) return Nobody();
+  if (w.as_json) {
+    fmt::print("{}\n", (*answer)["versions"].dump(2));
+    return kDone;
+  }
+  for (const json& v : (*answer)["versions"]) {
+    const auto at = static_cast<std::time_t>(v["unix_s"].get<double>());
+    fmt::print("{:>5} {} {:%Y-%m-%d %H:%M:%S}Z {} {}: {}\n", v["version"].get<uint64_t>(),
+               v["hash"].get<std::string>(), fmt::gmtime(at),
+               v["on"].get<bool>() ? "on   " : "taken", v["author"].get<std::string>(),
+               v["reason"].get<std::string>());
+  }
+  return kDone;
+}
+
+// Line by line of the two as indented JSON: what one has and the other has not.
+int Diff(const Words& w) {
+  const auto answer = AskAny(w, {{"what", "history"}});
+  if (!answer) return Nobody();
+  json rules[2];
+  const uint64_t wanted[2] = {w.a, w.b};
+  for (int i = 0; i < 2; ++i) {
+    if (wanted[i] == 0) {
+      rules[i] = json::parse(bank::ToText({}));
+      continue;
+    }
+    bool found = false;
+    for (const json& v : (*answer)["versions"]) {
+      if (v["version"] != wanted[i]) continue;
+      rules[i] = json::parse(v["rules"].get<std::string>(), nullptr, false);
+      found = !rules[i].is_discarded();
+    }
+    if (!found) {
+      return Say(kFailed, fmt::format("version {} is not kept whole, expected one of the last {}",
+                                      wanted[i], bank::History::kWhole));
+    }
+  }
+  const json patch = json::diff(rules[0], rules[1]);
+  if (w.as_json) {
+    fmt::print("{}\n", patch.dump(2));
+    return kDone;
+  }
+  for (const json& step : patch) {
+    const std::string path = step["path"];
+    const json::json_pointer at(path);
+    const std::string op = step["op"];
+    if (op != "add") fmt::print("- {} {}\n", path, rules[0][at].dump());
+    if (op != "remove") fmt::print("+ {} {}\n", path, step["value"].dump());
+  }
+  for (const std::string& why :
+       bank::Contradictions(bank::ParseRules(rules[0].dump()), bank::ParseRules(rules[1].dump()))) {
+    fmt::print("contradicts: {}\n", why);
+  }
+  return kDone;
+}
+
+// Submits until it is told done or refused: the same id counts once however often it comes.
+int Submit(const Words& w, bank::Wish wish) {
+  if (wish.change.id.empty()) {
+    std::random_device device;
+    wish.change.id = fmt::format("{:08x}{:08x}", device(), device());
+  }
+  wish.change.author = w.author;
+  if (w.author.empty()) {
+    const char* const user = std::getenv("USER");
+    wish.change.author = user != nullptr ? user : "operator";
+  }
+  wish.change.reason = w.reason;
+  wish.change.unix_s =
+      std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
+  const json call = {{"what", "submit"}, {"wish", bank::ToJson(wish)}};
+  const std::vector<Address> places = Places(w);
+  const auto until = std::chrono::steady_clock::now() + std::chrono::duration<double>(w.within);
+  std::string last = "no member answers";
+  for (size_t turn = 0; turn == 0 || std::chrono::steady_clock::now() < until; ++turn) {
+    if (turn >= places.size()) std::this_thread::sleep_for(kAgainAfter);
+    const auto answer = CallMember(places[turn % places.size()], call, kCallWithin);
+    if (!answer) continue;
+    if (answer->contains("error")) {
+      last = (*answer)["error"].get<std::string>();
+      continue;
+    }
+    const auto told = bank::ReadAnswer(answer->value("answer", json()));
+    if (!told) continue;
+    if (told->kind == bank::Answer::Kind::kDone) {
+      if (w.as_json) {
+        fmt::print("{}\n", json{{"id", told->id}, {"version", told->version}}.dump());
+      } else if (told->version > 0) {
+        fmt::print("{}: version {} is on\n", told->id, told->version);
+      } else {
+        fmt::print("{}: done\n", told->id);
+      }
+      return kDone;
+    }
+    if (told->kind == bank::Answer::Kind::kRefused) return Say(kFailed, "refused: " + told->text);
+    last = told->text;
+  }
+  return Say(kFailed, fmt::format("{}; not told done within {} s: submit it again with --id {}",
+                                  last, w.within, wish.change.id));
+}
+
+int Change(const Words& w) {
+  std::ifstream file(w.file, std::ios::binary);
+  bank::Wish wish;
+  wish.change.rules =
+      std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  if (!file) return Say(kWrongUsage, w.file + ": cannot read it, expected a file of rules (JSON)");
+  const std::vector<std::string> faults = bank::CheckRules(wish.change.rules);
+  for (const std::string& fault : faults) fmt::print(stderr, "{}: {}\n", w.file, fault);
+  if (!faults.empty()) return kWrongUsage;
+  wish.change.id = w.id;
+  wish.change.expect = w.expect;
+  return Submit(w, std::move(wish));
+}
+
+int Voters(const Words& w, bank::Wish::Kind kind) {
+  bank::Wish wish;
+  wish.kind = kind;
+  wish.name = w.name;
+  wish.change.id = w.id;
+  return Submit(w, std::move(wish));
+}
+
+int Init(const Words& w) {
+  if (w.operator_file.empty()) return Say(kWrongUsage, "no file, expected --operator FILE");
+  const BankConfig config = ReadBank(w.operator_file, w.name);
+  if (!config.members.at(w.name).votes) {
+    return Say(kWrongUsage, w.name + ": does not vote, expected one of the voters");
+  }
+  InitBank(config, w.name);
+  fmt::print("{}: begun; start the members, the other voters join by themselves\n", config.folder);
+  return kDone;
+}
+
+}  // namespace
+
+std::optional<json> CallMember(const Address& at, const json& call, Duration within) {
+  const Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const timeval limit{within.count() / 1'000'000, within.count() % 1'000'000};
+  setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  setsockopt(fd.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(at.port);
+  address.sin_addr.s_addr = htonl(at.host);
+  if (!fd || connect(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    return std::nullopt;
+  }
+  const std::string frame = peer::FrameOf({{"hello", peer::kFormat}, {"call", call}});
+  for (size_t sent = 0; sent < frame.size();) {
+    const ssize_t n = send(fd.get(), frame.data() + sent, frame.size() - sent, MSG_NOSIGNAL);
+    if (n <= 0) return std::nullopt;
+    sent += static_cast<size_t>(n);
+  }
+  Buffer in;
+  while (true) {
+    json value;
+    switch (peer::TakeFrame(in, value)) {
+      case peer::FrameRead::kWhole: return value;
+      case peer::FrameRead::kNonsense: return std::nullopt;
+      case peer::FrameRead::kNone: break;
+    }
+    const ssize_t n = recv(fd.get(), in.Prepare(4096), 4096, 0);
+    if (n <= 0) return std::nullopt;
+    in.Commit(static_cast<size_t>(n));
+  }
+}
+
+std::function<int()> AddBankCommands(CLI::App& app) {
+  const auto w = std::make_shared<Words>();
+  CLI::App* const bank = app.add_subcommand("bank", "Settings and lists that gateways agree on");
+  bank->require_subcommand(1);
+  const auto command = [&](CLI::App* under, const char* name, const char* about,
+                           const char* footer) {
+    CLI::App* const c = under->add_subcommand(name, about);
+    c->footer(std::string("Exit codes: 0 done, 1 not, 2 wrong usage.\n\nExamples:\n") + footer);
+    c->add_option("--operator", w->operator_file,
+                  "the operator's file: all members are asked in turn");
+    return c;
+  };
+  const auto asks = [&](CLI::App* c) {
+    c->add_option("--at", w->at, "a member's address in the bank; several are asked in turn");
+    c->add_flag("--json", w->as_json, "for programs");
+    return c;
+  };
+  const auto submits = [&](CLI::App* c) {
+    asks(c);
+    c->add_option("--id", w->id, "the same id again is the same change, and counts once");
+    c->add_option("--author", w->author, "who wants it; $USER where none is given");
+    c->add_option("--reason", w->reason, "why, for the history");
+    c->add_option("--within", w->within, "seconds to go on asking")
+        ->check(CLI::Range(0.1, 3600.0))
+        ->capture_default_str();
+    return c;
+  };
+  CLI::App* const init = command(bank, "init", "Begin a bank at its first voter",
+                                 "  paddlestile bank init --operator bank.toml --name g0");
+  init->add_option("--name", w->name, "that member")->required();
+  CLI::App* const status = asks(command(bank, "status", "Who is there, who leads, what is acted on",
+                                        "  paddlestile bank status --operator bank.toml"));
+  CLI::App* const history = asks(command(bank, "history", "The versions, the oldest first",
+                                         "  paddlestile bank history --at 127.0.0.1:7000"));
+  CLI::App* const diff = asks(command(bank, "diff", "What differs between two versions",
+                                      "  paddlestile bank diff 3 4 --at 127.0.0.1:7000"));
+  diff->add_option("A", w->a, "a version; 0: nothing agreed")->required();
+  diff->add_option("B", w->b, "another")->required();
+  CLI::App* const change = submits(command(
+      bank, "change", "Submit a whole new version",
+      "  paddlestile bank change rules.json --operator bank.toml --reason 'h-3 burns' --expect 4"));
+  change->add_option("FILE", w->file, "settings, barred, drain, zone_only (JSON)")->required();
+  change->add_option("--expect", w->expect, "refuse where another version is the latest");
+  CLI::App* const voters = bank->add_subcommand("voters", "Who votes");
+  voters->require_subcommand(1);
+  CLI::App* const add = submits(command(voters, "add", "Let a member vote",
+                                        "  paddlestile bank voters add g7 --operator bank.toml"));
+  CLI::App* const remove =
+      submits(command(voters, "remove", "Let a member vote no more",
+                      "  paddlestile bank voters remove g7 --at 127.0.0.1:7000"));
+  CLI::App* const replace =
+      submits(command(voters, "replace", "Let a voter in anew that came back with another disk",
+                      "  paddlestile bank voters replace g1 --operator bank.toml"));
+  for (CLI::App* const c : {add, remove, replace}) {
+    c->add_option("NAME", w->name, "the member")->required();
+  }
+  return [=] {
+    if (!bank->parsed()) return -1;
+    try {
+      if (init->parsed()) return Init(*w);
+      if (status->parsed()) return Status(*w);
+      if (history->parsed()) return History(*w);
+      if (diff->parsed()) return Diff(*w);
+      if (change->parsed()) return Change(*w);
+      return Voters(*w, add->parsed()      ? bank::Wish::Kind::kAddVoter
+                        : remove->parsed() ? bank::Wish::Kind::kRemoveVoter
+                                           : bank::Wish::Kind::kReplaceVoter);
+    } catch (const ConfigError& error) {
+      fmt::print(stderr, "{}\n", error.what());
+      return kWrongUsage;
+    } catch (const std::exception& error) {
+      return Say(kFailed, error.what());
+    }
+  };
+}
+
+}  // namespace paddlestile::net
--- /dev/null
+++ b/src/net/bank_config.h
@@ -0,0 +1,46 @@
+// The operator's file: `[bank]` and its members. Off where there is none.
+#ifndef PADDLESTILE_NET_BANK_CONFIG_H_
+#define PADDLESTILE_NET_BANK_CONFIG_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bank/agreement.h"
+#include "net/config.h"
+
+namespace paddlestile::net {
+
+// What a gateway does with hosts that others may have barred, once it has lost the bank.
+enum class WhenLost {
+  kServe,  // goes on with what it knows, nothing sent twice
+  kDrain   // and empties itself, until it is in touch again
+};
+
+struct BankConfig {
+  std::string path, bank;
+  std::string folder;  // of this member, `{name}` replaced
+  struct Seat {
+    Address address;
+    Address dial;  // where the others reach it, if elsewhere
+    bool votes = false;
+  };
+  std::map<std::string, Seat> members;
+  bank::Timing timing;
+  WhenLost when_lost = WhenLost::kServe;
+  double clock_factor = 1;  // of a lab: this process's clock runs so much faster
+};
+
+// All that is wrong in the file, a line each: "FILE:LINE: KEY: what, expected ...". Empty: good.
+std::vector<std::string> CheckBank(std::string_view text, const std::string& path);
+
+// The members' addresses by name; throws ConfigError with those lines.
+std::map<std::string, Address> MembersOf(std::string_view text, const std::string& path);
+
+// For the member `name`; throws ConfigError with those lines, or where the name is none of them.
+BankConfig ReadBank(const std::string& path, const std::string& name);
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_BANK_CONFIG_H_
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -335,45 +335,74 @@
   return out;
 }
 
+namespace {
+
+// What `text` says after `was`, and with all of these keys; throws what is wrong.
+Config ParseAgain(const std::string& text, const Config& was, const std::set<std::string>& keys,
+                  Time now, const std::function<Time(double)>& from_wall) {
+  const Json json = Json::Parse(text);
+  Config config = ParseConfig(json, from_wall);
+  for (const std::string& key : keys) {
+    // The fields of a list's items are only those of items that are there.
+    const size_t item = key.find(".*");
+    const bool none = item != std::string::npos && !config.keys.contains(key.substr(0, item + 2));
+    if (!none && !config.keys.contains(key)) {
+      throw ConfigError(fmt::format("no '{}', expected as before", key));
+    }
+  }
+  CheckSettings(config.settings);
+  const Settings& told = config.settings;
+  if (config.names.classes.places().size() != told.classes.size()) {
+    throw ConfigError("'settings.Classes' names one twice, expected each once");
+  }
+  if (config.names.tenants.places().size() != told.tenants.size()) {
+    throw ConfigError("'settings.Tenants' names one twice, expected each once");
+  }
+  if (json.Find("discovery") != nullptr) {
+    config.discovery = ParseAddress(json.Need("discovery", Json::Type::kString).text());
+  } else {
+    config.discovery = was.discovery;
+  }
+  config.path = was.path;
+  config.name = was.name;
+  config.listen = was.listen;
+  config.admin = was.admin;
+  config.seed = was.seed;
+  config.sockets = was.sockets;
+  config.text = text;
+  KeepPlaces(was, now, config);
+  return config;
+}
+
+}  // namespace
+
 Config ReadAgain(const Config& was, Time now, const std::function<Time(double)>& from_wall) {
   const std::string text = ReadFile(was.path);
   try {
-    const Json json = Json::Parse(text);
-    Config config = ParseConfig(json, from_wall);
-    for (const std::string& key : was.keys) {
-      // The fields of a list's items are only those of items that are there.
-      const size_t item = key.find(".*");
-      const bool none = item != std::string::npos && !config.keys.contains(key.substr(0, item + 2));
-      if (!none && !config.keys.contains(key)) {
-        throw ConfigError(fmt::format("no '{}', expected as before", key));
-      }
-    }
-    CheckSettings(config.settings);
-    const Settings& told = config.settings;
-    if (config.names.classes.places().size() != told.classes.size()) {
-      throw ConfigError("'settings.Classes' names one twice, expected each once");
-    }
-    if (config.names.tenants.places().size() != told.tenants.size()) {
-      throw ConfigError("'settings.Tenants' names one twice, expected each once");
-    }
-    if (json.Find("discovery") != nullptr) {
-      config.discovery = ParseAddress(json.Need("discovery", Json::Type::kString).text());
-    } else {
-      config.discovery = was.discovery;
-    }
-    config.path = was.path;
-    config.name = was.name;
-    config.listen = was.listen;
-    config.admin = was.admin;
-    config.seed = was.seed;
-    config.sockets = was.sockets;
-    KeepPlaces(was, now, config);
-    return config;
+    return ParseAgain(text, was, was.keys, now, from_wall);
   } catch (const std::exception& error) {
     throw ConfigError(fmt::format("LB_CONFIG: {}", error.what()));
   }
 }
 
+Config WithRules(const Config& file, const Config& was, const bank::Rules& rules, Time now,
+                 const std::function<Time(double)>& from_wall) {
+  try {
+    nlohmann::json json = nlohmann::json::parse(file.text);
+    json["settings"].merge_patch(rules.settings);
+    Config config = ParseAgain(json.dump(), was, {}, now, from_wall);
+    config.discovery = file.discovery;
+    config.keys = file.keys;
+    config.text = file.text;
+    if (!rules.strict) return config;
+    for (RequestClass& c : config.settings.classes) c.effect = Effect::kUnsafe;
+    config.settings.allowed.send_cap = 1;
+    return config;
+  } catch (const std::exception& error) {
+    throw ConfigError(fmt::format("bank: {}", error.what()));
+  }
+}
+
 std::string Changes(const Config& was, const Config& now) {
   std::string words;
   const auto add = [&](std::string_view what) {
@@ -475,6 +504,7 @@
     config.name = name;
     config.listen = listen;
     config.discovery = discovery;
+    config.text = text;
     return config;
   } catch (const std::exception& error) {
     throw ConfigError(fmt::format("LB_CONFIG: {}", error.what()));
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "bank/rules.h"
 #include "brain.h"
 #include "net/json.h"
 
@@ -83,6 +84,7 @@
   Names names;
   HostList known;
   std::set<std::string> keys;  // of the file, by path; a newer one must have them too
+  std::string text;            // the file's
 };
 
 // What the settings allow or ask for that a gateway on sockets does not do, a line each.
@@ -102,6 +104,12 @@
 // was.
 Config ReadAgain(const Config& was, Time now, const std::function<Time(double)>& from_wall);
 
+// What `file` says under the bank's rules: its settings with theirs laid over them, and where they
+// are strict nothing sent twice. `was` is in force until then. Throws ConfigError where the two
+// make no sense together.
+Config WithRules(const Config& file, const Config& was, const bank::Rules& rules, Time now,
+                 const std::function<Time(double)>& from_wall);
+
 // What changed from one to the other, in words for the log; empty where nothing did.
 std::string Changes(const Config& was, const Config& now);
 
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -99,7 +99,8 @@
   for (const RequestClass& c : config_->settings.classes) longest_ = std::max(longest_, c.deadline);
   servers_->SetOptions(ServerOptions(*config_));
   list_->SetNames(config_->names);
-  Post(config_->settings);
+  events_.emplace_front(config_->settings);
+  Post();
   list_->Redirect(config_->discovery);
 }
 
@@ -295,17 +296,47 @@
       listed_.erase(entry.info.id);
     } else {
       servers_->SetAddress(entry.info.id, entry.address);
-      listed_[entry.info.id] = {entry.info.state == EndpointState::kDraining, entry.info.launched};
+      const EndpointInfo told = entry.info;
+      if (kept_off_.contains(told.id)) entry.info.state = EndpointState::kDraining;
+      listed_[told.id] = {entry.info.state == EndpointState::kDraining, told.launched, told};
     }
     members.entries.push_back(std::move(entry.info));
   }
   Post(std::move(members));
 }
 
+void Gateway::KeepOff(std::set<std::string> hosts) {
+  const std::set<std::string> before = std::exchange(kept_off_, std::move(hosts));
+  Members members{ListKind::kDelta, {}};
+  for (auto& [id, listed] : listed_) {
+    const bool off = kept_off_.contains(id);
+    if (off == before.contains(id)) continue;
+    EndpointInfo info = listed.told;
+    if (off) info.state = EndpointState::kDraining;
+    listed.draining = info.state == EndpointState::kDraining;
+    members.entries.push_back(std::move(info));
+  }
+  if (members.entries.empty()) return;
+  // Before what waits, so that no event after this call is decided without it; and behind it, as a
+  // list that waits was read before.
+  if (!events_.empty()) events_.emplace_back(members);
+  events_.emplace_front(std::move(members));
+  Post();
+}
+
+void Gateway::Guard(Time until, std::function<void()> then) {
+  guard_until_ = until;
+  guard_ = std::move(then);
+}
+
 // ---- The module -----------------------------------------------------------------------------
 
 void Gateway::Post(Event event) {
   events_.push_back(std::move(event));
+  Post();
+}
+
+void Gateway::Post() {
   if (std::exchange(pumping_, true)) return;
   // After the handler at work: what the module wants done must not happen within it.
   loop_.Defer([this, alive = std::weak_ptr(alive_)] {
@@ -315,6 +346,7 @@
 
 void Gateway::Pump() {
   while (!events_.empty()) {
+    if (guard_ && loop_.Now() >= guard_until_) std::exchange(guard_, nullptr)();
     const Event event = std::move(events_.front());
     events_.pop_front();
     actions_.clear();
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -46,6 +47,12 @@
   // module does not take its settings.
   void Adopt(Config config);
 
+  // Hosts that take no further work, whatever the lists say of them, until another call. What is
+  // known of them stays. In force before the next event.
+  void KeepOff(std::set<std::string> hosts);
+  // Runs `then` before any event from `until` on, once; one at a time.
+  void Guard(Time until, std::function<void()> then);
+
   // What the module has learned, for another process, and taking over what one told. False where
   // that makes no sense; it is then left out.
   [[nodiscard]] std::string Know() const;
@@ -78,6 +85,7 @@
   void LifeChanged();
   void TakeList(HostList list, ListKind kind);
   void Post(Event event);
+  void Post();
   void Pump();
   void Apply(const Action& action);
   void Apply(const Send& send);
@@ -116,10 +124,14 @@
   std::unordered_set<std::string> recent_ids_;
   std::deque<Event> events_;
   bool pumping_ = false;
+  std::set<std::string> kept_off_;
+  Time guard_until_ = Time::max();
+  std::function<void()> guard_;
   std::vector<Action> actions_;
   struct Listed {
     bool draining = false;
     Time launched{0};
+    EndpointInfo told;  // as the list has it
   };
   std::unordered_map<std::string, Listed> listed_;  // all but those that have left
   std::unique_ptr<Servers> servers_;
--- /dev/null
+++ b/src/net/membership.h
@@ -0,0 +1,99 @@
+// A gateway's side of the bank: the disk, the clock and the links that its decider (bank::Member)
+// knows nothing of, and the rules that it gives to the gateway. The disk has a thread of its own:
+// one that stands still holds no request.
+#ifndef PADDLESTILE_NET_MEMBERSHIP_H_
+#define PADDLESTILE_NET_MEMBERSHIP_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bank/member.h"
+#include "net/bank_config.h"
+#include "net/config.h"
+#include "net/event_loop.h"
+#include "net/gateway.h"
+#include "net/life.h"
+#include "peer/links.h"
+#include "store/files.h"
+
+namespace paddlestile::net {
+
+class DiskThread;
+
+class Membership final : public peer::Links::Listener {
+ public:
+  // Reads what the disk has and acts on that at once, under strict rules; takes part once no other
+  // process has the folder. Throws ConfigError or std::system_error with one line.
+  Membership(EventLoop& loop, BankConfig config, Gateway& gateway, Life& life, Config file);
+  virtual ~Membership();
+  Membership(const Membership&) = delete;
+  Membership& operator=(const Membership&) = delete;
+
+  // The platform's file was read again: the bank's rules lie over it.
+  void SetFile(Config file);
+  // What the platform's file says, without the bank's rules.
+  [[nodiscard]] const Config& file() const { return file_; }
+
+  [[nodiscard]] std::string StateText() const;
+
+ private:
+  nlohmann::json KnownOf(const std::string& name) override;
+  void OnUp(const std::string& name, uint64_t life, const nlohmann::json& known) override;
+  void OnDown(const std::string& name) override;
+  void OnFrame(const std::string& name, const nlohmann::json& value) override;
+  void OnCall(uint64_t call, const nlohmann::json& value) override;
+
+  void Look();
+  void Leave();
+  void TakePart();
+  void Link(uint64_t life, uint64_t boot);
+  void Begin(bank::Disk disk);
+  void OpenDisk();
+  void OnDisk();
+  void StartAnew(const char* why, bool on_disk);
+  void Wants();
+  template <typename What>
+  void Run(What&& what);
+  void CarryOut(bank::MemberOutput& out);
+  void Act();
+  void Tick();
+  [[nodiscard]] Time Now() const;
+  [[nodiscard]] nlohmann::json Status() const;
+  // Why this gateway cannot act on these rules; empty: it can.
+  [[nodiscard]] std::string CannotActOn(const std::string& rules) const;
+
+  EventLoop& loop_;
+  BankConfig config_;
+  Gateway& gateway_;
+  Life& life_;
+  Config file_;
+  Time zero_;
+  std::shared_ptr<void> lock_;
+  std::unique_ptr<DiskThread> disk_;
+  std::unique_ptr<bank::Member> member_;
+  std::unique_ptr<peer::Links> links_;
+  std::set<std::string> wanted_;
+  uint64_t durable_ = 0, next_ticket_ = 1;
+  std::vector<bank::Outgoing> held_;
+  std::map<uint64_t, uint64_t> calls_;  // ticket to call
+  std::optional<bank::Stance> stance_;
+  std::optional<bank::Rules> rules_;
+  EventLoop::TimerId timer_, look_timer_, act_timer_;
+  bool drained_ = false, diskless_ = false;
+  uint64_t changes_ = 0, lost_ = 0, disk_failures_ = 0;
+};
+
+// ---- Without a gateway ------------------------------------------------------------------------
+
+// Makes the folder of the bank's first member, the only one that votes until the others come.
+// Throws ConfigError where there is a log already.
+void InitBank(const BankConfig& config, const std::string& name);
+
+}  // namespace paddlestile::net
+
+#endif  // PADDLESTILE_NET_MEMBERSHIP_H_
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "net/admin.h"
+#include "net/bank_config.h"
 #include "net/config.h"
 #include "net/counters.h"
 #include "net/event_loop.h"
@@ -21,19 +22,27 @@
 #include "net/handover.h"
 #include "net/life.h"
 #include "net/log.h"
+#include "net/membership.h"
 
 namespace paddlestile::net {
 namespace {
 
-void PrintCounters(const Gateway& gateway) {
-  LogLine(Level::kInfo, "counters: " + gateway.StateText());
+// What a gateway is made of beside its loop.
+struct Parts {
+  Gateway& gateway;
+  std::optional<Membership>& membership;
+};
+
+void PrintCounters(const Parts& parts) {
+  LogLine(Level::kInfo, "counters: " + parts.gateway.StateText() +
+                            (parts.membership ? ' ' + parts.membership->StateText() : ""));
 }
 
 // Lines of counters in step with the wall clock, so that those of a fleet can be added up.
 class Beat {
  public:
-  Beat(EventLoop& loop, const Gateway& gateway, Duration every)
-      : loop_(loop), gateway_(gateway), every_(every) {
+  Beat(EventLoop& loop, const Parts& parts, Duration every)
+      : loop_(loop), parts_(parts), every_(every) {
     if (every_ > Duration(0)) Next();
   }
   Beat(const Beat&) = delete;
@@ -45,13 +54,13 @@
     const auto into = std::chrono::duration_cast<Duration>(
         std::chrono::system_clock::now().time_since_epoch() % every_);
     timer_ = loop_.After(every_ - into, [this] {
-      PrintCounters(gateway_);
+      PrintCounters(parts_);
       Next();
     });
   }
 
   EventLoop& loop_;
-  const Gateway& gateway_;
+  Parts parts_;
   Duration every_;
   EventLoop::TimerId timer_;
 };
@@ -74,7 +83,8 @@
     return set;
   }
 
-  Signals(EventLoop& loop, Gateway& gateway, const sigset_t& set) : loop_(loop), gateway_(gateway) {
+  Signals(EventLoop& loop, const Parts& parts, const sigset_t& set)
+      : loop_(loop), parts_(parts), gateway_(parts.gateway) {
     fd_ = Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     uint64_t token = 0;
     if (!fd_ || !loop_.Watch(fd_.get(), this, token)) {
@@ -86,7 +96,7 @@
     signalfd_siginfo info{};
     while (read(fd_.get(), &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) {
       if (info.ssi_signo == SIGUSR1) {
-        PrintCounters(gateway_);
+        PrintCounters(parts_);
       } else if (info.ssi_signo == SIGHUP) {
         Reread(kRereads);
       } else if (!draining_) {
@@ -103,10 +113,16 @@
     loop_.Cancel(reread_);
     ++Count().config_rereads;
     try {
-      Config next = ReadAgain(gateway_.config(), loop_.Now(),
-                              [&](double ms) { return loop_.clock().FromWall(ms); });
-      const std::string changes = Changes(gateway_.config(), next);
-      gateway_.Adopt(std::move(next));
+      const Config& was = parts_.membership ? parts_.membership->file() : gateway_.config();
+      Config next =
+          ReadAgain(was, loop_.Now(), [&](double ms) { return loop_.clock().FromWall(ms); });
+      const std::string changes = Changes(was, next);
+      if (parts_.membership) {
+        Log(Level::kInfo, "bank: what it has agreed on goes before the file, where both speak");
+        parts_.membership->SetFile(std::move(next));
+      } else {
+        gateway_.Adopt(std::move(next));
+      }
       Log(Level::kInfo, "configuration read again: {}",
           changes.empty() ? "nothing of note is new" : changes);
     } catch (const std::exception& error) {
@@ -120,6 +136,7 @@
   }
 
   EventLoop& loop_;
+  Parts parts_;
   Gateway& gateway_;
   EventLoop::TimerId reread_;
   Fd fd_;
@@ -141,6 +158,10 @@
       config.sockets = std::min<size_t>(config.sockets, limit.rlim_cur);
     }
     const std::string name = config.name;
+    std::optional<BankConfig> bank;
+    if (!options.operator_file.empty()) bank = ReadBank(options.operator_file, name);
+    Config file;
+    if (bank) file = config;
     const size_t known = config.known.members.size();
     for (const std::string& line : NotCarriedOut(config.settings)) {
       Log(Level::kWarning, "not carried out: {}", line);
@@ -163,8 +184,11 @@
     if (admin_at) admin.emplace(loop, *admin_at, life);
     std::optional<Successor> successor;
     if (taken.channel) successor.emplace(loop, std::move(taken), gateway.budget());
+    std::optional<Membership> membership;
+    if (bank) membership.emplace(loop, std::move(*bank), gateway, life, std::move(file));
+    const Parts parts{gateway, membership};
     Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
-    const Signals signals(loop, gateway, signals_set);
+    const Signals signals(loop, parts, signals_set);
     while (!life.accepts() && !loop.stopped()) loop.RunOnce(kReadyLook);
     // One that was told to end meanwhile leaves the old one as it was.
     const bool serves = !loop.stopped() && life.stage() != Stage::kEnding;
@@ -175,9 +199,9 @@
       predecessor.emplace(loop, path_over, life, gateway.clients(), gateway.budget(),
                           [&] { return gateway.Know(); });
     }
-    const Beat beat(loop, gateway, options.counters_every);
+    const Beat beat(loop, parts, options.counters_every);
     loop.Run();
-    PrintCounters(gateway);
+    PrintCounters(parts);
     return 0;
   } catch (const std::exception& error) {
     LogLine(Level::kError, std::string("paddlestile: ") + error.what());
--- a/src/net/serve.h
+++ b/src/net/serve.h
@@ -2,6 +2,8 @@
 #ifndef PADDLESTILE_NET_SERVE_H_
 #define PADDLESTILE_NET_SERVE_H_
 
+#include <string>
+
 #include "brain.h"
 
 namespace paddlestile::net {
@@ -9,6 +11,8 @@
 struct ServeOptions {
   // Between two lines of counters in the log; 0: on SIGUSR1 and at the end alone.
   Duration counters_every{0};
+  // The operator's file; empty: none, and all that it could switch on is off.
+  std::string operator_file;
 };
 
 // Runs until it is told to leave; the process's signals and the LB_* variables are its own. The
--- /dev/null
+++ b/src/peer/frames.cpp
@@ -0,0 +1,67 @@
+#include "peer/frames.h"
+
+#include <cstdint>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace paddlestile::peer {
+namespace {
+
+using nlohmann::json;
+
+// Goes through a value and keeps nothing of it: the library reads nested ones by recursion.
+class Depth final : public json::json_sax_t {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return ++depth_ <= kDepthMost; }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return --depth_, true; }
+  bool start_array(std::size_t) override { return ++depth_ <= kDepthMost; }
+  bool end_array() override { return --depth_, true; }
+  bool parse_error(std::size_t, const std::string&, const json::exception&) override {
+    return false;
+  }
+
+ private:
+  size_t depth_ = 0;
+};
+
+}  // namespace
+
+std::string FrameOf(const json& value) {
+  std::string frame(4, '\0');
+  json::to_cbor(value, frame);
+  const auto size = static_cast<uint32_t>(frame.size() - 4);
+  std::memcpy(frame.data(), &size, sizeof(size));
+  return frame;
+}
+
+std::optional<json> ParseValue(std::string_view bytes) {
+  Depth depth;
+  if (!json::sax_parse(bytes, &depth, json::input_format_t::cbor)) return std::nullopt;
+  json value = json::from_cbor(bytes, true, false);
+  if (value.is_discarded()) return std::nullopt;
+  return value;
+}
+
+FrameRead TakeFrame(net::Buffer& in, json& value) {
+  uint32_t size = 0;
+  if (in.size() < sizeof(size)) return FrameRead::kNone;
+  std::memcpy(&size, in.data(), sizeof(size));
+  if (size > kFrameMost) return FrameRead::kNonsense;
+  if (in.size() < sizeof(size) + size) return FrameRead::kNone;
+  auto parsed = ParseValue(std::string_view(in.data() + sizeof(size), size));
+  in.Consume(sizeof(size) + size);
+  if (!parsed) return FrameRead::kNonsense;
+  value = std::move(*parsed);
+  return FrameRead::kWhole;
+}
+
+}  // namespace paddlestile::peer
--- /dev/null
+++ b/src/peer/frames.h
@@ -0,0 +1,30 @@
+// What a link carries: a length of four bytes (little-endian), then one CBOR value of
+// nlohmann-json; bounded in bytes and depth.
+#ifndef PADDLESTILE_PEER_FRAMES_H_
+#define PADDLESTILE_PEER_FRAMES_H_
+
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/buffer.h"
+
+namespace paddlestile::peer {
+
+inline constexpr size_t kFrameMost = 8 << 20;  // bytes of a value
+inline constexpr size_t kDepthMost = 16;
+
+std::string FrameOf(const nlohmann::json& value);
+
+// A value of these bytes; nothing where they are none, deeper than allowed, or more than one.
+std::optional<nlohmann::json> ParseValue(std::string_view bytes);
+
+enum class FrameRead { kNone, kWhole, kNonsense };
+// Takes the next frame off the buffer, if all of it is there.
+FrameRead TakeFrame(net::Buffer& in, nlohmann::json& value);
+
+}  // namespace paddlestile::peer
+
+#endif  // PADDLESTILE_PEER_FRAMES_H_
