Lab: a bank's gateways behind relays, faults on links and disks, a judge of the history

Need: several processes with faults between them, judged from outside. [bank] in experiment files puts a relay between each pair of gateways that is linked, submits changes throughout through any gateway, and judges by hosts' receipts and submitters' answers alone: lost, twice, out of order, sent to a barred host or sent again past the bound. Faults: link-cut, link-slow, link-flap, link-noise, gateway-stop, gateway-disk, gateway-kill with the disk kept, older or none.

--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -60,7 +60,17 @@
                                       {"gateway-quiesce", FaultKind::kGatewayQuiesce},
                                       {"gateway-reload", FaultKind::kGatewayReload},
                                       {"gateway-upgrade", FaultKind::kGatewayUpgrade},
-                                      {"gateway-hang", FaultKind::kGatewayHang}};
+                                      {"gateway-hang", FaultKind::kGatewayHang},
+                                      {"gateway-stop", FaultKind::kGatewayStop},
+                                      {"gateway-disk", FaultKind::kGatewayDisk},
+                                      {"link-cut", FaultKind::kLinkCut},
+                                      {"link-slow", FaultKind::kLinkSlow},
+                                      {"link-flap", FaultKind::kLinkFlap},
+                                      {"link-noise", FaultKind::kLinkNoise}};
+const Words<Ways> kWays = {{"both", Ways::kBoth}, {"out", Ways::kOut}, {"in", Ways::kIn}};
+const Words<DiskIs> kDisks = {{"kept", DiskIs::kKept}, {"old", DiskIs::kOld},
+                              {"none", DiskIs::kNone}, {"full", DiskIs::kFull},
+                              {"slow", DiskIs::kSlow}, {"sync-fails", DiskIs::kSyncFails}};
 const Words<Spoil> kSpoils = {{"any", Spoil::kAny},
                               {"noise", Spoil::kNoise},
                               {"bad-head", Spoil::kBadHead},
@@ -329,6 +339,25 @@
   t.Read("how", f.spoil, kSpoils);
   t.Read<size_t>("gateway", f.gateway, 0, 10'000);
   t.Read("class", f.cls);
+  if (t.Get("gateways") != nullptr) {
+    size_t count = 1;
+    t.Read<size_t>("gateways", count, 1, 10'000);
+    f.gateways = count;
+  }
+  if (const toml::node* const from = t.Get("from")) {
+    if (const toml::array* const list = from->as_array()) {
+      for (const toml::node& one : *list) {
+        f.from.push_back(static_cast<size_t>(one.value_exact<int64_t>().value_or(0)));
+      }
+    } else {
+      t.Fault("from", "no list", "a list of gateways");
+    }
+  }
+  t.Read("ways", f.ways, kWays);
+  t.Read("resets", f.resets);
+  t.Read("delay_ms", f.delay_ms, 0, 60'000);
+  t.Read<size_t>("bytes_per_s", f.bytes_per_s, 1, 1'000'000'000);
+  t.Read("disk", f.disk, kDisks);
   const int ways = (f.hosts > 0 ? 1 : 0) + (f.count > 0 ? 1 : 0) + (f.names.empty() ? 0 : 1);
   if (OnHosts(f.kind) && ways != 1) {
     t.Fault("hosts", ways == 0 ? "no host named" : "named twice over",
@@ -398,6 +427,9 @@
   t.Read("rss_growth_mb_most", must.rss_growth_mb_most, 0, 1e6);
   t.Read("descriptors_most", must.descriptors_most, 0, 1e6);
   t.Read("bad_unanswered_share_most", must.bad_unanswered_share_most, 0, 1);
+  t.Read("unavailable_ms_most", must.unavailable_ms_most, 0, 1e6);
+  t.Read("follow_ms_p50_most", must.follow_ms_p50_most, 0, 1e6);
+  t.Read("changes_done_share_least", must.changes_done_share_least, 0, 1);
   t.Each("window", [&](Table& w) {
     WindowMust window;
     w.ReadS("from_s", window.from);
@@ -467,6 +499,18 @@
       fault("gateway", fmt::format("no gateway {}", f.gateway),
             fmt::format("0 to {}", e.gateway.count - 1));
     }
+    const bool among = f.kind >= FaultKind::kGatewayDisk || f.disk != DiskIs::kKept;
+    if (among && !e.bank.on) fault("kind", "no bank", "[bank]");
+    for (const size_t gateway : f.from) {
+      if (gateway >= e.gateway.count) {
+        fault("from", fmt::format("no gateway {}", gateway),
+              fmt::format("0 to {}", e.gateway.count - 1));
+      }
+    }
+    if (f.gateways && *f.gateways > e.gateway.count) {
+      fault("gateways", fmt::format("{} of {}", *f.gateways, e.gateway.count),
+            "no more than there are");
+    }
     if (f.kind != FaultKind::kGatewayReload) continue;
     const auto cls = std::ranges::find(e.classes, f.cls, &ClassSpec::name);
     if (cls == e.classes.end()) {
@@ -541,6 +585,28 @@
         e.gateway.settings_json = ToJson(*settings).dump();
       }
     });
+    t.One("bank", [&](Table& b) {
+      e.bank.on = true;
+      b.Read<size_t>("voters", e.bank.voters, 1, 9);
+      b.ReadMs("change_every_ms", e.bank.change_every);
+      b.ReadS("quiet_last_s", e.bank.quiet_last);
+      b.Read("drains", e.bank.drains);
+      b.Read("effects", e.bank.effects);
+      if (b.Get("clocks") != nullptr) {
+        b.One("clocks", [&](Table& clocks) {
+          for (size_t i = 0; i < e.gateway.count; ++i) {
+            double factor = 1;
+            clocks.Read(fmt::format("g{}", i), factor, 0.5, 2);
+            if (factor != 1) e.bank.clocks.emplace_back(i, factor);
+          }
+        });
+      }
+      if (e.bank.voters % 2 == 0) b.Fault("voters", "an even number", "an odd one");
+      if (e.bank.voters > e.gateway.count) {
+        b.Fault("voters", "more than gateways", "gateway.count at most");
+      }
+      if (e.bank.change_every <= Duration(0)) b.Fault("change_every_ms", "0", "more than 0");
+    });
     t.One("rules", [&](Table& r) { ReadRules(r, e); });
     t.Each("faults", [&](Table& f) { e.faults.push_back(ReadFault(f)); });
     t.One("must", [&](Table& m) { ReadMust(m, e.must); });
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -120,8 +120,19 @@
   kGatewayHang,
   kGatewayQuiesce,
   kGatewayReload,
-  kGatewayUpgrade
+  kGatewayUpgrade,
+  kGatewayStop,
+  kGatewayDisk,
+  // On links among gateways.
+  kLinkCut,
+  kLinkSlow,
+  kLinkFlap,
+  kLinkNoise
 };
+// Which way a link's fault goes, as the gateway that is named sees it.
+enum class Ways { kBoth, kOut, kIn };
+// What a gateway that was killed has of its disk when it comes back, and what a disk does.
+enum class DiskIs { kKept, kOld, kNone, kFull, kSlow, kSyncFails };
 // How an answer is spoilt.
 enum class Spoil {
   kAny,
@@ -153,7 +164,14 @@
   Duration lag{0};  // kListLag; kRestart, kDrain, kKill: until the list tells
   Spoil spoil = Spoil::kAny;
   size_t gateway = 0;
-  std::string cls;  // kGatewayReload: the class that the new settings bring
+  std::optional<size_t> gateways;  // instead of one: so many, drawn by the seed
+  std::vector<size_t> from;  // kLink*: these gateways' links to all others; empty: `gateway`'s
+  Ways ways = Ways::kBoth;
+  bool resets = false;          // kLinkCut, kLinkFlap: connections are reset too
+  Span delay_ms{0, 0};          // kLinkSlow
+  size_t bytes_per_s = 0;       // kLinkSlow; 0: no bound
+  DiskIs disk = DiskIs::kKept;  // kGatewayKill, kGatewayDisk
+  std::string cls;              // kGatewayReload: the class that the new settings bring
 };
 
 struct WindowMust {
@@ -165,7 +183,8 @@
 struct Must {
   std::optional<double> worth_share_least, served_share_least, refused_share_most,
       failed_share_most, late_share_most, p50_ms_most, p99_ms_most, cpu_us_most, rss_mb_most,
-      rss_growth_mb_most, descriptors_most, bad_unanswered_share_most;
+      rss_growth_mb_most, descriptors_most, bad_unanswered_share_most, unavailable_ms_most,
+      follow_ms_p50_most, changes_done_share_least;
   std::vector<WindowMust> windows;
 };
 
@@ -176,6 +195,17 @@
   std::string settings_json;  // laid over the settings that the lab makes; empty: none
 };
 
+// Gateways that agree, and changes throughout.
+struct BankSpec {
+  bool on = false;
+  size_t voters = 3;
+  Duration change_every{400'000};
+  Duration quiet_last{4'000'000};                 // no change is submitted so long before the end
+  bool drains = false;                            // what gateways do that have lost the bank
+  bool effects = true;                            // changes let a class be sent once, too
+  std::vector<std::pair<size_t, double>> clocks;  // gateways whose clock runs faster by a factor
+};
+
 struct Experiment {
   std::string path, name, about;
   uint64_t seed = 1;
@@ -187,6 +217,7 @@
   std::vector<TenantSpec> tenants;
   LoadSpec load;
   GatewaySpec gateway;
+  BankSpec bank;
   std::vector<Fault> faults;
   Must must;
   // The rules' figures.
--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -63,8 +63,7 @@
 }
 
 size_t Ledger::Try(Time now, size_t ask, size_t gateway, Time deadline) {
-  (void)now;
-  tries_.push_back({.ask = ask, .gateway = gateway, .deadline = deadline});
+  tries_.push_back({.ask = ask, .gateway = gateway, .deadline = deadline, .handed = now});
   ++counts_.tries;
   due_.emplace_back(deadline, tries_.size() - 1);
   return tries_.size() - 1;
@@ -167,9 +166,11 @@
   ++counts_.receipts;
   bool unlawful = false;
   std::string why;
+  size_t copy = 1;
   for (uint64_t r = t.last_receipt; r > 0; r = receipts_[r - 1].before) {
     const Receipt& was = receipts_[r - 1];
     if (was.open) suspects_.push_back({now, r - 1, number});
+    copy += was.may_have_run ? 1 : 0;
     if (!was.may_have_run || unlawful) continue;
     if (cls.effect == Effect::kUnsafe) unlawful = true, why = "a class that may run once";
     if (cls.effect != Effect::kKeyed) continue;
@@ -195,6 +196,7 @@
   receipts_.push_back({n, host, now, zone, cell, true, true, t.last_receipt});
   t.last_receipt = number + 1;
   ++t.receipts;
+  if (receipt_) receipt_(now, n, host, copy);
   return number;
 }
 
@@ -259,6 +261,13 @@
     if (t.over || !t.taken) continue;
     t.over = t.lost = true;
     asks_[t.ask].last_status = 0;
+    const auto stopped = [&](const Stop& s) {
+      return s.gateway == t.gateway && t.handed <= s.to && deadline >= s.from;
+    };
+    if (std::ranges::any_of(stops_, stopped)) {
+      ++counts_.killed;
+      continue;
+    }
     ++counts_.lost;
     Break(Rule::kLost, now, IdOf(n), "no answer in its time");
   }
--- a/src/lab/ledger.h
+++ b/src/lab/ledger.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
@@ -99,6 +100,16 @@
   void Told(Time now, size_t gateway, size_t host);
   // A gateway that starts anew knows nothing.
   void Forgets(size_t gateway);
+  // The script stops a gateway: what it has in hand is as with one that was killed.
+  void Stops(Time from, Time to, size_t gateway) { stops_.push_back({gateway, from, to}); }
+
+  // Told of each receipt of a client's try: the try, the host, and the how manieth it is of those
+  // that may run.
+  void OnReceipt(std::function<void(Time now, size_t n, size_t host, size_t copy)> then) {
+    receipt_ = std::move(then);
+  }
+  [[nodiscard]] size_t GatewayOf(size_t n) const { return tries_[n].gateway; }
+  [[nodiscard]] Time HandedAt(size_t n) const { return tries_[n].handed; }
 
   // ---- The account --------------------------------------------------------------------------
   // Looks at what is due: answers that never came, copies still out. `lag`: what the lab itself was
@@ -137,7 +148,7 @@
   };
   struct TryState {
     size_t ask = 0, gateway = 0;
-    Time deadline{0};
+    Time deadline{0}, handed{0};
     bool taken = false, over = false, lost = false;
     int receipts = 0;
     uint64_t last_receipt = 0;  // number + 1
@@ -166,6 +177,12 @@
   std::deque<Suspect> suspects_;                    // copies received while an earlier one was out
   std::map<std::pair<size_t, size_t>, Time> told_;  // by gateway and host
   std::unordered_map<uint64_t, Time> keys_;         // when each key's effect last came about
+  struct Stop {
+    size_t gateway = 0;
+    Time from{0}, to{0};
+  };
+  std::vector<Stop> stops_;
+  std::function<void(Time, size_t, size_t, size_t)> receipt_;
   Duration lag_{0};
   Counts counts_;
   std::vector<Breach> breaches_;
--- /dev/null
+++ b/src/lab/relay.h
@@ -0,0 +1,51 @@
+// A link among gateways that can be cut, slowed and spoilt, one way or both. What is cut off is
+// held back, as a network does that sends again, and comes once the cut is over.
+#ifndef PADDLESTILE_LAB_RELAY_H_
+#define PADDLESTILE_LAB_RELAY_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "lab/experiment.h"
+#include "lab/listener.h"
+#include "net/config.h"
+#include "net/event_loop.h"
+
+namespace paddlestile::lab {
+
+struct RelayWay {
+  int cuts = 0;  // how many faults cut it
+  Span delay_ms{0, 0};
+  size_t bytes_per_s = 0;  // 0: as fast as it goes
+  double noise = 0;        // share of the pieces that are spoilt
+};
+
+class Relay {
+ public:
+  // Listens at once; throws std::system_error.
+  Relay(net::EventLoop& loop, const net::Address& listen, const net::Address& to, uint64_t seed);
+  ~Relay();
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  // From the one that dials, and to it. Changed() after a change of either.
+  RelayWay there, back;
+  void Changed();
+  void Reset();  // ends all connections with resets
+
+ private:
+  class Pipe;
+  net::EventLoop& loop_;
+  net::Address to_;
+  std::mt19937_64 random_;
+  std::map<Pipe*, std::unique_ptr<Pipe>> pipes_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  Listener listener_;
+};
+
+}  // namespace paddlestile::lab
+
+#endif  // PADDLESTILE_LAB_RELAY_H_
--- a/src/lab/result.cpp
+++ b/src/lab/result.cpp
@@ -56,6 +56,7 @@
                                      c.breaches[i] - static_cast<uint64_t>(told)));
     }
   }
+  r.broken.insert(r.broken.end(), r.bank.broken.begin(), r.bank.broken.end());
   const auto least = [&](const std::optional<double>& bound, double value, std::string_view name) {
     if (bound && value < *bound) {
       r.broken.push_back(fmt::format("must: {} {:.4g}, at least {:.4g}", name, value, *bound));
@@ -79,6 +80,12 @@
   most(m.rss_growth_mb_most, static_cast<double>(r.rss_kb_growth) / 1024, "rss_growth_mb");
   most(m.descriptors_most, static_cast<double>(r.descriptors_max), "descriptors");
   most(m.bad_unanswered_share_most, Share(r.bad_unanswered, r.bad_sent), "bad_unanswered_share");
+  if (r.bank.on) {
+    most(m.unavailable_ms_most, r.bank.unavailable_ms_most, "unavailable_ms");
+    most(m.follow_ms_p50_most, r.bank.follow_ms_p50, "follow_ms_p50");
+    least(m.changes_done_share_least, Share(r.bank.told_done, r.bank.changes),
+          "changes_done_share");
+  }
   if (r.bad_served > 0) {
     r.broken.push_back(fmt::format("must: {} requests served that can't be read", r.bad_served));
   }
@@ -196,6 +203,22 @@
       {"faults", faults},
       {"windows", windows},
       {"logs", r.logs}};
+  if (r.bank.on) {
+    const BankResult& b = r.bank;
+    out["bank"] = {
+        {"changes", b.changes},
+        {"changes_told_done", b.told_done},
+        {"changes_lost", b.lost},
+        {"changes_twice", b.twice},
+        {"changes_refused", b.refused},
+        {"bound_ms", b.bound_ms},
+        {"contradiction_ms_most", b.contradiction_ms_most},
+        {"unavailable_ms_most", b.unavailable_ms_most},
+        {"sent_while_alone", b.sent_while_alone},
+        {"follow_ms",
+         {{"p50", b.follow_ms_p50}, {"p99", b.follow_ms_p99}, {"most", b.follow_ms_most}}},
+        {"done_ms", {{"p50", b.done_ms_p50}, {"most", b.done_ms_most}}}};
+  }
   return out.dump(1, ' ', false, json::error_handler_t::replace) + "\n";
 }
 
@@ -289,6 +312,18 @@
       "{:.0f} ms late at most\n",
       r.cpu_us_per_request, static_cast<double>(r.rss_kb_max) / 1024, r.descriptors_max,
       r.lab_cpu_share, r.lab_lag_ms_max);
+  if (r.bank.on) {
+    const BankResult& b = r.bank;
+    out += fmt::format(
+        "  bank: {} changes, {} told done, {} lost, {} twice; done in {:.0f} ms (p50), followed in "
+        "{:.0f} ms (p50), {:.0f} (most)\n",
+        b.changes, b.told_done, b.lost, b.twice, b.done_ms_p50, b.follow_ms_p50, b.follow_ms_most);
+    out += fmt::format(
+        "  bank: contradiction at most {:.0f} ms, bound {:.0f}; no change could be made for {:.0f} "
+        "ms "
+        "at most; {} sent while out of touch\n",
+        b.contradiction_ms_most, b.bound_ms, b.unavailable_ms_most, b.sent_while_alone);
+  }
   constexpr size_t kShown = 8;
   for (const auto* const list : {&r.late, &r.broken}) {
     for (size_t i = 0; i < list->size() && i < kShown; ++i)
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -14,8 +14,10 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
+#include <set>
 #include <utility>
 
+#include "lab/bank_lab.h"
 #include "lab/directory.h"
 #include "lab/fleet.h"
 #include "lab/ledger.h"
@@ -149,6 +151,7 @@
 
   Result Run() {
     RaiseLimits();
+    random_.seed(seed_ ^ 0x6a7e);
     fleet_.Start();
     directory_.Start(fleet_.List());
     std::vector<net::Address> targets;
@@ -156,6 +159,10 @@
       for (const ListedHost& host : fleet_.List()) targets.push_back(host.address);
     } else {
       for (size_t i = 0; i < e_.gateway.count; ++i) targets.push_back(Prepare(i));
+      if (e_.bank.on) {
+        bank_ = std::make_unique<BankLab>(loop_, e_, ledger_, folder_.path(), seed_ ^ 0xba9c,
+                                          kGatewayPlaces + e_.gateway.count);
+      }
       for (size_t i = 0; i < e_.gateway.count; ++i) StartGateway(i);
       if (!AwaitGateways()) return Finish();
     }
@@ -178,6 +185,7 @@
     if (!options_.straight) Every(kHealthEvery, [this] { AskHealth(); });
     // Drawn now and in their order, whatever happens meanwhile.
     for (const Fault& fault : e_.faults) Script(fault);
+    if (bank_) bank_->Begin(zero_, fleet_.List());
     load_->Begin(zero_);
     loop_.Run();
     if (interrupted_) throw Interrupted("interrupted; nothing is left running");
@@ -266,7 +274,13 @@
         {"LB_LISTEN", net::ToText(g.address)},
         {"LB_DISCOVERY", net::ToText(directory_.AddressOf(i))},
         {"LB_CONFIG", g.config_path}};
-    const auto operated = [](const Fault& f) { return f.kind > FaultKind::kGatewayHang; };
+    if (bank_) {
+      env[0].second = fmt::format("g{:03}", i);
+      env.emplace_back("LB_OPERATOR", bank_->FileOf(i));
+    }
+    const auto operated = [](const Fault& f) {
+      return f.kind > FaultKind::kGatewayHang && f.kind <= FaultKind::kGatewayUpgrade;
+    };
     if (std::ranges::any_of(e_.faults, operated)) {
       // Another one for each start: two run at a time.
       g.admin = {g.address.host, static_cast<uint16_t>(g.address.port + 1 + starts_ % 100)};
@@ -372,7 +386,13 @@
         return;
       case FaultKind::kGatewayTerm:
       case FaultKind::kGatewayKill:
-      case FaultKind::kGatewayHang: return PlayGateway(fault);
+      case FaultKind::kGatewayStop:
+      case FaultKind::kGatewayHang: return PlayGateways(fault);
+      case FaultKind::kGatewayDisk:
+      case FaultKind::kLinkCut:
+      case FaultKind::kLinkSlow:
+      case FaultKind::kLinkFlap:
+      case FaultKind::kLinkNoise: return bank_->Play(fault);
       case FaultKind::kGatewayQuiesce: return PlayQuiesce(fault);
       case FaultKind::kGatewayReload: return PlayReload(fault);
       case FaultKind::kGatewayUpgrade: return PlayUpgrade(fault);
@@ -390,11 +410,34 @@
     }
   }
 
-  void PlayGateway(const Fault& fault) {
-    const size_t i = fault.gateway;
+  // The one that is named, or several that the seed draws.
+  void PlayGateways(const Fault& fault) {
+    std::set<size_t> chosen(fault.from.begin(), fault.from.end());
+    if (!fault.gateways && chosen.empty()) chosen.insert(fault.gateway);
+    while (fault.gateways && chosen.size() < *fault.gateways) {
+      chosen.insert(std::uniform_int_distribution<size_t>(0, gateways_.size() - 1)(random_));
+    }
+    for (const size_t i : chosen) PlayGateway(fault, i);
+  }
+  void PlayGateway(const Fault& fault, size_t i) {
     GatewayState& g = gateways_[i];
-    if (!g.process) return;
-    if (fault.kind == FaultKind::kGatewayHang) {
+    if (!g.process || g.stopped || g.expected_to_end) return;
+    if (fault.kind == FaultKind::kGatewayHang || fault.kind == FaultKind::kGatewayStop) {
+      const bool planned = fault.kind == FaultKind::kGatewayStop;
+      if (planned) {
+        // What it has in hand is lost to it alone; the front notices and takes it out.
+        ledger_.Stops(Now(), Now() + fault.lasts, i);
+        load_->SetKilled(i, true);
+        if (fault.lasts > kFrontNotices) {
+          loop_.After(kFrontNotices, [this, i] { load_->SetIn(i, !gateways_[i].stopped); });
+        }
+        if (bank_) bank_->Down(i, true);
+        loop_.After(fault.lasts, [this, i] {
+          load_->SetKilled(i, false);
+          load_->SetIn(i, true);
+          if (bank_) bank_->Down(i, false);
+        });
+      }
       g.stopped = true;
       g.process->Signal(SIGSTOP);
       loop_.After(fault.lasts, [this, i] {
@@ -409,6 +452,7 @@
     if (fault.kind == FaultKind::kGatewayKill) {
       load_->SetKilled(i, true);
       g.process->Signal(SIGKILL);
+      if (bank_) bank_->Down(i, true);
       loop_.After(kFrontNotices, [this, i] { load_->SetIn(i, gateways_[i].up); });
     } else {
       g.process->Signal(SIGTERM);
@@ -416,8 +460,12 @@
     }
     g.up = false;
     const Duration longest = Longest();
+    const bool killed = fault.kind == FaultKind::kGatewayKill;
     loop_.After(fault.down,
-                [this, i, until = loop_.Now() + longest + seconds(1)] { Restart(i, until); });
+                [this, i, killed, disk = fault.disk, until = loop_.Now() + longest + seconds(1)] {
+                  if (bank_ && killed) bank_->ChangeDisk(i, disk), bank_->Down(i, false);
+                  Restart(i, until);
+                });
   }
 
   // ---- What operators do --------------------------------------------------------------------
@@ -624,6 +672,7 @@
     }
     double cpu = 0;
     for (GatewayState& g : gateways_) cpu += g.cpu_before + g.used.cpu_us;
+    if (bank_ && zero_ > Time(0)) result_.bank = bank_->Finish(now);
     StopGateways();
     Result& r = result_;
     r.experiment = e_.name;
@@ -727,7 +776,9 @@
   SignalWatch signals_;
   Folder folder_;
   std::deque<GatewayState> gateways_;
+  std::unique_ptr<BankLab> bank_;
   std::unique_ptr<Load> load_;
+  std::mt19937_64 random_;  // of the gateways that a fault befalls
   Result result_;
   Time zero_{0};
   uint64_t starts_ = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -94,7 +94,8 @@
       ->check(CLI::Range(0.1, 3600.0));
 
   std::string operator_file;
-  serve->add_option("--operator", operator_file, "the operator's file (TOML): [bank]");
+  serve->add_option("--operator", operator_file,
+                    "the operator's file (TOML): [bank]; LB_OPERATOR does the same");
 
   std::string file;
   CLI::App* const check = app.add_subcommand("check", "Say what is wrong in a file, all of it");
@@ -159,7 +160,7 @@
   }
   if (const int code = lab(); code >= 0) return code;
   if (const int code = bank(); code >= 0) return code;
-  return net::Serve({Duration(std::llround(counters_every * 1e6)), operator_file});
+  return net::Serve({Duration(std::llround(counters_every * 1e6)), operator_file, nullptr});
 }
 
 }  // namespace
--- a/src/net/bank_config.cpp
+++ b/src/net/bank_config.cpp
@@ -92,7 +92,7 @@
   read.Known(file, "", {"bank"});
   read.Known(*bank, "bank.",
              {"name", "folder", "heartbeat_ms", "election_ms", "lease_ms", "clock_rate",
-              "when_lost", "members", "lab_clock_factor"});
+              "when_lost", "members", "lab_clock_factor", "lab_disk"});
   config.bank = read.Text(*bank, "name", "bank.name");
   config.folder = read.Text(*bank, "folder", "bank.folder");
   double heartbeat = 100, election = 500, lease = 1000;
@@ -101,6 +101,9 @@
   read.Number(*bank, "lease_ms", lease, 15, 60'000);
   read.Number(*bank, "clock_rate", config.timing.clock_rate, 0, 0.2);
   read.Number(*bank, "lab_clock_factor", config.clock_factor, 0.5, 2);
+  if (bank->get("lab_disk") != nullptr) {
+    config.disk_control = read.Text(*bank, "lab_disk", "bank.lab_disk");
+  }
   if (election < 3 * heartbeat) {
     read.Fault(bank->get("election_ms"), "bank.election_ms", "too short", "3 heartbeats at least");
   }
--- a/src/net/bank_config.h
+++ b/src/net/bank_config.h
@@ -15,7 +15,7 @@
 // What a gateway does with hosts that others may have barred, once it has lost the bank.
 enum class WhenLost {
   kServe,  // goes on with what it knows, nothing sent twice
-  kDrain   // and empties itself, until it is in touch again
+  kDrain   // empties itself and gives up what comes, until it is in touch again
 };
 
 struct BankConfig {
@@ -29,7 +29,9 @@
   std::map<std::string, Seat> members;
   bank::Timing timing;
   WhenLost when_lost = WhenLost::kServe;
-  double clock_factor = 1;  // of a lab: this process's clock runs so much faster
+  // Of a lab: this process's clock runs so much faster; what its disk does, see controlled_files.h.
+  double clock_factor = 1;
+  std::string disk_control;
 };
 
 // All that is wrong in the file, a line each: "FILE:LINE: KEY: what, expected ...". Empty: good.
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -297,7 +297,7 @@
     } else {
       servers_->SetAddress(entry.info.id, entry.address);
       const EndpointInfo told = entry.info;
-      if (kept_off_.contains(told.id)) entry.info.state = EndpointState::kDraining;
+      if (all_kept_off_ || kept_off_.contains(told.id)) entry.info.state = EndpointState::kDraining;
       listed_[told.id] = {entry.info.state == EndpointState::kDraining, told.launched, told};
     }
     members.entries.push_back(std::move(entry.info));
@@ -305,12 +305,13 @@
   Post(std::move(members));
 }
 
-void Gateway::KeepOff(std::set<std::string> hosts) {
+void Gateway::KeepOff(std::set<std::string> hosts, bool all) {
   const std::set<std::string> before = std::exchange(kept_off_, std::move(hosts));
+  const bool all_before = std::exchange(all_kept_off_, all);
   Members members{ListKind::kDelta, {}};
   for (auto& [id, listed] : listed_) {
-    const bool off = kept_off_.contains(id);
-    if (off == before.contains(id)) continue;
+    const bool off = all || kept_off_.contains(id);
+    if (off == (all_before || before.contains(id))) continue;
     EndpointInfo info = listed.told;
     if (off) info.state = EndpointState::kDraining;
     listed.draining = info.state == EndpointState::kDraining;
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -47,9 +47,9 @@
   // module does not take its settings.
   void Adopt(Config config);
 
-  // Hosts that take no further work, whatever the lists say of them, until another call. What is
-  // known of them stays. In force before the next event.
-  void KeepOff(std::set<std::string> hosts);
+  // Hosts that take no further work, whatever the lists say of them, until another call; `all`:
+  // every one. What is known of them stays. In force before the next event.
+  void KeepOff(std::set<std::string> hosts, bool all = false);
   // Runs `then` before any event from `until` on, once; one at a time.
   void Guard(Time until, std::function<void()> then);
 
@@ -125,6 +125,7 @@
   std::deque<Event> events_;
   bool pumping_ = false;
   std::set<std::string> kept_off_;
+  bool all_kept_off_ = false;
   Time guard_until_ = Time::max();
   std::function<void()> guard_;
   std::vector<Action> actions_;
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -14,6 +14,7 @@
 
 #include "bank/codec.h"
 #include "net/log.h"
+#include "store/controlled_files.h"
 #include "store/log.h"
 
 namespace paddlestile::net {
@@ -195,11 +196,12 @@
       life_(life),
       file_(std::move(file)),
       zero_(loop.Now()) {
-  store::RealFiles().MakeFolder(config_.folder);
+  if (!config_.disk_control.empty()) controlled_ = store::ControlledFiles(config_.disk_control);
+  Disk().MakeFolder(config_.folder);
   // Until it takes part it acts on what its disk has, as one that is alone.
   bank::Disk disk;
   try {
-    store::Log::Read(store::RealFiles(), config_.folder,
+    store::Log::Read(Disk(), config_.folder,
                      [&](std::string_view record) { Take(config_, file_.name, record, disk); });
   } catch (const store::DamageError&) {
     disk = {};  // said when it is opened
@@ -231,7 +233,7 @@
       net::Log(Level::kInfo, "bank: leaves it to the newer process");
       Leave();
       bank::Disk disk;
-      store::Log::Read(store::RealFiles(), config_.folder,
+      store::Log::Read(Disk(), config_.folder,
                        [&](std::string_view record) { Take(config_, file_.name, record, disk); });
       Begin(std::move(disk));
     } else if (!life_.handed_over() && !lock_) {
@@ -244,6 +246,8 @@
   look_timer_ = loop_.After(kLookAgain, [this] { Look(); });
 }
 
+store::Files& Membership::Disk() const { return controlled_ ? *controlled_ : store::RealFiles(); }
+
 Time Membership::Now() const {
   if (config_.clock_factor == 1) return loop_.Now();
   const auto since = static_cast<double>((loop_.Now() - zero_).count());
@@ -266,7 +270,7 @@
 }
 
 void Membership::TakePart() {
-  lock_ = store::RealFiles().Lock(config_.folder + "/lock");
+  lock_ = Disk().Lock(config_.folder + "/lock");
   if (lock_) OpenDisk();
 }
 
@@ -287,9 +291,9 @@
   std::unique_ptr<store::Log> log;
   const auto open = [&] {
     disk = {};
-    log = std::make_unique<store::Log>(
-        store::RealFiles(), config_.folder,
-        [&](std::string_view record) { Take(config_, file_.name, record, disk); });
+    log = std::make_unique<store::Log>(Disk(), config_.folder, [&](std::string_view record) {
+      Take(config_, file_.name, record, disk);
+    });
   };
   const std::string path = store::Log::PathIn(config_.folder);
   try {
@@ -299,7 +303,7 @@
       // It must not vote as if it remembered: kept for who wants to look, and begun anew.
       net::Log(Level::kError, "bank: {}; begins anew as one that does not vote, until it is let in",
                error.what());
-      store::RealFiles().Rename(path, path + ".damaged");
+      Disk().Rename(path, path + ".damaged");
       open();
     }
     if (log->cut_off() > 0) {
@@ -331,7 +335,7 @@
   if (on_disk) {
     const std::string path = store::Log::PathIn(config_.folder);
     try {
-      store::RealFiles().Rename(path, path + ".forgotten");
+      Disk().Rename(path, path + ".forgotten");
       return OpenDisk();
     } catch (const store::FileError& error) {
       net::Log(Level::kError, "bank: {}", error.what());
@@ -441,7 +445,7 @@
     }
     return links_->Answer(call, {{"versions", all}});
   }
-  const auto wish =
+  auto wish =
       value.is_object() && value.contains("wish") ? bank::ReadWish(value["wish"]) : std::nullopt;
   if (!wish) return links_->Answer(call, {{"error", "no such call"}});
   if (wish->kind == bank::Wish::Kind::kChange && bank::CheckRules(wish->change.rules).empty()) {
@@ -452,6 +456,7 @@
   }
   if (calls_.size() >= kCallsMost)
     return links_->Answer(call, {{"error", "too many calls at once"}});
+  Spoil(*wish);
   const uint64_t ticket = next_ticket_++;
   calls_[ticket] = call;
   Run([&](Member& m, Time now, MemberOutput& out) { m.Submit(now, *wish, ticket, out); });
@@ -510,6 +515,7 @@
     }
   }
   for (bank::Outgoing& outgoing : out.sends) {
+    Spoil(outgoing.message);
     if (outgoing.after > durable_) {
       held_.push_back(std::move(outgoing));
     } else {
@@ -554,7 +560,7 @@
 
 // What the gateway may act on now, in force before its next event.
 void Membership::Act() {
-  const Stance stance = member_->Acting(Now());
+  const Stance stance = Acting();
   const bool held = stance.kind != Stance::Kind::kAlone;
   if (held) {
     // Asked again before anything is decided past this, however late the loop is.
@@ -580,9 +586,12 @@
     drained_ = !held;
     life_.set_drained(drained_);
   }
+  // Where the bound goes before service nothing may go to a host that may be barred by now.
+  const bool nowhere = config_.when_lost == WhenLost::kDrain && !held;
   if (same) return;
   bank::Rules rules = member_->RulesOf(stance);
-  if (rules_ && *rules_ == rules) return;
+  if (rules_ && *rules_ == rules && nowhere_ == nowhere) return;
+  nowhere_ = nowhere;
   const Time now = loop_.Now();
   const auto from_wall = [&](double ms) { return loop_.clock().FromWall(ms); };
   try {
@@ -594,7 +603,7 @@
       if (next.names.zones.Find(zone) != mine) off.insert(host);
     }
     gateway_.Adopt(std::move(next));
-    gateway_.KeepOff(std::move(off));
+    gateway_.KeepOff(std::move(off), nowhere);
     ++changes_;
   } catch (const std::exception& error) {
     net::Log(Level::kError, "bank: version {} cannot be acted on here: {}", stance.latest,
@@ -602,7 +611,7 @@
     bank::Rules strict = bank::Strictest(rules);
     strict.settings = json::object();
     gateway_.Adopt(WithRules(file_, gateway_.config(), strict, now, from_wall));
-    gateway_.KeepOff(strict.barred);
+    gateway_.KeepOff(strict.barred, nowhere);
   }
   rules_ = std::move(rules);
 }
--- a/src/net/membership.h
+++ b/src/net/membership.h
@@ -25,7 +25,7 @@
 
 class DiskThread;
 
-class Membership final : public peer::Links::Listener {
+class Membership : public peer::Links::Listener {
  public:
   // Reads what the disk has and acts on that at once, under strict rules; takes part once no other
   // process has the folder. Throws ConfigError or std::system_error with one line.
@@ -41,6 +41,13 @@
 
   [[nodiscard]] std::string StateText() const;
 
+ protected:
+  // What tests put wrong, to see that a judge finds it out.
+  [[nodiscard]] virtual bank::Stance Acting() const { return member_->Acting(Now()); }
+  virtual void Spoil(bank::Message&) {}
+  virtual void Spoil(bank::Wish&) {}
+  [[nodiscard]] Time Now() const;
+
  private:
   nlohmann::json KnownOf(const std::string& name) override;
   void OnUp(const std::string& name, uint64_t life, const nlohmann::json& known) override;
@@ -62,7 +69,7 @@
   void CarryOut(bank::MemberOutput& out);
   void Act();
   void Tick();
-  [[nodiscard]] Time Now() const;
+  [[nodiscard]] store::Files& Disk() const;
   [[nodiscard]] nlohmann::json Status() const;
   // Why this gateway cannot act on these rules; empty: it can.
   [[nodiscard]] std::string CannotActOn(const std::string& rules) const;
@@ -73,6 +80,7 @@
   Life& life_;
   Config file_;
   Time zero_;
+  std::unique_ptr<store::Files> controlled_;  // of a lab
   std::shared_ptr<void> lock_;
   std::unique_ptr<DiskThread> disk_;
   std::unique_ptr<bank::Member> member_;
@@ -84,7 +92,7 @@
   std::optional<bank::Stance> stance_;
   std::optional<bank::Rules> rules_;
   EventLoop::TimerId timer_, look_timer_, act_timer_;
-  bool drained_ = false, diskless_ = false;
+  bool drained_ = false, diskless_ = false, nowhere_ = false;
   uint64_t changes_ = 0, lost_ = 0, disk_failures_ = 0;
 };
 
--- a/src/net/serve.cpp
+++ b/src/net/serve.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -30,7 +31,7 @@
 // What a gateway is made of beside its loop.
 struct Parts {
   Gateway& gateway;
-  std::optional<Membership>& membership;
+  std::unique_ptr<Membership>& membership;
 };
 
 void PrintCounters(const Parts& parts) {
@@ -159,7 +160,12 @@
     }
     const std::string name = config.name;
     std::optional<BankConfig> bank;
-    if (!options.operator_file.empty()) bank = ReadBank(options.operator_file, name);
+    std::string operator_file = options.operator_file;
+    if (const char* const told = std::getenv("LB_OPERATOR");
+        operator_file.empty() && told != nullptr) {
+      operator_file = told;
+    }
+    if (!operator_file.empty()) bank = ReadBank(operator_file, name);
     Config file;
     if (bank) file = config;
     const size_t known = config.known.members.size();
@@ -184,8 +190,13 @@
     if (admin_at) admin.emplace(loop, *admin_at, life);
     std::optional<Successor> successor;
     if (taken.channel) successor.emplace(loop, std::move(taken), gateway.budget());
-    std::optional<Membership> membership;
-    if (bank) membership.emplace(loop, std::move(*bank), gateway, life, std::move(file));
+    std::unique_ptr<Membership> membership;
+    if (bank && options.membership) {
+      membership = options.membership(loop, std::move(*bank), gateway, life, std::move(file));
+    } else if (bank) {
+      membership =
+          std::make_unique<Membership>(loop, std::move(*bank), gateway, life, std::move(file));
+    }
     const Parts parts{gateway, membership};
     Log(Level::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()), known);
     const Signals signals(loop, parts, signals_set);
--- a/src/net/serve.h
+++ b/src/net/serve.h
@@ -2,17 +2,30 @@
 #ifndef PADDLESTILE_NET_SERVE_H_
 #define PADDLESTILE_NET_SERVE_H_
 
+#include <functional>
+#include <memory>
 #include <string>
 
 #include "brain.h"
 
 namespace paddlestile::net {
 
+class EventLoop;
+class Gateway;
+class Life;
+class Membership;
+struct BankConfig;
+struct Config;
+
 struct ServeOptions {
   // Between two lines of counters in the log; 0: on SIGUSR1 and at the end alone.
   Duration counters_every{0};
-  // The operator's file; empty: none, and all that it could switch on is off.
+  // The operator's file; empty: what LB_OPERATOR names, or none, and all that it could switch on is
+  // off.
   std::string operator_file;
+  // Of tests: another part in the bank than the honest one.
+  std::function<std::unique_ptr<Membership>(EventLoop&, BankConfig, Gateway&, Life&, Config)>
+      membership;
 };
 
 // Runs until it is told to leave; the process's signals and the LB_* variables are its own. The
