Tests of the bank with processes: breaking gateways found by name, links, codec, membership

Need: a judge that cannot fail shows nothing. paddlestile_bank_breaker is the program but for one broken term (acts on after its lease, applies late, takes a change twice, starts without what it acknowledged); the experiments name each.

--- a/src/bank/codec.cpp
+++ b/src/bank/codec.cpp
@@ -31,6 +31,7 @@
   return all;
 }
 std::vector<Voter> Voters(const json& value) {
+  if (!value.is_array()) throw std::invalid_argument("no list");
   std::vector<Voter> voters;
   for (const json& v : value) voters.push_back({v.at(0), v.at(1)});
   if (voters.size() > kVotersMost) throw std::invalid_argument("too many voters");
@@ -44,6 +45,7 @@
   return all;
 }
 std::vector<Entry> Entries(const json& value) {
+  if (!value.is_array()) throw std::invalid_argument("no list");
   std::vector<Entry> entries;
   for (const json& e : value) {
     entries.push_back(
--- a/src/lab/bank_lab.cpp
+++ b/src/lab/bank_lab.cpp
@@ -23,8 +23,10 @@
 using nlohmann::json;
 
 constexpr Duration kFirstChange{1'500'000};  // us; a bank is formed by then
-constexpr Duration kCallWithin{3'500'000};   // us
+constexpr Duration kCallWithin{1'200'000};   // us; then the answer counts as lost
 constexpr Duration kAgain{100'000};          // us; after an answer that is none
+constexpr Duration kBlock{4'000'000};        // us
+constexpr size_t kTwins = 5;                 // changes
 constexpr Duration kCopyEvery{2'000'000};    // us; of disks, to be put back
 // The way of a request that was decided before: a connection that comes up, the lab's own lateness.
 constexpr Duration kSlack{300'000};  // us
@@ -250,19 +252,36 @@
 
 // ---- Changes ----------------------------------------------------------------------------------
 
+// The next one, once the last is told; now and then two at once, in no order.
 void BankLab::Submit() {
   if (Now() > e_.length - e_.bank.quiet_last) return;
+  loop_.After(e_.bank.change_every, [this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) Submit();
+  });
+  if (!std::ranges::all_of(changes_, &Change::done)) return;
+  SubmitOne();
+  if (changes_.size() % kTwins == 0) SubmitOne();
+}
+
+void BankLab::SubmitOne() {
   const size_t n = changes_.size();
   BankJudge::Wanted wanted;
   json rules = {{"barred", json::array()}};
-  if (n % 2 == 1) {
-    const ListedHost& host = hosts_[Draw(hosts_.size())];
-    wanted.barred.push_back(host.host);
-    rules["barred"].push_back(host.id);
+  // One host is barred for long, past the bound: what goes there late is seen. Another one comes
+  // and goes, so that each change contradicts the one before.
+  const auto block = static_cast<size_t>((Now() - kFirstChange).count() / kBlock.count());
+  const bool begins = n == 0 || block != block_;
+  if (begins) kept_off_ = Draw(hosts_.size()), block_ = block;
+  std::set<size_t> barred;
+  if (!begins) barred.insert(kept_off_);
+  if (n % 2 == 1) barred.insert(Draw(hosts_.size()));
+  for (const size_t at : barred) {
+    wanted.barred.push_back(hosts_[at].host);
+    rules["barred"].push_back(hosts_[at].id);
   }
   if (e_.bank.effects) {
     json classes = json::parse(SettingsJson(e_, 0))["Classes"];
-    if (n % 4 >= 2) {
+    if (block % 2 == 1) {
       wanted.once = 0;
       classes[0]["Effect"] = "unsafe";
     }
@@ -276,9 +295,6 @@
   changes_.push_back({bank::ToJson(wish), false, nullptr});
   judge_.Submitted(Now(), std::move(wanted));
   Ask(n);
-  loop_.After(e_.bank.change_every, [this, alive = std::weak_ptr(alive_)] {
-    if (!alive.expired()) Submit();
-  });
 }
 
 // Through any gateway, also one that is cut off; again elsewhere where the answer is none.
--- a/src/lab/bank_lab.h
+++ b/src/lab/bank_lab.h
@@ -59,6 +59,7 @@
   void Kept(size_t gateway, bool away);
   void Copies();
   void Submit();
+  void SubmitOne();
   void Ask(size_t change);
 
   net::EventLoop& loop_;
@@ -80,6 +81,7 @@
     std::shared_ptr<Call> call;
   };
   std::deque<Change> changes_;
+  size_t kept_off_ = 0, block_ = 0;  // a host; since which block
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -570,13 +570,12 @@
     loop_.Cancel(act_timer_);
     act_timer_ = loop_.After(wait, [this] { Act(); });
   }
-  if (!stance_ || stance_->kind != stance.kind) {
-    if (stance_ && !held) ++lost_;
-    if (stance_ || held) {
-      net::Log(held ? Level::kInfo : Level::kWarning, "bank: {}",
-               held ? fmt::format("in touch, version {}", stance.on)
-                    : "out of touch: strict rules, nothing is sent twice");
-    }
+  const bool was_held = stance_ && stance_->kind != Stance::Kind::kAlone;
+  if (held != was_held) {
+    if (!held) ++lost_;
+    net::Log(held ? Level::kInfo : Level::kWarning, "bank: {}",
+             held ? fmt::format("in touch, version {}", stance.on)
+                  : "out of touch: strict rules, nothing is sent twice");
   }
   const bool same = rules_ && stance_ && stance_->kind == stance.kind && stance_->on == stance.on &&
                     stance_->latest == stance.latest;
@@ -589,7 +588,7 @@
   // Where the bound goes before service nothing may go to a host that may be barred by now.
   const bool nowhere = config_.when_lost == WhenLost::kDrain && !held;
   if (same) return;
-  bank::Rules rules = member_->RulesOf(stance);
+  bank::Rules rules = RulesOf(stance);
   if (rules_ && *rules_ == rules && nowhere_ == nowhere) return;
   nowhere_ = nowhere;
   const Time now = loop_.Now();
--- a/src/net/membership.h
+++ b/src/net/membership.h
@@ -44,12 +44,15 @@
  protected:
   // What tests put wrong, to see that a judge finds it out.
   [[nodiscard]] virtual bank::Stance Acting() const { return member_->Acting(Now()); }
+  [[nodiscard]] virtual bank::Rules RulesOf(const bank::Stance& stance) const {
+    return member_->RulesOf(stance);
+  }
   virtual void Spoil(bank::Message&) {}
   virtual void Spoil(bank::Wish&) {}
+  nlohmann::json KnownOf(const std::string& name) override;
   [[nodiscard]] Time Now() const;
 
  private:
-  nlohmann::json KnownOf(const std::string& name) override;
   void OnUp(const std::string& name, uint64_t life, const nlohmann::json& known) override;
   void OnDown(const std::string& name) override;
   void OnFrame(const std::string& name, const nlohmann::json& value) override;
--- /dev/null
+++ b/tests/lab/bank_breaker.cpp
@@ -0,0 +1,87 @@
+// A gateway that breaks one term of the bank on purpose, and is the program in all else.
+//   paddlestile_bank_breaker acts-on       acts on what it had after its lease is over
+//                            applies-late  says that it has applied what it acts on only seconds
+//                            later takes-twice   takes a change that is submitted again for another
+//                            forgets       starts without the last of what it had acknowledged
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "net/bank_config.h"
+#include "net/membership.h"
+#include "net/serve.h"
+#include "store/log.h"
+
+namespace paddlestile::net {
+namespace {
+
+constexpr Duration kLate{3'000'000};  // us
+constexpr size_t kForgets = 8;        // records
+
+class Breaker final : public Membership {
+ public:
+  Breaker(std::string how, EventLoop& loop, BankConfig config, Gateway& gateway, Life& life,
+          Config file)
+      : Membership(loop, std::move(config), gateway, life, std::move(file)), how_(std::move(how)) {}
+
+ private:
+  bank::Stance Acting() const override {
+    bank::Stance stance = Membership::Acting();
+    if (how_ == "acts-on" && stance.kind == bank::Stance::Kind::kAlone) {
+      stance.kind = bank::Stance::Kind::kAgreed;
+      stance.until = Now() + kLate;
+    }
+    // Looked at again and again, or nothing would come late.
+    if (how_ == "applies-late") stance.latest = static_cast<uint64_t>(Now().count());
+    return stance;
+  }
+  bank::Rules RulesOf(const bank::Stance& stance) const override {
+    bank::Rules rules = Membership::RulesOf(stance);
+    if (how_ != "applies-late") return rules;
+    past_.emplace_back(Now(), rules);
+    while (past_.size() > 1 && past_[1].first <= Now() - kLate) past_.pop_front();
+    return past_.front().second;
+  }
+  void Spoil(bank::Wish& wish) override {
+    if (how_ == "takes-twice") wish.change.id += "'" + std::to_string(Now().count());
+  }
+  void Spoil(bank::Message& message) override {
+    if (how_ == "forgets") message.of_you = {};
+  }
+  nlohmann::json KnownOf(const std::string& name) override {
+    return how_ == "forgets" ? nlohmann::json() : Membership::KnownOf(name);
+  }
+
+  std::string how_;
+  mutable std::deque<std::pair<Time, bank::Rules>> past_;
+};
+
+void Forget() {
+  const BankConfig config = ReadBank(std::getenv("LB_OPERATOR"), std::getenv("LB_NAME"));
+  store::Files& files = store::RealFiles();
+  if (!files.Exists(store::Log::PathIn(config.folder))) return;
+  std::vector<std::string> records;
+  store::Log log(files, config.folder, [&](std::string_view r) { records.emplace_back(r); });
+  if (records.size() < 4 * kForgets) return;
+  records.resize(records.size() - kForgets);
+  log.Replace(records);
+}
+
+}  // namespace
+}  // namespace paddlestile::net
+
+int main(int argc, char** argv) {
+  using namespace paddlestile::net;
+  const std::string how = argc > 1 ? argv[1] : "";
+  if (how == "forgets") Forget();
+  ServeOptions options;
+  options.membership = [how](EventLoop& loop, BankConfig config, Gateway& gateway, Life& life,
+                             Config file) -> std::unique_ptr<Membership> {
+    return std::make_unique<Breaker>(how, loop, std::move(config), gateway, life, std::move(file));
+  };
+  return Serve(options);
+}
