A link that ended within its hello is not up: the gateway no longer ends by its freed memory

Cause: an accepted link writes its hello in answer; where the other end had reset by then, that write broke the link, which was dropped, and the code behind put it among those that are up. Ruled out first by a test: frames read within a failed answer do not nest.

--- a/src/peer/links.cpp
+++ b/src/peer/links.cpp
@@ -300,11 +300,13 @@
       Drop(*before->second, "another connection of it");
     }
     if (link.dialled().empty()) {
-      --strangers_;
       link.Write(HelloTo(from));
     } else {
       dials_[from].wait = Duration(0);
     }
+    // It may have ended within either of these.
+    if (link.over_) return;
+    if (link.dialled().empty()) --strangers_;
     link.name_ = from;
     link.life_ = life;
     link.boot_ = boot;
--- a/tests/peer/links_test.cpp
+++ b/tests/peer/links_test.cpp
@@ -206,6 +206,27 @@
   EXPECT_TRUE(Until([&] { return mute.Ended(); }));
 }
 
+// One that says who it is and resets at once: its link ended within the answer, and was up for good
+// after that, with its memory given back. It ended gateways by a segmentation fault as a cut ended.
+TEST_F(Linked, OneThatResetsBehindItsHelloIsNotUp) {
+  End b(loop, "b", Options("b", 2, 1));
+  for (int i = 0; i < 20; ++i) {
+    Peer peer = Peer::To(At('b'));
+    peer.Say(FrameOf({{"hello", kFormat},
+                      {"bank", "north"},
+                      {"from", "a"},
+                      {"to", "b"},
+                      {"life", 7},
+                      {"boot", 1},
+                      {"known", "x"}}));
+    peer.Reset();
+    Until([] { return false; }, 20);
+    b.links.Send("a", {{"x", 1}});
+    EXPECT_TRUE(b.up.empty());
+    EXPECT_EQ(b.links.linked(), 0U);
+  }
+}
+
 TEST_F(Linked, AnOperatorsCallIsAnsweredOnce) {
   End b(loop, "b", Options("b", 2, 1));
   Peer caller = Peer::To(At('b'));
