--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -253,6 +253,7 @@
       ->check(CLI::Range(0, 1000))
       ->capture_default_str();
   std::vector<std::string> mischiefs;
+  mischiefs.reserve(kMischiefs);
   for (int i = 0; i < kMischiefs; ++i) mischiefs.emplace_back(NameOf(static_cast<Mischief>(i)));
   world->add_option("--mischief", words->mischief, "members that break a term on purpose")
       ->check(CLI::IsMember(mischiefs))
--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -261,8 +261,8 @@
     if (t.over || !t.taken) continue;
     t.over = t.lost = true;
     asks_[t.ask].last_status = 0;
-    const auto stopped = [&](const Stop& s) {
-      return s.gateway == t.gateway && t.handed <= s.to && deadline >= s.from;
+    const auto stopped = [&t](const Stop& s) {
+      return s.gateway == t.gateway && t.handed <= s.to && t.deadline >= s.from;
     };
     if (std::ranges::any_of(stops_, stopped)) {
       ++counts_.killed;
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -79,7 +79,11 @@
       if (way.noise <= 0 || std::uniform_real_distribution<double>(0, 1)(random) >= way.noise)
         return;
       switch (random() % 3) {
-        case 0: bytes[random() % bytes.size()] ^= static_cast<char>(1 << random() % 8); return;
+        case 0: {
+          char& byte = bytes[random() % bytes.size()];
+          byte = static_cast<char>(byte ^ (1 << random() % 8));
+          return;
+        }
         case 1: bytes += std::string(bytes); return;
         default: bytes.resize(random() % bytes.size() + 1); return;
       }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,7 +7,9 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +17,7 @@
 #include "brain.h"
 #include "lab/commands.h"
 #include "net/bank_commands.h"
+#include "net/bank_config.h"
 #include "net/config.h"
 #include "net/log.h"
 #include "net/migrate.h"
@@ -33,11 +36,19 @@
 
 int CheckFile(const std::string& path) {
   std::vector<std::string> faults;
-  // An experiment names its file in each line.
-  const bool experiment = path.ends_with(".toml");
-  faults = experiment ? lab::CheckExperiment(path) : net::CheckConfig(path);
+  // An experiment and an operator's file name themselves in each line.
+  const bool toml = path.ends_with(".toml");
+  if (toml) {
+    std::ifstream file(path);
+    const std::string text((std::istreambuf_iterator<char>(file)),
+                           std::istreambuf_iterator<char>());
+    const bool members = text.find("[[bank.members]]") != std::string::npos;
+    faults = members ? net::CheckBank(text, path) : lab::CheckExperiment(path);
+  } else {
+    faults = net::CheckConfig(path);
+  }
   for (const std::string& fault : faults) {
-    fmt::print(stderr, "{}{}\n", experiment ? "" : path + ": ", fault);
+    fmt::print(stderr, "{}{}\n", toml ? "" : path + ": ", fault);
   }
   if (faults.empty()) fmt::print("{}: good\n", path);
   return faults.empty() ? kDone : kWrongUsage;
@@ -99,7 +110,9 @@
 
   std::string file;
   CLI::App* const check = app.add_subcommand("check", "Say what is wrong in a file, all of it");
-  check->add_option("FILE", file, "a gateway's configuration (JSON) or an experiment (.toml)")
+  check
+      ->add_option("FILE", file,
+                   "a gateway's configuration (JSON), an operator's file or an experiment (.toml)")
       ->required();
   check->footer(
       "Examples:\n  paddlestile check config.json\n  paddlestile check "
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -429,6 +429,7 @@
 }
 
 void Membership::OnCall(uint64_t call, const json& value) {
+  if (!links_) return;
   const std::string what = value.is_object() ? value.value("what", "") : "";
   if (what == "status") return links_->Answer(call, Status());
   if (what == "history") {
--- a/tests/net/membership_test.cpp
+++ b/tests/net/membership_test.cpp
@@ -259,6 +259,7 @@
     EXPECT_TRUE(named) << text << (faults.empty() ? "no fault" : faults.front());
   }
   EXPECT_TRUE(CheckBank(head + one, "f").empty());
+  EXPECT_EQ(Run("check " PADDLESTILE_SOURCE "/deploy/bank.toml").code, 0);
 }
 
 TEST_F(Bank, ABadStartIsOneLineAndChangesNothing) {
