--- a/src/lab/bank_lab.cpp
+++ b/src/lab/bank_lab.cpp
@@ -25,7 +25,7 @@
 constexpr Duration kFirstChange{1'500'000};  // us; a bank is formed by then
 constexpr Duration kCallWithin{1'200'000};   // us; then the answer counts as lost
 constexpr Duration kAgain{100'000};          // us; after an answer that is none
-constexpr Duration kBlock{4'000'000};        // us
+constexpr Duration kBlock{6'000'000};        // us
 constexpr size_t kTwins = 5, kLost = 7;      // changes
 constexpr Duration kCopyEvery{2'000'000};    // us; of disks, to be put back
 // The way of a request that was decided before: a connection that comes up, the lab's own lateness.
@@ -84,6 +84,7 @@
       ledger_(ledger),
       folder_(std::move(folder)),
       random_(seed),
+      faults_(seed ^ 0xfa17),
       place_(place),
       away_(experiment.gateway.count),
       back_at_(experiment.gateway.count, Time(-10'000'000)),
@@ -186,7 +187,7 @@
   for (const auto& [a, b] : pairs) Cut(a, b, fault, on);
   if (!on && Now() >= until) return;
   std::uniform_int_distribution<int64_t> next(50'000, 2'000'000);
-  loop_.After(Duration(next(random_)), [this, pairs = std::move(pairs), &fault, until, on] {
+  loop_.After(Duration(next(faults_)), [this, pairs = std::move(pairs), &fault, until, on] {
     Flap(pairs, fault, until, !on);
   });
 }
@@ -195,7 +196,9 @@
   const size_t count = e_.gateway.count;
   std::set<size_t> side(fault.from.begin(), fault.from.end());
   if (fault.gateways) {
-    while (side.size() < *fault.gateways) side.insert(Draw(count));
+    // Of a generator of their own: whom a fault befalls is the seed's alone.
+    std::uniform_int_distribution<size_t> any(0, count - 1);
+    while (side.size() < *fault.gateways) side.insert(any(faults_));
   } else if (side.empty()) {
     side.insert(fault.gateway);
   }
--- a/src/lab/bank_lab.h
+++ b/src/lab/bank_lab.h
@@ -66,7 +66,7 @@
   const Experiment& e_;
   Ledger& ledger_;
   std::string folder_;
-  std::mt19937_64 random_;
+  std::mt19937_64 random_, faults_;
   size_t place_;
   Time zero_{0};
   std::map<std::pair<size_t, size_t>, std::unique_ptr<Relay>> relays_;  // the lower dials
