What waits for its connection, or is half written, ends with its client

- Servers::ClientLeft ended only uploads and begun streams.
A request whose connection to its host came up later was written whole though its client had long gone; so was one half written, and Again sent on without a look at whether the request was over.
Now whatever is not written whole ends with its client, as moot: it never ran.
- A connection that comes up when the time is over carried the request all the same (Connection::OnConnected).
It is ended, nothing written.
- A keyed repeat is let go by the module within the window less the time of a connect; a second connect, or a write that stalled, could take it past the window.
It is written whole within that time or not at all.
- A second answer that comes some milliseconds late was taken for the next request's where the connection was used again by then (Servers::Begin took the one that idled least).
A connection rests 20 ms after an answer.
- An answer 200 before the request's last byte was written was served.
It answers nothing; the request is moot.
- A connection that idled past a shorter idle time of new settings could be used until the next tidying.

Four tests used a connection at once after its answer and now wait out its rest; one of them had its host answer before the request was whole and now waits for all of it.

--- a/src/net/clients.cpp
+++ b/src/net/clients.cpp
@@ -234,8 +234,11 @@
 
   Stream& stream() { return stream_; }
   [[nodiscard]] Time opened() const { return opened_; }
-  [[nodiscard]] bool in_hand() const {
-    return state_ == State::kWaiting || state_ == State::kUploading || writer_;
+  // Whether a close would cut something: a request that is worked for, an answer that its client
+  // has not read yet, or a request that waits for its turn, unread or in the buffer.
+  [[nodiscard]] bool in_hand() {
+    const bool waits = !stream_.in().empty() && !parser_.begun();
+    return state_ != State::kReading || waits || stream_.Unread();
   }
 
   // Before it goes: whoever works for it must not answer it any more.
@@ -263,9 +266,14 @@
       body_->More();
       return;
     }
-    if (stream_.closed()) return;
-    // The end of what the client sends is taken for its leaving: it closes when it has gone.
-    if (stream_.ended() && state_ != State::kReading) clients_.Drop(*this);
+    DropIfLeft();
+  }
+
+  // The end of what the client sends is taken for its leaving: it closes when it has gone. While
+  // its request waits the end counts also behind further ones that nobody has read yet.
+  void DropIfLeft() {
+    if (stream_.closed() || state_ == State::kReading) return;
+    if (stream_.ended() || (state_ == State::kWaiting && stream_.hung_up())) clients_.Drop(*this);
   }
 
   void Read() {
@@ -523,6 +531,7 @@
       clients_.TrimIdle();
     } else {
       Read();
+      DropIfLeft();
     }
     stream_.Resume();
   }
@@ -694,7 +703,9 @@
 }
 
 void Clients::End(Duration at_most, std::function<void()> done) {
-  end_at_ = loop_.Now() + at_most;
+  // Also where it was emptied before: connections go on coming for a while from now.
+  drain_since_ = loop_.Now();
+  end_at_ = drain_since_ + at_most;
   drained_ = std::move(done);
 }
 
@@ -721,10 +732,13 @@
       if (!connection.in_hand()) Drop(connection);
     }
   }
+  // What waits in the queue would be reset with it: not while accepting was put off.
+  const bool taken = !accept_yielded_ && accept_timer_.number == 0;
   // Another may listen at the address: to stay would be to take what is the other's for ever.
-  if (drained_ && shared_ && now - drain_since_ >= kDrainShared) listening_.reset();
-  const bool quiet = !listening_ || !life_.accepts() ||
-                     (now - drain_since_ >= kDrainIdleAfter && now - last_accept_ >= kDrainQuiet);
+  if (drained_ && shared_ && taken && now - drain_since_ >= kDrainShared) listening_.reset();
+  const bool quiet =
+      !listening_ || !life_.accepts() ||
+      (taken && now - drain_since_ >= kDrainIdleAfter && now - last_accept_ >= kDrainQuiet);
   if (drained_ && quiet && connections_.empty()) {
     listening_.reset();
     drained_();
--- a/src/net/json.h
+++ b/src/net/json.h
@@ -58,6 +58,8 @@
 
   // Whether anything but white space has come.
   [[nodiscard]] bool begun() const { return begun_; }
+  // Whether an object or a list is not ended.
+  [[nodiscard]] bool open() const { return !open_.empty(); }
   [[nodiscard]] size_t size() const { return size_; }  // bytes fed
 
  private:
--- a/src/net/list.cpp
+++ b/src/net/list.cpp
@@ -11,8 +11,9 @@
 namespace paddlestile::net {
 namespace {
 
-// An empty line is due every 2 s: after two and a half of them in silence a watch is dead.
-constexpr Duration kSilence{5'000'000};   // us
+// A line is due every 2 s, an empty one at the least: after two and a half of them without one, a
+// watch is dead. What it missed counts as told a second later, so that there is time to ask anew.
+constexpr Duration kSilence{5'000'000};   // us; from line to line, whatever comes within one
 constexpr Duration kCallTime{2'000'000};  // us; to connect, and for a whole list
 constexpr Duration kAgainFirst{100'000};  // us; doubles up to kAgainDoublings times
 constexpr int kAgainDoublings = 2;        // no longer than 0.4 s without an ear for the news
@@ -50,7 +51,9 @@
         watch_ ? fmt::format("?follow=1&since={:.0f}", list_.revision_) : std::string();
     stream_.Write(fmt::format("GET /catalog/members{} HTTP/1.1\r\nHost: {}\r\n\r\n", query,
                               ToText(list_.discovery_)));
-    SetTimer(watch_ ? kSilence : kCallTime);
+    // An agent that pushes says what it has at once: one that accepts and says nothing is asked
+    // again soon, or what a silent watch before it missed would come too late.
+    SetTimer(watch_ && !list_.own_watch_ ? kSilence : kCallTime);
   }
 
   void OnBroken() override { list_.Failed(*this, "connection broken"); }
@@ -97,13 +100,14 @@
     // Lines are split by chunks anywhere; the chunks by reads.
     size_t read = 0, written = 0;
     const Progress progress = chunks_.Decode(in.view(), in.data(), read, written);
-    if (written > 0) SetTimer(kSilence);
     for (std::string_view text = in.view().substr(0, written); !text.empty();) {
       const size_t end = text.find('\n');
-      const bool good =
-          list_.Read(line_, text.substr(0, end)) && (end == std::string_view::npos || EndOfLine());
+      const bool whole = end != std::string_view::npos;
+      const std::string_view piece = text.substr(0, whole ? end + 1 : end);
+      blank_ = blank_ && piece.find_first_not_of(" \t\r\n") == std::string_view::npos;
+      const bool good = list_.Read(line_, piece) && (!whole || EndOfLine());
       if (!good) return list_.Failed(*this, "malformed line");
-      text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+      text.remove_prefix(piece.size());
     }
     in.Consume(in.size());
     if (progress == Progress::kBad) return list_.Failed(*this, "malformed framing");
@@ -111,6 +115,11 @@
   }
 
   bool EndOfLine() {
+    // Lists may come indented: an object goes on behind the ends of lines. An empty line is one of
+    // its own, and what came before it was cut.
+    if (line_.open()) return !std::exchange(blank_, true) || list_.Malformed("a line cut short");
+    blank_ = true;
+    SetTimer(kSilence);
     list_.Spoken(*this);
     const bool good = !line_.begun() || list_.Take(line_, false);  // an empty one keeps the watch
     line_ = JsonParser();
@@ -138,6 +147,7 @@
   bool in_body_ = false;
   ChunkDecoder chunks_;
   JsonParser line_;
+  bool blank_ = true;  // nothing but white space since the last line's end
   EventLoop::TimerId timer_;
 };
 
@@ -196,7 +206,10 @@
   Close(old_);
 }
 
-void List::Fetch() { Open(fetch_, false); }
+// One that is on its way serves whoever asks meanwhile.
+void List::Fetch() {
+  if (!fetch_) Open(fetch_, false);
+}
 
 void List::Open(std::unique_ptr<Call>& call, bool watch) {
   Close(call);
--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -38,6 +38,9 @@
 constexpr int kProbeTimeouts = 2;
 
 constexpr size_t kReadFirst = 2048;  // bytes; most answers are short
+// A host may answer twice, the second time some milliseconds late: on a connection used again by
+// then it would be taken for the next request's answer, which nothing in it tells apart.
+constexpr Duration kRest{20'000};  // us; after an answer
 
 double Ms(Duration d) { return static_cast<double>(d.count()) / 1000; }
 
@@ -129,10 +132,6 @@
   Connection& operator=(const Connection&) = delete;
   virtual ~Connection() { CancelTimers(); }
 
-  // A request that is not held whole is on its way.
-  [[nodiscard]] bool uploading() const {
-    return job_ && job_->exchange && job_->exchange->request().rest && !written_;
-  }
   // Before it goes: who takes its answer, or gives its request, is told.
   void Leave() {
     writer_.reset();
@@ -153,7 +152,7 @@
     parser_.Reset();
     written_ = heard_ = false;
     // One that is not held whole has its time from its last byte on.
-    if (!job_->exchange || !job_->exchange->request().rest) SetLimit(job_->until);
+    if (!job_->exchange || !job_->exchange->request().rest) SetLimit(WriteBy());
     if (stream_.connected()) Write();
   }
 
@@ -162,10 +161,12 @@
     limit_ = loop_.After(until - loop_.Now(), [this] {
       limit_ = {};
       // With the time up before the connection is, nothing was sent and the host not shown at
-      // fault.
-      const Outcome outcome = written_              ? Outcome::kTimeout
-                              : stream_.connected() ? Outcome::kConnectFailed
-                                                    : Outcome::kMoot;
+      // fault, unless it had the time of a connect.
+      const bool shown =
+          stream_.connected() || loop_.Now() - job_->sent >= servers_.options_.connect_timeout;
+      const Outcome outcome = written_ ? Outcome::kTimeout
+                              : shown  ? Outcome::kConnectFailed
+                                       : Outcome::kMoot;
       servers_.End(*this, outcome, std::nullopt, nullptr);
     });
   }
@@ -181,6 +182,16 @@
     loop_.Cancel(pause_);
   }
 
+  // How long the last byte may take to be written. What repeats a key was let go for the time of a
+  // connect and no longer: behind it the hosts may have forgotten the key.
+  [[nodiscard]] Time WriteBy() const {
+    const Exchange* const exchange = job_->exchange.get();
+    const bool repeats =
+        exchange != nullptr && job_->attempt > 0 && exchange->cls().effect == Effect::kKeyed;
+    return repeats ? std::min(job_->until, job_->sent + servers_.options_.connect_timeout)
+                   : job_->until;
+  }
+
   // Fit for the next request: nothing half-written and nothing unread.
   [[nodiscard]] bool Reusable() const {
     return reusable_ && host_.listed && epoch_ == host_.epoch && !stream_.ended() &&
@@ -210,6 +221,10 @@
                                 ToText(host_.address)));
       return;
     }
+    // It came up too late: for a request that is over, or whose time is.
+    if (job_->exchange->over() || loop_.Now() >= WriteBy()) {
+      return servers_.End(*this, Outcome::kMoot, std::nullopt, nullptr);
+    }
     const Held& request = job_->exchange->request();
     if (request.rest) return WriteRest(request);
     stream_.Write(HeadForHost(request, job_->until - loop_.Now()), job_->exchange, request.body());
@@ -240,6 +255,7 @@
   void OnFlushed() override {
     if (!writer_) {
       written_ = true;
+      if (job_ && WriteBy() < job_->until) SetLimit(job_->until);
       return;
     }
     writer_->Go();
@@ -297,7 +313,7 @@
     auto held = std::make_shared<Held>();
     const auto length = parser_.length();
     held->message = parser_.TakeHead(stream_.in(), held->bytes);
-    const Outcome outcome = OutcomeOf(held->message, held->bytes.view());
+    const Outcome outcome = OutcomeNow(*held);
     auto report = ReportOf(*held, outcome);
     // Of what is not served only the head tells anything; the rest costs the connection.
     if (outcome != Outcome::kOk || !job_->exchange) {
@@ -397,14 +413,23 @@
                                       loop_.Now() - job_->sent);
   }
 
+  // A host begins with the last byte: what it says to have done before is another request's, and
+  // this one never runs. Told of a refusal it may be at any time, and of a body that passes on.
+  [[nodiscard]] Outcome OutcomeNow(const Held& held) const {
+    const Outcome outcome = OutcomeOf(held.message, held.bytes.view());
+    const bool whole = job_->exchange && !job_->exchange->request().rest;
+    if (written_ || !whole || outcome != Outcome::kOk) return outcome;
+    ++Count().host_malformed;
+    return Outcome::kMoot;
+  }
+
   void Done() {
     auto held = std::make_shared<Held>();
     held->message = parser_.message();
     held->bytes = stream_.in().TakeFront(held->message.size);
-    const std::string_view base = held->bytes.view();
     // Bytes behind the answer belong to nothing that was asked: the connection is out of step.
     reusable_ = held->message.keep_alive && written_ && stream_.in().empty();
-    const Outcome outcome = OutcomeOf(held->message, base);
+    const Outcome outcome = OutcomeNow(*held);
     std::optional<Report> report = ReportOf(*held, outcome);
     const bool pass_on = outcome == Outcome::kOk || outcome == Outcome::kUnusable;
     servers_.End(*this, outcome, std::move(report), pass_on ? std::move(held) : nullptr);
@@ -512,15 +537,20 @@
 }
 
 void Servers::Begin(std::unique_ptr<Job> job, Host& host) {
-  while (!host.idle.empty()) {
-    Connection& connection = *host.idle.back();
-    host.idle.pop_back();
+  // The last used first, but for those that have just answered.
+  auto rested = std::ranges::find_if(host.idle, [&](const Connection* connection) {
+    return loop_.Now() - connection->idle_since < kRest;
+  });
+  while (rested != host.idle.begin()) {
+    Connection& connection = **--rested;
+    rested = host.idle.erase(rested);
     idle_.erase(connection.idle_place);
     connection.idle = false;
     connection.idled = loop_.Now() - connection.idle_since;
     // The host may have closed it, and the news of that be waiting behind this event.
     const bool quiet = connection.stream().Quiet();
-    if (quiet && !TooOld(connection.idled)) return connection.Start(std::move(job));
+    const bool old = TooOld(connection.idled) || connection.idled > IdleMost();
+    if (quiet && !old) return connection.Start(std::move(job));
     ++(quiet ? Count().host_idle_closed : Count().host_idle_lost);
     Drop(connection);
   }
@@ -571,7 +601,8 @@
   ++host.open;  // stays while the send looks for another connection
   Drop(connection);
   --host.open;
-  if (!host.listed || job->until <= loop_.Now()) {
+  const bool over = job->exchange && job->exchange->over();
+  if (over || !host.listed || job->until <= loop_.Now()) {
     Tell(std::move(job), Outcome::kMoot, std::nullopt, nullptr);
     return MaybeForget(host);
   }
@@ -626,13 +657,16 @@
 }
 
 void Servers::ClientLeft(const Exchange& exchange) {
+  std::vector<Connection*> unwritten, begun;
   for (const auto& [connection, owned] : connections_) {
     const Job* const job = connection->job();
     if (job == nullptr || job->exchange.get() != &exchange) continue;
-    // What has not been written whole never runs.
-    if (connection->uploading()) return End(*connection, Outcome::kMoot, std::nullopt, nullptr);
-    if (job->established) return End(*connection, Outcome::kCancelled, std::nullopt, nullptr);
+    // What has not been written whole never runs: not now, and not when its connection comes up.
+    if (!connection->written()) unwritten.push_back(connection);
+    if (job->established) begun.push_back(connection);
   }
+  for (Connection* const c : unwritten) End(*c, Outcome::kMoot, std::nullopt, nullptr);
+  for (Connection* const c : begun) End(*c, Outcome::kCancelled, std::nullopt, nullptr);
 }
 
 void Servers::Park(Connection& connection) {
@@ -688,11 +722,14 @@
   return true;
 }
 
+Duration Servers::IdleMost() const {
+  if (options_.idle_close <= Duration(0)) return kIdleUnknown;
+  return Duration(std::llround(kIdleShare * static_cast<double>(options_.idle_close.count())));
+}
+
 void Servers::Tidy() {
-  const bool known = options_.idle_close > Duration(0);
-  const Duration idle = known ? options_.idle_close : kIdleUnknown;
-  const Duration every = std::clamp(idle / kTidyPart, kTidyLeast, kTidyMost);
-  const Duration most(std::llround((known ? kIdleShare : 1) * static_cast<double>(idle.count())));
+  const Duration most = IdleMost();
+  const Duration every = std::clamp(most / kTidyPart, kTidyLeast, kTidyMost);
   while (!idle_.empty() && loop_.Now() - idle_.front()->idle_since + every > most) CloseOneIdle();
   tidy_ = loop_.After(every, [this] { Tidy(); });
 }
--- a/src/net/servers.h
+++ b/src/net/servers.h
@@ -77,8 +77,8 @@
   void Send(std::shared_ptr<Exchange> exchange, size_t attempt, const std::string& endpoint,
             Time until);
   void Cancel(const Exchange& exchange, size_t attempt);
-  // An answer that has begun to stream ends with its client, and so does a request that has not
-  // come whole; nothing else would end them.
+  // An answer that has begun to stream ends with its client, and so does an attempt that is not
+  // written whole, wherever it waits: nothing else would end them.
   void ClientLeft(const Exchange& exchange);
   void Probe(const std::string& endpoint);
 
@@ -124,6 +124,8 @@
   void Drop(Connection& connection);
   void DropIdle(Host& host);
   void MaybeForget(const Host& host);
+  // How long a connection may idle before it is used or closed; less than the hosts' own time.
+  [[nodiscard]] Duration IdleMost() const;
   void Tidy();
 
   EventLoop& loop_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -185,8 +185,12 @@
   }
   if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
     readable_ = true;
+    const bool before = hung_up_;
     hung_up_ = hung_up_ || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
-    if (ReadAll()) owner_->OnRead();
+    const bool news = ReadAll();
+    // Behind what there is no room to read the end would else be told of by nothing.
+    const bool hidden = hung_up_ && !before && !discarding_ && in_.size() >= most_unread_;
+    if (!closed_ && !broken_ && (news || hidden)) owner_->OnRead();
   }
 }
 
@@ -249,6 +253,12 @@
   if (!closed_) shutdown(socket_.get(), SHUT_WR);
 }
 
+bool Stream::Unread() const {
+  char byte = 0;
+  return !closed_ && !ended_ && !broken_ &&
+         recv(socket_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool Stream::Quiet() const {
   if (closed_ || ended_ || broken_ || !in_.empty()) return false;
   char byte = 0;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -81,7 +81,7 @@
   class Owner {
    public:
     virtual void OnConnected() {}
-    virtual void OnRead() = 0;    // more is in in(), or ended() has become true
+    virtual void OnRead() = 0;    // more is in in(), or ended() or hung_up() has become true
     virtual void OnFlushed() {}   // all that was written is with the kernel
     virtual void OnBroken() = 0;  // reset, refused or failed
 
@@ -99,6 +99,8 @@
 
   Buffer& in() { return in_; }
   [[nodiscard]] bool ended() const { return ended_; }  // the peer has sent its last
+  // The same, told by the kernel while something before it is not read yet.
+  [[nodiscard]] bool hung_up() const { return hung_up_ || ended_; }
   [[nodiscard]] bool closed() const { return closed_; }
   [[nodiscard]] bool connected() const { return connected_; }
   [[nodiscard]] bool flushed() const { return out_.empty(); }
@@ -125,6 +127,8 @@
 
   // Whether an idle connection is fit for use: nothing came on it, not even its end.
   [[nodiscard]] bool Quiet() const;
+  // Whether bytes wait with the kernel.
+  [[nodiscard]] bool Unread() const;
 
  private:
   struct Piece {
--- a/tests/net/servers_test.cpp
+++ b/tests/net/servers_test.cpp
@@ -1,6 +1,7 @@
 #include "net/servers.h"
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <memory>
 #include <string>
@@ -87,6 +88,34 @@
   bool Ended(size_t count) {
     return RunUntil(loop, [&] { return ends.size() >= count; });
   }
+  // Until a connection that has just answered may be used again.
+  void Rest() { testing::RunFor(loop, Ms(25)); }
+  // The answer to a first request, on a connection that is kept for the next.
+  Peer Kept() {
+    Send("first");
+    Peer host = Host();
+    host.Say(Http200("1"));
+    EXPECT_TRUE(Ended(1));
+    host.Forget();
+    ends.clear();
+    Rest();
+    return host;
+  }
+  // A request that no socket takes at once.
+  std::shared_ptr<Exchange> Big(const std::string& id, Duration time = Ms(2000)) {
+    const std::string head = "POST /book HTTP/1.1\r\nX-Call-Id: big\r\n\r\n";
+    Held request;
+    request.bytes.Append(head + std::string(16 << 20, 'x'));
+    request.message = MakeRequest(head).message;
+    request.message.body = {head.size(), 16 << 20};
+    return std::make_shared<Exchange>(id, std::move(request), loop.Now() + time, cls,
+                                      [](const Answer&) {});
+  }
+  // All that a host gets until its gateway's side ends, counted: bodies of what was sent whole.
+  static size_t AllOf(EventLoop& loop, Peer& host) {
+    EXPECT_TRUE(RunUntil(loop, [&] { return host.Ended(); }));
+    return host.Heard().size();
+  }
 
   EventLoop loop;
   Descriptors budget{1024};
@@ -241,6 +270,14 @@
     testing::RunFor(loop, Ms(10));
   }
   [[nodiscard]] const Address& address() const { return port_.address(); }
+  // From now on what comes is let in: what was dropped comes again a second after its first try.
+  void LetIn() { filling_.clear(); }
+  // The next that was let in, but for those that filled the backlog.
+  Peer TryTake() {
+    Peer peer = port_.TryTake();
+    while (peer && peer.Ended()) peer = port_.TryTake();
+    return peer;
+  }
 
  private:
   testing::Port port_{0};
@@ -353,6 +390,7 @@
   host.Say(Http200("1"));
   ASSERT_TRUE(Ended(1));
   host.Forget();
+  Rest();
   Send("id2");
   ASSERT_TRUE(RunUntil(loop, [&] { return host.Has("body"); }));
   host.Say(Http200("2"));
@@ -498,26 +536,18 @@
 // A kept connection that breaks under a send says nothing of the host: the same send goes on.
 TEST_F(ServersTest, WhatAKeptConnectionDidNotTakeGoesOnAnother) {
   Make(Plain());
-  Send("id1");
-  Peer host = Host();
-  host.Say(Http200("1"));
-  ASSERT_TRUE(Ended(1));
-  const std::string head = "POST /book HTTP/1.1\r\nX-Call-Id: big\r\n\r\n";
-  Held request;
-  request.bytes.Append(head + std::string(16 << 20, 'x'));
-  request.message = MakeRequest(head).message;
-  request.message.body = {head.size(), 16 << 20};
-  auto exchange = std::make_shared<Exchange>("big", std::move(request), loop.Now() + Ms(2000), cls,
-                                             [](const Answer&) {});
+  Peer host = Kept();
+  const auto exchange = Big("big");
   servers->Send(exchange, exchange->NextAttempt(), "h1", exchange->deadline());
   testing::RunFor(loop, Ms(30));
   host.Reset();
   Peer next = port.Take(loop);
   ASSERT_TRUE(RunUntil(loop, [&] { return next.Has("X-Call-Id: big"); }));
-  EXPECT_EQ(ends.size(), 1u);
+  EXPECT_TRUE(ends.empty());
+  ASSERT_TRUE(RunUntil(loop, [&] { return next.Heard().size() > 16 << 20; }));
   next.Say(Http200("2"));
-  ASSERT_TRUE(Ended(2));
-  EXPECT_EQ(ends[1].outcome, Outcome::kOk);
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
 }
 
 // Something on the way forgets connections that idle: those of an age that breaks are passed over.
@@ -556,6 +586,7 @@
   EXPECT_LT(broken, 10);
   // One that has hardly idled is still used.
   next.Forget();
+  Rest();
   Send();
   EXPECT_TRUE(RunUntil(loop, [&] { return next.Has("body"); }));
 }
@@ -614,6 +645,7 @@
     EXPECT_EQ(ends[0].outcome, Outcome::kOk) << header;
     EXPECT_EQ(ends[0].report, report) << header;
     host.Forget();
+    Rest();
     Send();
     ASSERT_TRUE(RunUntil(loop, [&] { return host.Has("body"); }));
   }
@@ -678,5 +710,230 @@
   servers.reset();
 }
 
+// ---- Where two events cross (docs/crossings.md) ----------------------------------------------
+
+// The new term's room: a connection that comes up late carried the request of a client long gone.
+TEST_F(ServersTest, WhatWaitsForItsConnectionEndsWithItsClient) {
+  Servers::Options options = Plain();
+  options.connect_timeout = Ms(3000);
+  Make(options);
+  CutOff host(loop);
+  servers->SetAddress("h1", host.address());
+  const auto exchange = Send("id1", Ms(4000));
+  testing::RunFor(loop, Ms(50));
+  exchange->Abandon();
+  servers->ClientLeft(*exchange);
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0].outcome, Outcome::kMoot);
+  host.LetIn();
+  Peer late;
+  RunUntil(
+      loop, [&] { return static_cast<bool>(late = host.TryTake()); }, Ms(1800));
+  EXPECT_FALSE(late && late.Has("POST"));
+  EXPECT_EQ(ends.size(), 1u);
+  EXPECT_EQ(servers->connections(), 0u);
+}
+
+// Within the writing of its first bytes: the host is left with a part, which never runs.
+TEST_F(ServersTest, WhatIsHalfWrittenEndsWithItsClient) {
+  Make(Plain());
+  const auto exchange = Big("big");
+  servers->Send(exchange, exchange->NextAttempt(), "h1", exchange->deadline());
+  Peer host = port.Take(loop);
+  ASSERT_TRUE(RunUntil(loop, [&] { return host.Has("X-Call-Id: big"); }));
+  exchange->Abandon();
+  servers->ClientLeft(*exchange);
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0].outcome, Outcome::kMoot);
+  EXPECT_LT(AllOf(loop, host), 16U << 20);
+}
+
+// What has been written whole may run: its outcome is waited for, whoever has left.
+TEST_F(ServersTest, WhatIsWrittenWholeIsWaitedFor) {
+  Make(Plain());
+  const auto exchange = Send();
+  Peer host = Host();
+  exchange->Abandon();
+  servers->ClientLeft(*exchange);
+  EXPECT_TRUE(ends.empty());
+  host.Say(Http200("done"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
+}
+
+// Between two tries on kept connections: the first breaks when the request is over already.
+TEST_F(ServersTest, WhatIsOverGoesOnNoOtherConnection) {
+  Make(Plain());
+  Peer host = Kept();
+  const auto exchange = Big("big");
+  servers->Send(exchange, exchange->NextAttempt(), "h1", exchange->deadline());
+  testing::RunFor(loop, Ms(30));
+  exchange->Finish({.status = 502});
+  host.Reset();
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kMoot);
+  testing::RunFor(loop, Ms(50));
+  EXPECT_FALSE(static_cast<bool>(port.TryTake()));
+}
+
+// The connection is up and the time over when the loop looks: nothing may be written any more.
+TEST_F(ServersTest, AConnectionThatComesUpAsTheTimeEndsCarriesNothing) {
+  Make(Plain());
+  const auto exchange = Send("id1", Ms(40));
+  Peer host;
+  while (!host) host = port.TryTake();  // up for the kernel, not yet for the loop
+  usleep(60'000);
+  loop.RunOnce(Duration(0));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kMoot);
+  EXPECT_EQ(AllOf(loop, host), 0u);
+}
+
+// A time-out against the answer's last byte: what had come by then is the outcome, once.
+TEST_F(ServersTest, AnAnswerThatCameByItsTimeIsServedThoughTheLoopLooksLater) {
+  Make(Plain());
+  Send("id1", Ms(60));
+  Peer host = Host();
+  host.Say(Http200("yes"));
+  usleep(80'000);
+  testing::RunFor(loop, Ms(50));
+  ASSERT_EQ(ends.size(), 1u);
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
+}
+
+// A cancel against the answer: one outcome, and the answer reaches nobody else.
+TEST_F(ServersTest, ACancelBeforeTheAnswerIsReadIsItsOnlyOutcome) {
+  Make(Plain());
+  const auto exchange = Send();
+  Peer host = Host();
+  host.Say(Http200("late"));
+  usleep(5000);
+  servers->Cancel(*exchange, 0);
+  Send("id2");
+  Peer next = Host();
+  next.Say(Http200("own"));
+  ASSERT_TRUE(Ended(2));
+  EXPECT_EQ(ends[0].outcome, Outcome::kCancelled);
+  EXPECT_EQ(ends[1].body, "own");
+}
+
+// A keyed repeat was let go within the window for the time of a connect; written after that, it
+// could come when the hosts have forgotten its key.
+TEST_F(ServersTest, ARepeatOfAKeyIsWrittenWithinTheTimeOfAConnect) {
+  Make(Plain());
+  for (const size_t attempt : {0, 1}) {
+    ends.clear();
+    const auto exchange = Big("big", Ms(700));
+    const Time began = loop.Now();
+    servers->Send(exchange, attempt, "h1", exchange->deadline());
+    Peer host = port.Take(loop);
+    ASSERT_TRUE(Ended(1));
+    EXPECT_EQ(ends[0].outcome, Outcome::kConnectFailed);
+    const Duration took = loop.Now() - began;
+    EXPECT_TRUE(attempt == 0 ? took >= Ms(690) : took < Ms(400)) << took.count();
+    EXPECT_LT(AllOf(loop, host), 16U << 20);
+  }
+  // One that is written in time has all of its own.
+  ends.clear();
+  const auto exchange = Request();
+  servers->Send(exchange, 1, "h1", exchange->deadline());
+  Peer host = Host();
+  testing::RunFor(loop, Ms(300));
+  EXPECT_TRUE(ends.empty());
+  host.Say(Http200("yes"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
+}
+
+// A connect that fails a keyed repeat tells of its host as any other does.
+TEST_F(ServersTest, ARepeatOfAKeyWhoseConnectionNeverComesUpBlamesItsHost) {
+  Make(Plain());
+  const CutOff host(loop);
+  servers->SetAddress("h1", host.address());
+  const auto exchange = Request();
+  servers->Send(exchange, 1, "h1", exchange->deadline());
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kConnectFailed);
+}
+
+// A host that answers twice, the second time some milliseconds late: on a connection used again by
+// then the second would be served for the next request.
+TEST_F(ServersTest, ASecondAnswerIsNobodyElses) {
+  Make(Plain());
+  Send("id1");
+  Peer host = Host();
+  host.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  Send("id2");
+  testing::RunFor(loop, Ms(5));
+  host.Say(Http200("1"));
+  Peer next = Host();
+  next.Say(Http200("2"));
+  ASSERT_TRUE(Ended(2));
+  EXPECT_EQ(ends[1].body, "2");
+  EXPECT_TRUE(RunUntil(loop, [&] { return host.Ended(); }));  // out of step
+}
+
+// An answer before the request's last byte is written is no answer to it.
+TEST_F(ServersTest, AnAnswerBeforeTheLastByteIsWrittenAnswersNothing) {
+  Make(Plain());
+  Peer host = Kept();
+  const auto exchange = Big("big");
+  servers->Send(exchange, exchange->NextAttempt(), "h1", exchange->deadline());
+  testing::RunFor(loop, Ms(30));
+  host.Say(Http200("1"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kMoot);
+  EXPECT_EQ(ends[0].body, "");
+  EXPECT_LT(AllOf(loop, host), 16U << 20);
+  // Being turned away may come as early.
+  ends.clear();
+  const auto other = Big("big");
+  servers->Send(other, other->NextAttempt(), "h1", other->deadline());
+  Peer full = port.Take(loop);
+  full.Say("HTTP/1.1 503 No\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kFull);
+}
+
+// New settings with a shorter time to idle: what has idled past it is not used before it is closed.
+TEST_F(ServersTest, WhatIdledPastANewTimeIsNotUsed) {
+  Make(Plain());
+  Peer host = Kept();
+  testing::RunFor(loop, Ms(100));
+  Servers::Options options = Plain();
+  options.idle_close = Ms(100);
+  servers->SetOptions(options);
+  Send("id2");
+  Peer next = Host();
+  EXPECT_FALSE(host.Has("body"));
+  next.Say(Http200("2"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].outcome, Outcome::kOk);
+}
+
+// It leaves the list and returns under its id at another address: nothing goes to the old one, and
+// what was out there ends as it would have.
+TEST_F(ServersTest, AHostThatReturnsElsewhereIsAskedThere) {
+  Make(Plain());
+  Peer kept = Kept();
+  Send("out");
+  ASSERT_TRUE(RunUntil(loop, [&] { return kept.Has("body"); }));
+  servers->Left("h1");
+  testing::Port elsewhere;
+  servers->SetAddress("h1", elsewhere.address());
+  kept.Say(Http200("old"));
+  ASSERT_TRUE(Ended(1));
+  EXPECT_EQ(ends[0].body, "old");
+  Rest();
+  Send("new");
+  Peer host = elsewhere.Take(loop);
+  ASSERT_TRUE(RunUntil(loop, [&] { return host.Has("body"); }));
+  EXPECT_TRUE(kept.Ended());
+  host.Say(Http200("new"));
+  ASSERT_TRUE(Ended(2));
+  EXPECT_EQ(ends[1].body, "new");
+}
+
 }  // namespace
 }  // namespace paddlestile::net
