--- a/src/net/servers.cpp
+++ b/src/net/servers.cpp
@@ -40,7 +40,7 @@
 constexpr size_t kReadFirst = 2048;  // bytes; most answers are short
 // A host may answer twice, the second time some milliseconds late: on a connection used again by
 // then it would be taken for the next request's answer, which nothing in it tells apart.
-constexpr Duration kRest{20'000};  // us; after an answer
+constexpr Duration kRest{10'000};  // us; after an answer
 
 double Ms(Duration d) { return static_cast<double>(d.count()) / 1000; }
 
