--- a/tests/net/clients_test.cpp
+++ b/tests/net/clients_test.cpp
@@ -648,6 +648,22 @@
   EXPECT_TRUE(RunUntil(loop, [&] { return done; }));
 }
 
+// Our close of a connection that idled against the client's next request: what has come is read.
+TEST_F(ClientsTest, ARequestThatComesAsItsConnectionIsClosedIsTaken) {
+  Peer peer = Dial();
+  peer.Say(Get("a"));
+  ASSERT_TRUE(HasTaken(1));
+  taken[0]->Finish({.status = 502});
+  ASSERT_TRUE(Hears(peer, "HTTP/1.1 502 "));
+  peer.Forget();
+  RunFor(loop, Ms(1960));
+  peer.Say(Get("b"));
+  usleep(80'000);
+  ASSERT_TRUE(HasTaken(2));
+  taken[1]->Finish({.status = 502});
+  EXPECT_TRUE(Hears(peer, "HTTP/1.1 502 "));
+}
+
 // An answer half-written when the drain ends: cut there, its request would be lost.
 TEST_F(ClientsTest, AnAnswerHalfReadAsTheDrainEndsComesWhole) {
   Peer slow = Dial();
--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -327,6 +327,118 @@
   }
 }
 
+// ---- Lists and settings -------------------------------------------------------------------------
+
+// A whole list that lacks most hosts, or all, is obeyed: what is not in it has gone. One that says
+// nothing changes nothing. Nobody is left without an answer.
+TEST_F(CrossingsTest, AListThatLacksHostsIsObeyed) {
+  std::string entries;
+  for (const char* const id : {"h1", "h2", "h3"}) {
+    const Host& host = AddHost(id, [this, id = std::string(id)](const std::string&) {
+      ++got[id];
+      return Http200("served");
+    });
+    entries += fmt::format(R"({}{{"id":"{}","host_port":"{}","phase":"active"}})",
+                           entries.empty() ? "" : ",", id, host.port.text());
+  }
+  Start();
+  Peer call = agent.Take(loop);
+  call.Say(testing::kChunkedHead);
+  int revision = 41, asked = 0;
+  const auto tell = [&](bool whole, const std::string& members) {
+    const std::string line = fmt::format(R"({{"revision":{},"complete":{},"members":[{}]}})",
+                                         revision++, whole, members);
+    call.Say(fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line));
+    Until([] { return false; }, Ms(20));
+    got.clear();
+  };
+  const auto served = [&](int count) {
+    int good = 0;
+    for (int i = 0; i < count; ++i) {
+      Peer client = Ask(Request("x" + std::to_string(asked++), "safe", 300));
+      EXPECT_TRUE(Until([&] { return client.Has("\r\n\r\n"); }));
+      good += client.Has("HTTP/1.1 200") ? 1 : 0;
+    }
+    return good;
+  };
+  tell(false, "");
+  EXPECT_EQ(served(12), 12);
+  EXPECT_GE(got.size(), 2u);
+  tell(true, entries.substr(0, entries.find(R"(,{"id":"h2")")));
+  EXPECT_EQ(served(6), 6);
+  EXPECT_EQ(got["h1"], 6);
+  tell(true, "");
+  EXPECT_EQ(served(3), 0);
+  EXPECT_TRUE(got.empty());
+  tell(true, entries);
+  EXPECT_EQ(served(12), 12);
+}
+
+// A class gets another effect while one of it is in hand: that one ends as it began, those that
+// come later go by the new.
+TEST_F(CrossingsTest, AClassThatBecomesUnsafeIsSoForWhatComesThen) {
+  for (const char* const id : {"h1", "h2"}) {
+    AddHost(id, [this](const std::string& text) {
+      const std::string name = IdOf(text);
+      if (++got[name] > 1) return Http200("served");
+      return name == "held" ? std::string() : std::string("reset");
+    });
+  }
+  Start();
+  Peer held = Ask(Request("held"));
+  ASSERT_TRUE(Until([&] { return Whole("held"); }));
+  Config next = config;
+  next.settings.classes[0].effect = Effect::kUnsafe;
+  next.settings.classes[0].deadline = Ms(400);
+  gateway->Adopt(next);
+  Peer later = Ask(Request("later"));
+  ASSERT_TRUE(Until([&] { return later.Has("HTTP/1.1 502"); }));
+  EXPECT_EQ(got["later"], 1);
+  for (const auto& host : hosts) {
+    for (Peer& peer : host->peers) {
+      if (peer) peer.Reset();
+    }
+  }
+  EXPECT_TRUE(Until([&] { return held.Has("served"); }));
+  EXPECT_EQ(got["held"], 2);
+}
+
+// Settings at their edges: one host, one gateway, one zone, no tenants, probes or reports, one
+// attempt, unsafe classes, deadlines and idle times far under a second.
+TEST_F(CrossingsTest, SettingsAtTheirEdgesServeAndEndInTime) {
+  Settings& s = config.settings;
+  s.classes = {paddlestile::testing::MakeClass(Effect::kUnsafe)};
+  s.classes[0].aim = Ms(60);
+  s.classes[0].deadline = Ms(120);
+  s.instances = s.zones = 1;
+  s.tenants.clear();
+  s.allowed.send_cap = 1;
+  s.allowed.probes = s.allowed.cancel = s.allowed.parallel_tries = s.allowed.retry_after = false;
+  s.allowed.connect_timeout = Ms(40);
+  s.report = {};
+  config.idle_close = Ms(200);
+  AddHost("h1", [this](const std::string& text) {
+    const std::string id = IdOf(text);
+    ++got[id];
+    return id == "hangs" ? std::string() : Http200("served");
+  });
+  Start();
+  for (int i = 0; i < 30; ++i) {
+    Peer client = Ask(Request("x" + std::to_string(i), "safe", 120));
+    ASSERT_TRUE(Until([&] { return client.Has("served"); })) << i << client.Heard();
+    EXPECT_EQ(got["x" + std::to_string(i)], 1);
+    if (i % 10 == 9) {
+      Until([] { return false; }, Ms(180));
+      EXPECT_NE(gateway->StateText().find("hosts_connected=0 "), std::string::npos);
+    }
+  }
+  const Time began = loop.Now();
+  Peer client = Ask(Request("hangs", "safe", 120));
+  ASSERT_TRUE(Until([&] { return client.Has("HTTP/1.1 502"); }));
+  EXPECT_LT(loop.Now() - began, Ms(250));
+  EXPECT_EQ(got["hangs"], 1);
+}
+
 // ---- The whole program --------------------------------------------------------------------------
 
 class SignalsTest : public ::testing::Test {
@@ -403,6 +515,24 @@
   EXPECT_EQ(child.Wait(), 0);
 }
 
+// Settings that make no sense, told while a request is in hand: what runs is kept and that is said.
+TEST_F(SignalsTest, ABadFileKeepsWhatRuns) {
+  Start();
+  Peer client = Ask("a", 3000);
+  Peer at_host = Request();
+  Write(0);
+  child.Signal(SIGHUP);
+  EXPECT_TRUE(
+      child.Says("configuration kept as it was: LB_CONFIG: " + folder_ +
+                 "/config.json: setting out of range: Classes.0.Deadline, expected over 0"));
+  at_host.Say(Http200("served"));
+  EXPECT_TRUE(Hears(client, "served"));
+  Peer next = Ask("b", 1000);
+  Peer again = Request();
+  again.Say(Http200("served"));
+  EXPECT_TRUE(Hears(next, "served"));
+}
+
 // The same file twice changes nothing, and the second telling cuts nothing.
 TEST_F(SignalsTest, TheSameFileTwiceChangesNothing) {
   Start();
--- a/tests/net/servers_test.cpp
+++ b/tests/net/servers_test.cpp
@@ -787,6 +787,28 @@
   EXPECT_EQ(ends[1].body, "own");
 }
 
+// An answer that drips and never ends is held to the request's time, whatever comes of it.
+TEST_F(ServersTest, AnAnswerThatNeverEndsEndsWithItsTime) {
+  Make(Plain());
+  for (const char* const head :
+       {"HTTP/1.1 200 OK\r\nX-Pad: ", "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n"}) {
+    ends.clear();
+    const Time began = loop.Now();
+    Send("id1", Ms(600));
+    Peer host = Host();
+    host.Say(head);
+    for (int i = 0; i < 30 && ends.empty(); ++i) {
+      host.Say("x");
+      testing::RunFor(loop, Ms(50));
+    }
+    ASSERT_EQ(ends.size(), 1u) << head;
+    EXPECT_EQ(ends[0].outcome, Outcome::kTimeout) << head;
+    EXPECT_LT(loop.Now() - began, Ms(900)) << head;
+    EXPECT_TRUE(RunUntil(loop, [&] { return host.Ended(); }));
+  }
+}
+
 // A keyed repeat was let go within the window for the time of a connect; written after that, it
 // could come when the hosts have forgotten its key.
 TEST_F(ServersTest, ARepeatOfAKeyIsWrittenWithinTheTimeOfAConnect) {
