Crossings: lists are waited for by their revision, not by time

AListThatLacksHostsIsObeyed failed once in eight while a build ran: it gave the gateway 20 ms to take a list.

--- a/tests/net/crossings_test.cpp
+++ b/tests/net/crossings_test.cpp
@@ -63,6 +63,13 @@
     config.known.members.push_back(entry);
   }
   bool Whole(const std::string& id) { return got[id] == 1; }
+  // Discovery says a line, and the gateway has taken it.
+  void Tell(Peer& call, const std::string& line, int revision) {
+    call.Say(fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line));
+    EXPECT_TRUE(Until([&] {
+      return gateway->StateText().find(fmt::format(" revision={} ", revision)) != std::string::npos;
+    }));
+  }
 
   std::map<std::string, int> got;  // at the hosts, by id
 };
@@ -75,7 +82,8 @@
   Start();
   std::vector<Peer> clients;
   for (int i = 0; i < 12; ++i) clients.push_back(Ask(Request(std::to_string(i), "safe", 8000)));
-  Until([] { return false; }, Ms(60));
+  ASSERT_TRUE(Until([&] { return gateway->in_hand() == 12 && !got.empty(); }));
+  Until([] { return false; }, Ms(30));
   const std::set<std::string> sent = [&] {
     std::set<std::string> ids;
     for (const auto& [id, times] : got) ids.insert(id);
@@ -125,11 +133,11 @@
   ASSERT_TRUE(Until([&] { return Whole("a"); }));
   // The list names the second from here on.
   Peer call = agent.Take(loop);
-  const std::string line =
-      R"({"revision":41,"complete":false,"members":[{"id":"h2","host_port":")" +
-      ToText(second.address()) + R"(","phase":"active"}]})";
-  call.Say(testing::kChunkedHead + fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line));
-  RunFor(loop, Ms(50));
+  call.Say(testing::kChunkedHead);
+  Tell(call,
+       R"({"revision":41,"complete":false,"members":[{"id":"h2","host_port":")" +
+           ToText(second.address()) + R"(","phase":"active"}]})",
+       41);
   for (Peer& peer : hosts[0]->peers) peer.Reset();
   RunFor(loop, Ms(50));
   EXPECT_FALSE(client.Has("HTTP/1.1"));  // it waits for the second
@@ -272,11 +280,11 @@
   Start();
   Peer call = agent.Take(loop);
   gateway->Drain([] {});
-  const std::string line =
-      R"({"revision":41,"complete":false,"members":[{"id":"h1","host_port":")" +
-      hosts[0]->port.text() + R"(","phase":"leaving"}]})";
-  call.Say(testing::kChunkedHead + fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line));
-  Until([&] { return false; }, Ms(30));
+  call.Say(testing::kChunkedHead);
+  Tell(call,
+       R"({"revision":41,"complete":false,"members":[{"id":"h1","host_port":")" +
+           hosts[0]->port.text() + R"(","phase":"leaving"}]})",
+       41);
   got.clear();
   for (int i = 0; i < 8; ++i) {
     Peer client = Ask(Request("x" + std::to_string(i)));
@@ -344,12 +352,13 @@
   Start();
   Peer call = agent.Take(loop);
   call.Say(testing::kChunkedHead);
-  int revision = 41, asked = 0;
+  int revision = 40, asked = 0;
   const auto tell = [&](bool whole, const std::string& members) {
-    const std::string line = fmt::format(R"({{"revision":{},"complete":{},"members":[{}]}})",
-                                         revision++, whole, members);
-    call.Say(fmt::format("{:x}\r\n{}\n\r\n", line.size() + 1, line));
-    Until([] { return false; }, Ms(20));
+    Tell(call,
+         fmt::format(R"({{"revision":{},"complete":{},"members":[{}]}})", revision + 1, whole,
+                     members),
+         revision + 1);
+    ++revision;
     got.clear();
   };
   const auto served = [&](int count) {
