--- a/src/bank/agreement.cpp
+++ b/src/bank/agreement.cpp
@@ -120,10 +120,14 @@
   return sent < Time(0) ? sent : sent + Scaled(timing_.election, 1 - 2 * timing_.clock_rate);
 }
 
+// Whether this leader has applied all that its predecessors may have agreed on: without that it
+// could act, and have others act, on what a word that it does not know yet has put out of force.
+bool Agreement::Current() const { return !Behind() && TermAt(commit_) == term_; }
+
 Time Agreement::LeaseUntil(Time now) const {
   if (forgot_) return Time(-1);
   const Time leads = LeadsUntil(now);
-  if (leads < Time(0)) return lease_until_;
+  if (leads < Time(0) || !Current()) return lease_until_;
   // Its own is over with its word, and no later than what the next leader waits for.
   return std::max(lease_until_, std::min(leads, QuorumSent(now) + HeldFor(timing_)));
 }
@@ -137,6 +141,7 @@
 }
 
 Time Agreement::NextDue() const {
+  if (Behind()) return Time(0);
   if (role_ == Role::kLeader) {
     Time due = Time::max();
     for (const auto& [name, peer] : peers_) {
@@ -179,7 +184,7 @@
   m.sent = now;
   m.commit = commit_;
   // A lease goes only with a word that is good, and only to one that knows what it must.
-  if (peer.asked >= Time(0) && peer.applied >= required_ && Leads(now)) {
+  if (peer.asked >= Time(0) && peer.applied >= required_ && Current() && Leads(now)) {
     m.asked = peer.asked;
     peer.lease_end = std::max(peer.lease_end, peer.asked_came + timing_.lease);
   }
@@ -554,14 +559,35 @@
     applied_ = snapshot_.index;
     out.applied.push_back({applied_, {}, snapshot_});
   }
-  if (applied_ == commit_) return;
-  while (applied_ < commit_) {
-    ++applied_;
-    out.applied.push_back({applied_, At(applied_), std::nullopt});
+  if (!Behind()) return;
+  size_t work = 0, weight = entry_weight_;
+  while (Behind()) {
+    const Entry& next = At(applied_ + 1);
+    if (next.kind == Entry::Kind::kData) {
+      // One that came whole in this event weighs on those behind it.
+      weight = std::max(weight, next.bytes.size());
+      const size_t takes = weight + SizeOf(next);
+      if (work > 0 && work + takes > timing_.apply_bytes) break;
+      work += takes;
+    }
+    out.applied.push_back({++applied_, next, std::nullopt});
   }
   out.writes.push_back({ticket_, term_, vote_, 0, {}, std::nullopt, commit_, true});
 }
 
+// What took more than one event is told once it is done: the leader would hear of it only with its
+// next heartbeat, and may wait for it.
+void Agreement::TellApplied(Output& out) {
+  if (Behind() || role_ != Role::kFollower || leader_.empty()) return;
+  Message m;
+  m.type = Message::Type::kAppended;
+  m.granted = true;
+  m.index = acked_;
+  m.commit = applied_;
+  m.sent = Time(-1);
+  Post(out, std::move(m), leader_, ticket_);
+}
+
 void Agreement::Compact(Index index, std::string bytes, Output& out) {
   if (index <= snapshot_.index || index > applied_) return;
   const Term term = TermAt(index);
@@ -581,7 +607,10 @@
 
 void Agreement::Tick(Time now, Output& out) {
   if (forgot_) return;
-  if (applied_ < commit_) Apply(out);  // at a start
+  if (Behind()) {
+    Apply(out);
+    TellApplied(out);
+  }
   if (role_ == Role::kLeader) {
     if (now >= timer_) {
       // A leader that a quorum no longer answers is none.
--- a/src/bank/agreement.h
+++ b/src/bank/agreement.h
@@ -37,6 +37,7 @@
   Duration lease{1'000'000};       // a member acts on what it knows for so long after it asked
   double clock_rate = 0.01;        // 0 to 0.2
   size_t append_bytes = 64 << 10;  // of entries in one message, beyond the first
+  size_t apply_bytes = 64 << 10;   // of work in one event, beyond its first entry; see Weigh
 };
 
 // A lease as its holder counts it, from when it asked, and as everybody else must wait for it.
@@ -170,6 +171,13 @@
   // not lead, or an earlier such change is not agreed yet.
   std::optional<Index> ProposeVoters(Time now, std::vector<Voter> voters, Output& out);
 
+  // What each of the users' entries takes to apply beside its own bytes: one event applies as many
+  // as `apply_bytes` allow, and the rest is due at once, an event each. So one that has much to
+  // catch up with holds up nothing else that its process does.
+  void Weigh(size_t bytes) { entry_weight_ = bytes; }
+  // Whether something that is agreed is still to be applied here.
+  [[nodiscard]] bool Behind() const { return applied_ < commit_ && !forgot_; }
+
   // No lease goes to one that has not applied this entry; a slow one then holds nobody up for
   // longer than the lease that it has.
   void Require(Index index) { required_ = index; }
@@ -194,6 +202,8 @@
   [[nodiscard]] Index commit() const { return commit_; }
   [[nodiscard]] Index last() const { return snapshot_.index + log_.size(); }
   [[nodiscard]] Index first() const { return snapshot_.index + 1; }
+  // One that is still in the log, agreed or not.
+  [[nodiscard]] const Entry& EntryAt(Index index) const { return At(index); }
   [[nodiscard]] const std::vector<Voter>& voters() const;
   [[nodiscard]] bool Votes() const;
   // Whether a disk that has gone back was found out: it must start anew with another life.
@@ -257,7 +267,9 @@
   void OnAppended(Time now, const Message& m, Output& out);
   void OnSnapshot(Time now, const Message& m, Output& out);
   void AdvanceCommit(Time now, Output& out);
+  [[nodiscard]] bool Current() const;
   void Apply(Output& out);
+  void TellApplied(Output& out);
   void Reindex();
 
   std::string name_;
@@ -274,6 +286,7 @@
   Index found_last_;
   Index acked_ = 0;  // to the leader of this term
   Index required_ = 0;
+  size_t entry_weight_ = 0;
   bool forgot_ = false, may_campaign_ = true;
   Time claims_due_;  // when the other voters are told again what this disk holds
 
--- a/src/bank/codec.cpp
+++ b/src/bank/codec.cpp
@@ -65,8 +65,10 @@
   Wish wish;
   wish.kind = Among(v.at(0), Wish::Kind::kReplaceVoter);
   wish.name = v.at(1);
-  wish.change = {v.at(2), v.at(3), v.at(4), v.at(5), std::nullopt, v.at(7)};
+  wish.change = {v.at(2), v.at(3), v.at(4), v.at(5), std::nullopt, v.at(7), false};
   if (!v.at(6).is_null()) wish.change.expect = v.at(6).get<uint64_t>();
+  wish.change.delta = v.size() > 8;
+  if (wish.change.delta) wish.change.rules = v.at(8);
   return wish;
 }
 
@@ -116,8 +118,12 @@
 
 json ToJson(const Wish& w) {
   const Change& c = w.change;
-  return {w.kind, w.name, c.id, c.author, c.reason, c.unix_s, c.expect ? json(*c.expect) : json(),
-          c.rules};
+  json all = {w.kind, w.name, c.id, c.author, c.reason, c.unix_s,
+              c.expect ? json(*c.expect) : json(),
+              // Where a whole version stands a delta is not: a program that knows none refuses it.
+              c.delta ? std::string() : c.rules};
+  if (c.delta) all.push_back(c.rules);
+  return all;
 }
 
 json ToJson(const Answer& a) { return {a.kind, a.id, a.version, a.text}; }
--- /dev/null
+++ b/src/bank/delta.h
@@ -0,0 +1,32 @@
+// A change by its own size: what a delta adds to a version and takes from it, by keyed parts. No
+// I/O. What it looks like and what it cannot say stands in docs/bank.md.
+#ifndef PADDLESTILE_BANK_DELTA_H_
+#define PADDLESTILE_BANK_DELTA_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bank/content.h"
+
+namespace paddlestile::bank {
+
+inline constexpr size_t kDeltaMost = 64 << 10;  // bytes of one delta
+
+// All that is wrong in a delta's text, a line each with its key and what was expected.
+std::vector<std::string> CheckDelta(std::string_view text);
+
+// `base` with the parts that the delta sets, without those that it removes; what is not there and
+// is removed changes nothing. Items of `Classes` and `Tenants` keep their places, new ones come
+// behind them in the order of their names. It costs what the delta names. Throws
+// std::invalid_argument with the first fault of the delta, or of the version that it makes.
+Content ApplyDelta(Content base, std::string_view delta);
+
+// What makes `b` of `a`, so that ToText(ApplyDelta(a, Difference(a, b))) == ToText(b) for any two.
+// It may be larger than `b`, or than a delta may be.
+std::string Difference(const Content& a, const Content& b);
+
+}  // namespace paddlestile::bank
+
+#endif  // PADDLESTILE_BANK_DELTA_H_
--- a/src/bank/history.h
+++ b/src/bank/history.h
@@ -6,12 +6,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
-#include <map>
+#include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "bank/agreement.h"
-#include "bank/rules.h"
+#include "bank/content.h"
 
 namespace paddlestile::bank {
 
@@ -22,16 +23,31 @@
   double unix_s = 0;               // when it was submitted, for people; decides nothing
   std::optional<uint64_t> expect;  // refused where another version is the latest by then
   std::string rules;               // the whole version
+  bool delta = false;              // `rules` is a delta to whichever version is the latest by then
+};
+
+// What the leader that proposed a delta made of it: whoever makes another version of it has other
+// content than the bank.
+struct Made {
+  uint64_t base = 0;  // the version that it was applied to
+  std::string hash;   // of the version that it makes
 };
 
 struct Version {
   uint64_t number = 0;
   std::string id, author, reason, hash;
   double unix_s = 0;
-  std::string rules;  // of the last kWhole alone
+  // How it came: whole, or as a delta to the version before. Of the last kWhole alone, and neither
+  // is told of the oldest of them where it came as a delta.
+  std::string rules;
   Index index = 0;
+  std::string delta{};
+  std::optional<Content> content{};  // of the last kWhole; they share what they have in common
 };
 
+// Of a version that came as a delta by its parts, of one that came whole of its text.
+std::string HashOf(const Version& version);
+
 class History {
  public:
   static constexpr size_t kWhole = 16;      // versions kept whole
@@ -39,8 +55,9 @@
   static constexpr size_t kIds = 1024;      // changes by whose ids a repeat is known
 
   // The entries.
-  static std::string ChangeEntry(const Change& change);
-  static std::string OnEntry(uint64_t version);
+  static std::string ChangeEntry(const Change& change, const Made& made = {});
+  // `hash`: of that version; empty: none is told.
+  static std::string OnEntry(uint64_t version, const std::string& hash = "");
   static std::string FormedEntry();
 
   struct Result {
@@ -67,21 +84,38 @@
     return versions_.empty() ? 0 : versions_.back().index;
   }
   // What to act on: the version in force, and of those behind it only what is stricter.
-  [[nodiscard]] const Rules& acting() const { return acting_; }
+  [[nodiscard]] const Content& acting() const { return acting_; }
   [[nodiscard]] const std::deque<Version>& versions() const { return versions_; }
   [[nodiscard]] const Version* Find(uint64_t number) const;
+  // The content of the last version, the platform's alone where there is none.
+  [[nodiscard]] const Content& latest_content() const { return latest_content_; }
+  [[nodiscard]] size_t latest_bytes() const {
+    return versions_.empty() ? 0 : BytesOf(latest_content_);
+  }
+  // The kept versions from `first` on, in their order.
+  void Walk(uint64_t first, const std::function<void(const Version&, const Content&)>& each) const;
+  // Why the content here is not what the bank has agreed on; empty: nothing speaks against it. A
+  // later version settles it where its hash is as agreed, or where it came whole and is on.
+  [[nodiscard]] const std::string& differs() const { return differs_; }
+  // A version is missing here: its numbers are not those of the others, and it must not lead.
+  [[nodiscard]] bool miscounts() const { return differs_at_ == UINT64_MAX; }
   // All voters that the operator's file named at first have joined.
   [[nodiscard]] bool formed() const { return formed_; }
 
  private:
   void TurnOn(uint64_t version);
   void Trim();
+  void Differ(uint64_t version, const std::string& why);
+  void Compare(uint64_t version, const std::string& here, const std::string& agreed);
 
   std::deque<Version> versions_;
   std::deque<std::pair<std::string, Result>> ids_;
   uint64_t on_ = 0;
   bool formed_ = false;
-  Rules acting_;
+  Content acting_, latest_content_;
+  std::string differs_;
+  uint64_t differs_at_ = 0;  // the last version of which it is known; UINT64_MAX: it has no number
+  uint64_t whole_at_ = 0;    // the last version that came whole
 };
 
 }  // namespace paddlestile::bank
--- a/src/bank/member.cpp
+++ b/src/bank/member.cpp
@@ -2,12 +2,19 @@
 
 #include <algorithm>
 #include <array>
+#include <stdexcept>
+
+#include "bank/delta.h"
 
 namespace paddlestile::bank {
 namespace {
 
 constexpr Index kNear = 64;  // entries that one who is to vote may be behind
 
+// What an entry takes to apply beside its own bytes, whatever the version's size: parsed, its parts
+// found, what they contradict.
+constexpr size_t kEntryWork = 4 << 10;
+
 double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
 
 }  // namespace
@@ -17,7 +24,9 @@
 Member::Member(Options options, Disk disk, uint64_t seed, Time now)
     : options_(std::move(options)),
       agreement_(options_.name, options_.timing, std::move(disk), seed, now),
-      started_(now) {}
+      started_(now) {
+  agreement_.Weigh(kEntryWork);
+}
 
 void Member::Linked(Time now, const std::string& name, uint64_t life, const Claim& of_you,
                     MemberOutput& out) {
@@ -120,23 +129,67 @@
     return;
   }
   if (wish.kind != Wish::Kind::kChange) return TakeVoters(now, wish, std::move(waiting), out);
+  // Each change would be worked out behind all of that.
+  if (agreement_.Behind()) return give(Answer::Kind::kNobody, WhoLeads(now) + ", and catches up");
   if (const auto before = history_.Find(id)) {
     if (before->version == 0) return give(Answer::Kind::kRefused, before->refused);
     waiting.version = before->version;
     waiting_[id] = std::move(waiting);
     return;
   }
-  const std::vector<std::string> faults = CheckRules(wish.change.rules);
-  if (!faults.empty()) {
+  std::vector<std::string> faults;
+  const auto entry = EntryOf(wish.change, faults);
+  if (!entry) {
     std::string all;
     for (const std::string& fault : faults) all += (all.empty() ? "" : "\n") + fault;
     return give(Answer::Kind::kRefused, all);
   }
-  agreement_.Propose(now, History::ChangeEntry(wish.change), out);
+  agreement_.Propose(now, *entry, out);
   waiting.term = agreement_.term();
   waiting_[id] = std::move(waiting);
 }
 
+// The entry that a leader makes of a change; nothing where it has faults.
+std::optional<std::string> Member::EntryOf(const Change& change,
+                                           std::vector<std::string>& faults) const {
+  faults = change.delta ? CheckDelta(change.rules) : CheckRules(change.rules);
+  if (change.delta && !options_.deltas) {
+    faults = {"a delta, and " + options_.name +
+              " leads with whole changes, expected changes = \"delta\" in its operator's file"};
+  }
+  // A leader that has other content knows no delta: a whole version is the same from any.
+  const bool differs = !history_.differs().empty();
+  if (change.delta && differs) {
+    faults = {"a delta, and the content of " + options_.name +
+              ", which leads, is not what was agreed; expected a whole version"};
+  }
+  if (!faults.empty()) return std::nullopt;
+  if (!options_.deltas || differs) return History::ChangeEntry(change);
+  // What is proposed already comes before it, in whatever term it is agreed.
+  const History* latest = &history_;
+  std::optional<History> ahead;
+  for (Index i = std::max(agreement_.applied() + 1, agreement_.first()); i <= agreement_.last();
+       ++i) {
+    const Entry& entry = agreement_.EntryAt(i);
+    if (entry.kind != Entry::Kind::kData) continue;
+    if (!ahead) latest = &ahead.emplace(history_);
+    ahead->Apply(i, entry.bytes);
+  }
+  try {
+    Change delta = change;
+    delta.delta = true;
+    const Content next = change.delta ? ApplyDelta(latest->latest_content(), change.rules)
+                                      : Content(ParseRules(change.rules));
+    if (!change.delta) delta.rules = Difference(latest->latest_content(), next);
+    const bool smaller = delta.rules.size() <= std::min(kDeltaMost, change.rules.size());
+    if (!change.delta && !smaller) return History::ChangeEntry(change);
+    return History::ChangeEntry(delta, {latest->latest(), HashOf(next)});
+  } catch (const std::invalid_argument& fault) {
+    faults = {fault.what()};
+    return std::nullopt;
+  }
+}
+
 void Member::TakeVoters(Time now, const Wish& wish, Waiting waiting, MemberOutput& out) {
   std::vector<Voter> voters = agreement_.voters();
   const auto at = std::ranges::find(voters, wish.name, &Voter::name);
@@ -238,18 +291,32 @@
       }
     }
   }
+  const bool differs = !history_.differs().empty();
+  if (differs && !differs_) {
+    ++differed_;
+    out.log.push_back("bank: its content is not what was agreed: " + history_.differs() +
+                      "; strict rules until it is");
+    if (!agreement_.Votes() && !agreement_.Forgot()) out.needs_anew = history_.differs();
+  }
+  if (!differs && differs_) out.log.emplace_back("bank: its content is what was agreed again");
+  differs_ = differs;
   agreement_.Require(history_.latest_index());
   const auto here = static_cast<size_t>(std::ranges::count_if(
       options_.first_voters,
       [&](const std::string& name) { return name == options_.name || linked_.contains(name); }));
-  agreement_.set_may_campaign(history_.formed() || here > options_.first_voters.size() / 2);
+  agreement_.set_may_campaign(!history_.miscounts() &&
+                              (history_.formed() || here > options_.first_voters.size() / 2));
   const bool leads = agreement_.Leads(now);
   if (leads) {
     Form(now, out);
     const std::pair on{agreement_.term(), history_.latest()};
     if (history_.on() < history_.latest() && on_proposed_ != on &&
         agreement_.AllApplied(now, history_.latest_index()) &&
-        agreement_.Propose(now, History::OnEntry(history_.latest()), out)) {
+        agreement_.Propose(now,
+                           History::OnEntry(history_.latest(), options_.deltas && !differs
+                                                                   ? history_.versions().back().hash
+                                                                   : std::string()),
+                           out)) {
       on_proposed_ = on;
     }
   } else {
@@ -276,7 +343,8 @@
     Give(w, std::move(*answer), out);
     at = waiting_.erase(at);
   }
-  if (agreement_.applied() >= agreement_.first() + options_.compact_after) {
+  // Other content goes into no snapshot: the log still tells the right one.
+  if (!differs && agreement_.applied() >= agreement_.first() + options_.compact_after) {
     agreement_.Compact(agreement_.applied(), history_.Save(), out);
   }
   // An entry of a bank of one is agreed at once where its disk has nothing to wait for.
@@ -291,19 +359,20 @@
   stance.on = history_.on();
   stance.latest = history_.latest();
   stance.until = until;
-  if (now < until) {
+  if (now < until && history_.differs().empty()) {
     stance.kind = stance.on == stance.latest ? Stance::Kind::kAgreed : Stance::Kind::kBetween;
   }
   return stance;
 }
 
-Rules Member::RulesOf(const Stance& stance) const {
+Content Member::RulesOf(const Stance& stance) const {
   return stance.kind == Stance::Kind::kAlone ? Strictest(history_.acting()) : history_.acting();
 }
 
 nlohmann::json Member::Status(Time now) const {
   using nlohmann::json;
   const Stance stance = Acting(now);
+  const Version* const last = history_.Find(history_.latest());
   json voters = json::array(), linked = json::array();
   for (const Voter& v : agreement_.voters()) voters.push_back(v.name);
   for (const auto& [name, life] : linked_) {
@@ -332,6 +401,14 @@
       {"log_first", agreement_.first()},
       {"log_last", agreement_.last()},
       {"applied", agreement_.applied()},
+      {"to_apply", agreement_.commit() - agreement_.applied()},
+      {"changes", options_.deltas ? "delta" : "whole"},
+      {"change_bytes", last == nullptr       ? 0
+                       : last->delta.empty() ? last->rules.size()
+                                             : last->delta.size()},
+      {"version_bytes", history_.latest_bytes()},
+      {"content", history_.differs().empty() ? "agreed" : history_.differs()},
+      {"content_differed", differed_},
       {"bound_ms", BoundOf(options_.timing, kSlack).count() / 1000},
       {"since_s", Seconds(now - started_)}};
 }
--- a/src/bank/member.h
+++ b/src/bank/member.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "bank/agreement.h"
+#include "bank/content.h"
 #include "bank/history.h"
-#include "bank/rules.h"
 
 namespace paddlestile::bank {
 
@@ -54,6 +54,8 @@
   std::vector<Note> notes;
   std::vector<std::pair<uint64_t, Answer>> answers;  // by the ticket of Submit
   std::vector<std::string> log;                      // lines for people
+  // Why this member, which does not vote, needs all content anew; empty: it does not.
+  std::string needs_anew;
 };
 
 // What a gateway acts on.
@@ -61,7 +63,9 @@
   enum class Kind : uint8_t {
     kAgreed,   // the version in force
     kBetween,  // a newer one is held and not on: the stricter of both
-    kAlone  // its lease is over: nothing that could contradict a version that it has not heard of
+    // Its lease is over, or its content is not what was agreed: nothing that could contradict a
+    // version that it does not have.
+    kAlone
   };
   Kind kind = Kind::kAlone;
   uint64_t on = 0, latest = 0;
@@ -77,6 +81,7 @@
     std::set<std::string> first_voters;  // who is to vote once it is there, until all are
     Duration answer_within{3'000'000};
     size_t compact_after = 512;  // entries
+    bool deltas = false;         // as leader it proposes changes by their own size
   };
   Member(Options options, Disk disk, uint64_t seed, Time now);
 
@@ -94,10 +99,12 @@
 
   [[nodiscard]] Stance Acting(Time now) const;
   // The rules of a stance of this moment.
-  [[nodiscard]] Rules RulesOf(const Stance& stance) const;
+  [[nodiscard]] Content RulesOf(const Stance& stance) const;
 
   [[nodiscard]] const Agreement& agreement() const { return agreement_; }
   [[nodiscard]] const History& history() const { return history_; }
+  // How often its content was found to be another than what was agreed.
+  [[nodiscard]] uint64_t differed() const { return differed_; }
   [[nodiscard]] nlohmann::json Status(Time now) const;
 
  private:
@@ -112,6 +119,7 @@
   };
   void After(Time now, MemberOutput& out);
   void Take(Time now, Wish wish, Waiting waiting, MemberOutput& out);
+  std::optional<std::string> EntryOf(const Change& change, std::vector<std::string>& faults) const;
   void TakeVoters(Time now, const Wish& wish, Waiting waiting, MemberOutput& out);
   void Give(const Waiting& waiting, Answer answer, MemberOutput& out);
   void Form(Time now, MemberOutput& out);
@@ -125,6 +133,8 @@
   std::map<std::string, Waiting> waiting_;  // by the change's id
   std::pair<Term, uint64_t> on_proposed_{0, 0};
   bool formed_proposed_ = false;
+  bool differs_ = false;  // said so
+  uint64_t differed_ = 0;
   std::optional<std::string> then_add_;  // a voter replaced: out first, then in
 };
 
--- /dev/null
+++ b/src/bank/parts.h
@@ -0,0 +1,128 @@
+// Keyed parts of a version: an immutable map from name to text whose copies share what they have in
+// common. A copy costs a pointer, a change of one part the chunk that holds it and a list of
+// chunks, and two that came of one another are compared by the chunks that differ. No I/O.
+//
+// Sorted chunks of names with copy on write: the leaves of a persistent B-tree (Driscoll and others
+// 1989) under one root, as 2,000 chunks of 128 hold what the size to plan for needs. The hash is
+// the sum of the parts' hashes (Bellare and Micciancio 1997, AdHash), so that a change costs its
+// own parts and not a look through all; it tells accidents, not forgers.
+#ifndef PADDLESTILE_BANK_PARTS_H_
+#define PADDLESTILE_BANK_PARTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace paddlestile::bank {
+
+struct Part {
+  std::string name, text;  // the text is a JSON value
+  uint64_t order = 0;      // among the parts as somebody listed them; no part of hash or comparison
+};
+
+class Parts {
+ public:
+  static constexpr size_t kChunkMost = 128;  // parts of one chunk
+
+  Parts() = default;
+  // In the order in which they are given, whatever theirs says. No two may have one name.
+  explicit Parts(std::vector<Part> parts);
+
+  // Of 128 bits, added up over the parts.
+  struct Sum {
+    uint64_t high = 0, low = 0;
+    bool operator==(const Sum&) const = default;
+  };
+
+  [[nodiscard]] size_t size() const { return size_; }
+  [[nodiscard]] bool empty() const { return size_ == 0; }
+  // Of all texts, and of all names as JSON strings.
+  [[nodiscard]] size_t text_bytes() const { return text_bytes_; }
+  [[nodiscard]] size_t name_bytes() const { return name_bytes_; }
+  [[nodiscard]] const Sum& sum() const { return sum_; }
+
+  // Null where there is none of that name; until the next change.
+  [[nodiscard]] const Part* Find(std::string_view name) const;
+  [[nodiscard]] bool contains(std::string_view name) const { return Find(name) != nullptr; }
+  // One that is there keeps its order, a new one comes last.
+  void Set(std::string_view name, std::string text);
+  void Remove(std::string_view name);
+
+  // By name.
+  template <typename Each>
+  void ForEach(Each&& each) const {
+    for (const Chunk& chunk : chunks()) {
+      for (const Part& part : *chunk) each(part);
+    }
+  }
+  // By order.
+  [[nodiscard]] std::vector<const Part*> Ordered() const;
+
+  // each(name, its text in a, its text in b), by name, for those whose texts differ; null: none.
+  template <typename Each>
+  static void ForEachDifference(const Parts& a, const Parts& b, Each&& each);
+
+  // The same names with the same texts.
+  friend bool operator==(const Parts& a, const Parts& b) {
+    if (a.size_ != b.size_ || a.sum_ != b.sum_) return false;
+    bool same = true;
+    ForEachDifference(a, b, [&](const auto&, const auto*, const auto*) { same = false; });
+    return same;
+  }
+
+ private:
+  // What no other map holds is changed in its place, all else copied first.
+  using Chunk = std::shared_ptr<std::vector<Part>>;
+  using Chunks = std::vector<Chunk>;
+
+  [[nodiscard]] const Chunks& chunks() const {
+    static const Chunks kNone;
+    return chunks_ ? *chunks_ : kNone;
+  }
+  // The chunk that has this name, or would have it.
+  [[nodiscard]] size_t PlaceOf(std::string_view name) const;
+  void Count(const Part& part, bool added);
+  Chunks& OwnChunks();
+  static std::vector<Part>& Own(Chunk& chunk);
+
+  std::shared_ptr<Chunks> chunks_;  // none of them empty
+  size_t size_ = 0, text_bytes_ = 0, name_bytes_ = 0;
+  uint64_t next_order_ = 0;
+  Sum sum_;
+};
+
+template <typename Each>
+void Parts::ForEachDifference(const Parts& a, const Parts& b, Each&& each) {
+  if (a.chunks_ == b.chunks_) return;
+  const Chunks &in_a = a.chunks(), &in_b = b.chunks();
+  size_t i = 0, j = 0, at_a = 0, at_b = 0;  // chunk, and part within it
+  const std::string* const none = nullptr;
+  while (i < in_a.size() || j < in_b.size()) {
+    if (i < in_a.size() && j < in_b.size() && at_a == 0 && at_b == 0 && in_a[i] == in_b[j]) {
+      ++i, ++j;
+      continue;
+    }
+    const bool more_a = i < in_a.size(), more_b = j < in_b.size();
+    const int way = !more_a   ? 1
+                    : !more_b ? -1
+                              : (*in_a[i])[at_a].name.compare((*in_b[j])[at_b].name);
+    if (way < 0) {
+      const Part& part = (*in_a[i])[at_a];
+      each(part.name, &part.text, none);
+    } else if (way > 0) {
+      const Part& part = (*in_b[j])[at_b];
+      each(part.name, none, &part.text);
+    } else if (const Part& x = (*in_a[i])[at_a], &y = (*in_b[j])[at_b]; x.text != y.text) {
+      each(x.name, &x.text, &y.text);
+    }
+    if (way <= 0 && ++at_a == in_a[i]->size()) ++i, at_a = 0;
+    if (way >= 0 && ++at_b == in_b[j]->size()) ++j, at_b = 0;
+  }
+}
+
+}  // namespace paddlestile::bank
+
+#endif  // PADDLESTILE_BANK_PARTS_H_
--- a/src/bank/rules.cpp
+++ b/src/bank/rules.cpp
@@ -12,32 +12,6 @@
 
 using nlohmann::json;
 
-constexpr std::array kEffects = {"safe", "keyed", "unsafe"};  // each stricter than the one before
-
-int EffectOf(const json& c) {
-  const auto at = std::ranges::find(kEffects, c.value("Effect", "safe"));
-  return at == kEffects.end() ? 2 : static_cast<int>(at - kEffects.begin());
-}
-
-// The named items of a list of the settings; nothing where the version says nothing of it.
-const json* ListOf(const Rules& rules, const char* name) {
-  const auto at = rules.settings.find(name);
-  return at == rules.settings.end() ? nullptr : &*at;
-}
-
-const json* Named(const json& list, const std::string& name) {
-  const auto at =
-      std::ranges::find_if(list, [&](const json& c) { return c.value("Name", "") == name; });
-  return at == list.end() ? nullptr : &*at;
-}
-
-const json* Attempts(const Rules& rules) {
-  const auto allowed = rules.settings.find("Allowed");
-  if (allowed == rules.settings.end()) return nullptr;
-  const auto at = allowed->find("SendCap");
-  return at == allowed->end() ? nullptr : &*at;
-}
-
 void CheckList(const json& rules, const char* key, std::vector<std::string>& faults) {
   const auto at = rules.find(key);
   if (at == rules.end()) return;
@@ -47,54 +21,22 @@
   if (!good) faults.push_back(std::string(key) + ": expected a list of hosts' ids");
 }
 
-void CheckNamed(const json& settings, const char* key, std::vector<std::string>& faults) {
-  const auto at = settings.find(key);
-  if (at == settings.end()) return;
-  const std::string where = std::string("settings.") + key;
-  if (!at->is_array()) {
-    faults.push_back(where + ": expected a list");
-    return;
-  }
-  std::set<std::string> seen;
-  for (size_t i = 0; i < at->size(); ++i) {
-    const json& c = (*at)[i];
-    const std::string item = where + "." + std::to_string(i);
-    if (!c.is_object() || !c.contains("Name") || !c["Name"].is_string()) {
-      faults.push_back(item + ": expected an object with a Name");
-      continue;
-    }
-    if (!seen.insert(c["Name"]).second) {
-      faults.push_back(item + ".Name: '" + c["Name"].get<std::string>() +
-                       "' a second time, expected each once");
-    }
-    if (const auto e = c.find("Effect"); e != c.end()) {
-      if (!e->is_string() || std::ranges::find(kEffects, e->get<std::string>()) == kEffects.end()) {
-        faults.push_back(item + ".Effect: expected safe, keyed or unsafe");
-      }
-    }
-    for (const char* const positive : {"Deadline", "Slo"}) {
-      const auto d = c.find(positive);
-      if (d != c.end() && (!d->is_number() || d->get<double>() <= 0)) {
-        faults.push_back(item + "." + positive + ": expected milliseconds above 0");
-      }
-    }
-    for (const char* const least : {"Window", "QuotaPerS", "Share"}) {
-      const auto d = c.find(least);
-      if (d != c.end() && (!d->is_number() || d->get<double>() < 0)) {
-        faults.push_back(item + "." + least + ": expected a number of 0 or more");
-      }
+void CheckSettings(const json& settings, std::vector<std::string>& faults) {
+  for (const char* const key : {"Classes", "Tenants"}) {
+    if (const auto at = settings.find(key); at != settings.end()) {
+      std::string where = "settings.";
+      CheckNamedList(where.append(key), *at, faults);
     }
   }
+  const auto allowed = settings.find("Allowed");
+  if (allowed != settings.end()) CheckAllowed(*allowed, faults);
 }
 
-std::vector<std::string> Check(std::string_view text, json& rules) {
-  if (text.size() > kRulesMost) {
-    return {"a version of " + std::to_string(text.size()) + " bytes, expected " +
-            std::to_string(kRulesMost) + " at most"};
-  }
+std::vector<std::string> Check(std::string_view text, size_t most, json& rules) {
+  std::vector<std::string> faults = CheckSize(text.size(), most);
+  if (!faults.empty()) return faults;
   rules = json::parse(text, nullptr, false);
   if (rules.is_discarded() || !rules.is_object()) return {"expected one JSON object"};
-  std::vector<std::string> faults;
   for (const auto& [key, value] : rules.items()) {
     if (key != "settings" && key != "barred" && key != "drain" && key != "zone_only") {
       faults.push_back(key + ": expected settings, barred, drain or zone_only");
@@ -113,32 +55,83 @@
     faults.emplace_back("settings: expected an object");
     return faults;
   }
-  CheckNamed(*settings, "Classes", faults);
-  CheckNamed(*settings, "Tenants", faults);
-  if (const auto allowed = settings->find("Allowed"); allowed != settings->end()) {
-    const auto cap = allowed->is_object() ? allowed->find("SendCap") : allowed->end();
-    if (!allowed->is_object()) {
-      faults.emplace_back("settings.Allowed: expected an object");
-    } else if (cap != allowed->end() && (!cap->is_number_integer() || cap->get<int64_t>() < 1)) {
-      faults.emplace_back("settings.Allowed.SendCap: expected a whole number above 0");
-    }
-  }
+  CheckSettings(*settings, faults);
   return faults;
 }
 
-// Where only one of two says something the other acts on the platform's, which nobody here knows.
-bool OneSided(const json* a, const json* b) { return (a == nullptr) != (b == nullptr); }
-
 }  // namespace
 
 std::vector<std::string> CheckRules(std::string_view text) {
   json rules;
-  return Check(text, rules);
+  return Check(text, kRulesMost, rules);
 }
 
-Rules ParseRules(std::string_view text) {
+std::vector<std::string> CheckSize(size_t bytes, size_t most) {
+  if (bytes <= most) return {};
+  return {"a version of " + std::to_string(bytes) + " bytes, expected " + std::to_string(most) +
+          " at most"};
+}
+
+void CheckNamed(const std::string& where, const json& item, std::vector<std::string>& faults) {
+  const auto fault = [&](const char* what, const char* expected) {
+    std::string line = where;
+    faults.push_back(line.append(what).append(": expected ").append(expected));
+  };
+  const auto name = item.is_object() ? item.find("Name") : item.end();
+  if (!item.is_object() || name == item.end() || !name->is_string()) {
+    return fault("", "an object with a Name");
+  }
+  if (const auto e = item.find("Effect"); e != item.end()) {
+    if (!e->is_string() || std::ranges::find(kEffects, e->get<std::string>()) == kEffects.end()) {
+      fault(".Effect", "safe, keyed or unsafe");
+    }
+  }
+  const auto numbers = [&](const auto& keys, bool zero, const char* expected) {
+    for (const char* const key : keys) {
+      const auto d = item.find(key);
+      if (d == item.end()) continue;
+      if (d->is_number() && (d->get<double>() > 0 || (zero && d->get<double>() == 0))) continue;
+      fault(std::string(".").append(key).c_str(), expected);
+    }
+  };
+  numbers(std::array{"Deadline", "Slo"}, false, "milliseconds above 0");
+  numbers(std::array{"Window", "QuotaPerS", "Share"}, true, "a number of 0 or more");
+}
+
+void CheckNamedList(const std::string& where, const json& list, std::vector<std::string>& faults) {
+  if (!list.is_array()) {
+    faults.push_back(where + ": expected a list");
+    return;
+  }
+  std::set<std::string_view> seen;
+  for (size_t i = 0; i < list.size(); ++i) {
+    const json& item = list[i];
+    std::string at = where;
+    at.append(".").append(std::to_string(i));
+    CheckNamed(at, item, faults);
+    const auto name = item.is_object() ? item.find("Name") : item.end();
+    if (name == item.end() || !name->is_string()) continue;
+    if (!seen.insert(name->get_ref<const std::string&>()).second) {
+      faults.push_back(at + ".Name: '" + name->get<std::string>() +
+                       "' a second time, expected each once");
+    }
+  }
+}
+
+void CheckAllowed(const json& allowed, std::vector<std::string>& faults) {
+  const auto cap = allowed.is_object() ? allowed.find("SendCap") : allowed.end();
+  if (!allowed.is_object()) {
+    faults.emplace_back("settings.Allowed: expected an object");
+  } else if (cap != allowed.end() && (!cap->is_number_integer() || cap->get<int64_t>() < 1)) {
+    faults.emplace_back("settings.Allowed.SendCap: expected a whole number above 0");
+  }
+}
+
+namespace {
+
+Rules Parse(std::string_view text, size_t most) {
   json all;
-  const std::vector<std::string> faults = Check(text, all);
+  const std::vector<std::string> faults = Check(text, most, all);
   if (!faults.empty()) throw std::invalid_argument(faults.front());
   Rules rules;
   rules.settings = all.value("settings", json::object());
@@ -148,12 +141,20 @@
   return rules;
 }
 
+}  // namespace
+
+Rules ParseRules(std::string_view text) { return Parse(text, kRulesMost); }
+
+Rules ParseVersion(std::string_view text) { return Parse(text, kVersionMost); }
+
 std::string ToText(const Rules& rules) {
-  return json{{"settings", rules.settings},
-              {"barred", rules.barred},
-              {"drain", rules.drain},
-              {"zone_only", rules.zone_only}}
-      .dump(-1, ' ', false, json::error_handler_t::replace);
+  const auto dumped = [](const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+  };
+  // The keys in their order, one by one: put together as one object the settings would be copied.
+  return R"({"barred":)" + dumped(rules.barred) + R"(,"drain":)" + dumped(rules.drain) +
+         R"(,"settings":)" + dumped(rules.settings) + R"(,"zone_only":)" + dumped(rules.zone_only) +
+         "}";
 }
 
 std::string HashOf(std::string_view text) {
@@ -165,90 +166,4 @@
   return out;
 }
 
-std::vector<std::string> Contradictions(const Rules& a, const Rules& b) {
-  std::vector<std::string> why;
-  const auto differ = [&](const auto& x, const auto& y, const char* what) {
-    if (x != y) why.emplace_back(what);
-  };
-  differ(a.barred, b.barred, "barred: a host that one may use and the other may not");
-  differ(a.drain, b.drain, "drain: a host that one may use and the other may not");
-  differ(a.zone_only, b.zone_only, "zone_only: a host that one may use and the other may not");
-  const json *classes_a = ListOf(a, "Classes"), *classes_b = ListOf(b, "Classes");
-  if (OneSided(classes_a, classes_b)) why.emplace_back("settings.Classes: said by one alone");
-  if (classes_a != nullptr && classes_b != nullptr) {
-    for (const json& c : *classes_a) {
-      const std::string name = c.value("Name", "");
-      const json* const other = Named(*classes_b, name);
-      // One that the other does not have is refused there, and nothing is done twice by that.
-      if (other == nullptr) continue;
-      if (EffectOf(c) != EffectOf(*other)) {
-        why.push_back("settings.Classes." + name +
-                      ".Effect: one may send again what the other may not");
-      }
-      if (c.value("Window", 0.0) != other->value("Window", 0.0)) {
-        why.push_back("settings.Classes." + name + ".Window: one may send again for longer");
-      }
-    }
-  }
-  const json *cap_a = Attempts(a), *cap_b = Attempts(b);
-  if (OneSided(cap_a, cap_b) || (cap_a != nullptr && *cap_a != *cap_b)) {
-    why.emplace_back("settings.Allowed.SendCap: one may try more often");
-  }
-  const json *tenants_a = ListOf(a, "Tenants"), *tenants_b = ListOf(b, "Tenants");
-  if (OneSided(tenants_a, tenants_b)) why.emplace_back("settings.Tenants: said by one alone");
-  if (tenants_a != nullptr && tenants_b != nullptr) {
-    for (const json& t : *tenants_a) {
-      const json* const other = Named(*tenants_b, t.value("Name", ""));
-      if (other != nullptr && t.value("QuotaPerS", 0.0) != other->value("QuotaPerS", 0.0)) {
-        why.push_back("settings.Tenants." + t.value("Name", "") +
-                      ".QuotaPerS: one lets more through");
-      }
-    }
-  }
-  return why;
-}
-
-Rules Stricter(const Rules& a, const Rules& b) {
-  Rules both = b;
-  both.strict = a.strict || b.strict;
-  both.barred.insert(a.barred.begin(), a.barred.end());
-  both.drain.insert(a.drain.begin(), a.drain.end());
-  for (const auto& [host, zone] : a.zone_only) {
-    const auto [at, added] = both.zone_only.emplace(host, zone);
-    // Two zones that each rule the other out leave none.
-    if (!added && at->second != zone) both.barred.insert(host);
-  }
-  const json *classes_a = ListOf(a, "Classes"), *classes_b = ListOf(b, "Classes");
-  const json *cap_a = Attempts(a), *cap_b = Attempts(b);
-  if (OneSided(classes_a, classes_b) || OneSided(cap_a, cap_b)) both.strict = true;
-  if (classes_a != nullptr && classes_b != nullptr) {
-    for (json& c : both.settings["Classes"]) {
-      const json* const other = Named(*classes_a, c.value("Name", ""));
-      if (other == nullptr) continue;
-      c["Effect"] = kEffects[static_cast<size_t>(std::max(EffectOf(c), EffectOf(*other)))];
-      if (c.contains("Window") || other->contains("Window")) {
-        c["Window"] = std::min(c.value("Window", 0.0), other->value("Window", 0.0));
-      }
-    }
-  }
-  if (cap_a != nullptr && cap_b != nullptr) {
-    both.settings["Allowed"]["SendCap"] = std::min(cap_a->get<int64_t>(), cap_b->get<int64_t>());
-  }
-  const json* const tenants_a = ListOf(a, "Tenants");
-  if (tenants_a != nullptr && ListOf(b, "Tenants") != nullptr) {
-    for (json& t : both.settings["Tenants"]) {
-      const json* const other = Named(*tenants_a, t.value("Name", ""));
-      if (other == nullptr || !other->contains("QuotaPerS")) continue;
-      t["QuotaPerS"] = std::min(t.value("QuotaPerS", 0.0), other->value("QuotaPerS", 0.0));
-    }
-  }
-  return both;
-}
-
-Rules Strictest(const Rules& rules) {
-  Rules strictest = rules;
-  strictest.strict = true;
-  return strictest;
-}
-
 }  // namespace paddlestile::bank
--- a/src/bank/rules.h
+++ b/src/bank/rules.h
@@ -1,9 +1,9 @@
 // What the bank agrees on: a patch of the platform's settings and lists of hosts, one whole version
-// at a time; which two versions contradict each other, and what may be done while two are possible.
-// No I/O. The table of what contradicts what stands in docs/bank.md.
+// at a time. No I/O. What contradicts what is told in bank/content.h and docs/bank.md.
 #ifndef PADDLESTILE_BANK_RULES_H_
 #define PADDLESTILE_BANK_RULES_H_
 
+#include <array>
 #include <cstddef>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -14,7 +14,11 @@
 
 namespace paddlestile::bank {
 
-inline constexpr size_t kRulesMost = 256 << 10;  // bytes of one version
+// What a class may be, each stricter than the one before.
+inline constexpr std::array kEffects = {"safe", "keyed", "unsafe"};
+
+inline constexpr size_t kRulesMost = 256 << 10;  // bytes of a version that is sent whole
+inline constexpr size_t kVersionMost = 3 << 20;  // bytes of one that deltas made
 
 struct Rules {
   nlohmann::json settings = nlohmann::json::object();  // laid over the platform's, RFC 7396
@@ -29,8 +33,21 @@
 // All that is wrong in a version's text, a line each with its key and what was expected.
 std::vector<std::string> CheckRules(std::string_view text);
 
+// What a version may hold, in bytes of its text: the fault, or none.
+std::vector<std::string> CheckSize(size_t bytes, size_t most);
+
+// What is wrong in one part; `where` names it in the lines that are added. A list of objects by
+// name, an object of such a list, the value of `Allowed`.
+void CheckNamedList(const std::string& where, const nlohmann::json& list,
+                    std::vector<std::string>& faults);
+void CheckNamed(const std::string& where, const nlohmann::json& item,
+                std::vector<std::string>& faults);
+void CheckAllowed(const nlohmann::json& allowed, std::vector<std::string>& faults);
+
 // Of a text without faults; throws std::invalid_argument with the first fault otherwise.
 Rules ParseRules(std::string_view text);
+// The same of what deltas made, which may be larger.
+Rules ParseVersion(std::string_view text);
 
 // The same rules have the same text.
 std::string ToText(const Rules& rules);
@@ -38,16 +55,6 @@
 // Of a version's text: 32 hexadecimal digits (XXH3, 128 bits).
 std::string HashOf(std::string_view text);
 
-// Why two gateways must not act on the one and the other at a time, a line for each reason; empty:
-// they may, and a change from one to the other needs no waiting.
-std::vector<std::string> Contradictions(const Rules& a, const Rules& b);
-
-// What contradicts neither: the stricter of the two in each.
-Rules Stricter(const Rules& a, const Rules& b);
-
-// What contradicts no version that can come, but for hosts that one may bar.
-Rules Strictest(const Rules& rules);
-
 }  // namespace paddlestile::bank
 
 #endif  // PADDLESTILE_BANK_RULES_H_
--- a/src/lab/bank_judge.cpp
+++ b/src/lab/bank_judge.cpp
@@ -127,6 +127,14 @@
   }
 }
 
+std::vector<BankJudge::Told> BankJudge::told() const {
+  std::vector<Told> all;
+  for (const Change& change : changes_) {
+    if (change.done >= Time(0)) all.push_back({change.submitted, change.done, change.version});
+  }
+  return all;
+}
+
 BankResult BankJudge::Finish(Time now, Time asked_until) {
   std::vector<double> follow, done;
   std::vector<Time> told;
--- a/src/lab/bank_judge.h
+++ b/src/lab/bank_judge.h
@@ -46,6 +46,13 @@
   void Received(Time now, size_t host, size_t gateway, size_t cls, Time handed, size_t copy,
                 bool excused, const std::string& id);
 
+  // What was told so far: submitted, done, version.
+  struct Told {
+    Time submitted{0}, done{0};
+    uint64_t version = 0;
+  };
+  [[nodiscard]] std::vector<Told> told() const;
+
   // All is over: what was told counts as it is.
   BankResult Finish(Time now, Time asked_until);
 
--- a/src/lab/bank_lab.cpp
+++ b/src/lab/bank_lab.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -10,6 +11,7 @@
 
 #include "bank/codec.h"
 #include "lab/listener.h"
+#include "net/bank_commands.h"
 #include "net/bank_config.h"
 #include "net/membership.h"
 #include "net/stream.h"
@@ -22,15 +24,28 @@
 namespace fs = std::filesystem;
 using nlohmann::json;
 
-constexpr Duration kFirstChange{1'500'000};  // us; a bank is formed by then
-constexpr Duration kCallWithin{1'200'000};   // us; then the answer counts as lost
-constexpr Duration kAgain{100'000};          // us; after an answer that is none
-constexpr Duration kBlock{6'000'000};        // us
-constexpr size_t kTwins = 5, kLost = 7;      // changes
-constexpr Duration kCopyEvery{2'000'000};    // us; of disks, to be put back
+constexpr Duration kFirstChange{1'500'000};             // us; a bank is formed by then
+constexpr Duration kCallWithin{1'200'000};              // us; then the answer counts as lost
+constexpr Duration kAgain{100'000};                     // us; after an answer that is none
+constexpr Duration kBlock{6'000'000};                   // us
+constexpr size_t kTwins = 5, kLost = 7;                 // changes
+constexpr size_t kFillWhole = 4000, kFillDelta = 1500;  // tenants of a version, and of one change
+constexpr Duration kFillEvery{20'000};                  // us
+constexpr Duration kCopyEvery{2'000'000};               // us; of disks, to be put back
+constexpr size_t kHollowParts = 10;         // processes, of a tenth of the hollow members each
+constexpr Duration kLinkedAgain{200'000};   // us
+constexpr Duration kSettled{500'000};       // us; from time 0 to the first look
+constexpr Duration kAside{400'000};         // us; of looks, from the first change
+constexpr Duration kWeighEvery{1'000'000};  // us
+constexpr Duration kStall{400'000};         // us; a process stands still for so long, and goes on
+constexpr Duration kStallsFor{4'000'000};   // us
+constexpr Duration kEndWithin{3'000'000};   // us; of a hollow process
+constexpr Duration kLookEvery{10'000};      // us
 // The way of a request that was decided before: a connection that comes up, the lab's own lateness.
 constexpr Duration kSlack{300'000};  // us
 
+double Ms(Duration d) { return static_cast<double>(d.count()) / 1000; }
+
 }  // namespace
 
 // One operator's call to a member.
@@ -97,7 +112,9 @@
                                                 SeatOf(b), random_());
     }
   }
+  last_receipt_.assign(count, Time(-1));
   for (size_t i = 0; i < count; ++i) WriteFile(i);
+  if (e_.bank.hollow > 0) WriteHollowFile();
   net::InitBank(net::ReadBank(FileOf(0), "g000"), "g000");
   Copies();
 }
@@ -114,6 +131,7 @@
        << fmt::format("folder = \"{}/disk-{{name}}\"\nlab_disk = \"{}/control-{}\"\n", folder_,
                       folder_, i)
        << fmt::format("when_lost = \"{}\"\n", e_.bank.drains ? "drain" : "serve");
+  if (e_.bank.deltas) file << "changes = \"delta\"\n";
   for (const auto& [gateway, factor] : e_.bank.clocks) {
     if (gateway == i) file << fmt::format("lab_clock_factor = {}\n", factor);
   }
@@ -126,6 +144,10 @@
                                                                     i * e_.gateway.count + j)));
     }
   }
+  for (size_t n = 0; n < e_.bank.hollow; ++n) {
+    file << fmt::format("[[bank.members]]\nname = \"{}\"\naddress = \"{}\"\n", HollowName(n),
+                        net::ToText(HollowSeat(n)));
+  }
 }
 
 size_t BankLab::Draw(size_t count) {
@@ -137,15 +159,17 @@
   hosts_ = std::move(hosts);
   ledger_.OnReceipt([this](Time now, size_t n, size_t host, size_t copy) {
     const size_t gateway = ledger_.GatewayOf(n);
+    last_receipt_[gateway] = now;
     // Where the operator chose service, one that the script keeps away goes on with what it knows;
     // back in touch, it has as long as a lease to hear of what is new.
     const bool excused = !e_.bank.drains && (away_[gateway] > 0 || now < back_at_[gateway]);
     judge_.Received(now, host, gateway, ledger_.FactsOf(n).cls, ledger_.HandedAt(n), copy, excused,
                     ledger_.IdOf(n));
   });
-  loop_.After(kFirstChange, [this, alive = std::weak_ptr(alive_)] {
+  loop_.After(std::max(kFirstChange, e_.bank.quiet_first), [this, alive = std::weak_ptr(alive_)] {
     if (!alive.expired()) Submit();
   });
+  if (e_.bank.measured || e_.bank.hollow > 0) WatchSize();
 }
 
 // ---- Faults -----------------------------------------------------------------------------------
@@ -255,51 +279,126 @@
 
 // ---- Changes ----------------------------------------------------------------------------------
 
-// The next one, once the last is told; now and then two at once, in no order.
+const BankLab::Shape* BankLab::LastTold() const {
+  const auto last = std::ranges::max_element(shapes_, {}, &Shape::version);
+  return last == shapes_.end() || last->version == 0 ? nullptr : &*last;
+}
+
+// The next one, once the last is told; now and then two at once, in no order. First all tenants.
 void BankLab::Submit() {
   if (Now() > e_.length - e_.bank.quiet_last) return;
-  loop_.After(e_.bank.change_every, [this, alive = std::weak_ptr(alive_)] {
-    if (!alive.expired()) Submit();
-  });
-  if (!std::ranges::all_of(changes_, &Change::done)) return;
+  const auto again = [this](Duration after) {
+    loop_.After(after, [this, alive = std::weak_ptr(alive_)] {
+      if (!alive.expired()) Submit();
+    });
+  };
+  if (!std::ranges::all_of(changes_, &Change::done))
+    return again(fills_ ? kFillEvery : e_.bank.change_every);
+  const Shape* const last = LastTold();
+  const bool full = last != nullptr && last->quotas.size() == e_.bank.version_tenants;
+  if (full && std::exchange(fills_, false)) {
+    if (changes_.size() > 1) {
+      filled_ = Now();
+      figures_.version_bytes = static_cast<double>(WholeOf(*last).dump().size());
+    }
+    if (e_.bank.measured) {
+      loop_.After(kAside, [this, alive = std::weak_ptr(alive_)] {
+        if (!alive.expired()) Measure(first_changed_);
+      });
+    }
+    return again(e_.bank.change_every);
+  }
+  fills_ = !full && (shapes_.empty() || shapes_.back().version > 0);
   SubmitOne();
-  if (changes_.size() % kTwins == 0) SubmitOne();
+  const bool whole = e_.bank.version_tenants <= kFillWhole;
+  if (full && whole && changes_.size() % kTwins == 0) SubmitOne();
+  again(fills_ ? kFillEvery : e_.bank.change_every);
 }
 
 void BankLab::SubmitOne() {
   const size_t n = changes_.size();
   BankJudge::Wanted wanted;
-  json rules = {{"barred", json::array()}};
+  // Nothing else is on its way that could come between.
+  const bool alone = std::ranges::all_of(changes_, &Change::done);
+  const Shape* const last = LastTold();
+  Shape shape;
+  if (last != nullptr) shape.quotas = last->quotas;
   // One host is barred for long, past the bound: what goes there late is seen. Another one comes
   // and goes, so that each change contradicts the one before.
   const auto block = static_cast<size_t>((Now() - kFirstChange).count() / kBlock.count());
   const bool begins = n == 0 || block != block_;
   if (begins) kept_off_ = Draw(hosts_.size()), block_ = block;
-  std::set<size_t> barred;
-  if (!begins) barred.insert(kept_off_);
-  if (n % 2 == 1) barred.insert(Draw(hosts_.size()));
-  for (const size_t at : barred) {
-    wanted.barred.push_back(hosts_[at].host);
-    rules["barred"].push_back(hosts_[at].id);
-  }
-  if (e_.bank.effects) {
-    json classes = json::parse(SettingsJson(e_, 0))["Classes"];
-    if (block % 2 == 1) {
-      wanted.once = 0;
-      classes[0]["Effect"] = "unsafe";
-    }
-    rules["settings"]["Classes"] = std::move(classes);
+  if (!begins) shape.barred.insert(kept_off_);
+  if (n % 2 == 1) shape.barred.insert(Draw(hosts_.size()));
+  for (const size_t at : shape.barred) wanted.barred.push_back(hosts_[at].host);
+  shape.unsafe = e_.bank.effects && block % 2 == 1;
+  if (shape.unsafe) wanted.once = 0;
+  const size_t tenants = e_.bank.version_tenants, there = shape.quotas.size();
+  if (there < tenants) {
+    // So many as one change bears: all of them in most experiments.
+    shape.quotas.resize(std::min(tenants, last == nullptr ? kFillWhole : there + kFillDelta), 1000);
+    if (!e_.bank.deltas) shape.quotas.resize(tenants, 1000);
+  } else if (tenants > 0) {
+    // The first is the one whom the lab's clients name: none comes near its quota.
+    shape.quotas[n * 7919 % tenants] = 2000 + static_cast<int>(n);
   }
   bank::Wish wish;
   wish.change.id = fmt::format("lab-{}", n);
   wish.change.author = "lab";
   wish.change.reason = fmt::format("change {}", n);
-  wish.change.rules = rules.dump();
+  // As operators of many tenants would; elsewhere by turns, as leaders make deltas of whole ones.
+  wish.change.delta = e_.bank.deltas && last != nullptr && alone &&
+                      (e_.bank.measured || n % 2 == 1 || tenants > kFillWhole);
+  wish.change.rules = (wish.change.delta ? DeltaOf(*last, shape) : WholeOf(shape)).dump();
+  if (!wish.change.delta) figures_.version_bytes = static_cast<double>(wish.change.rules.size());
   changes_.push_back({bank::ToJson(wish), false, false, nullptr});
+  shapes_.push_back(std::move(shape));
   judge_.Submitted(Now(), std::move(wanted));
   Ask(n);
 }
 
+namespace {
+
+std::string TenantName(size_t t) { return fmt::format("t-{:06}", t); }
+
+}  // namespace
+
+json BankLab::WholeOf(const Shape& shape) const {
+  json rules = {{"barred", json::array()}};
+  for (const size_t at : shape.barred) rules["barred"].push_back(hosts_[at].id);
+  if (e_.bank.effects) {
+    json classes = json::parse(SettingsJson(e_, 0))["Classes"];
+    if (shape.unsafe) classes[0]["Effect"] = "unsafe";
+    rules["settings"]["Classes"] = std::move(classes);
+  }
+  for (size_t t = 0; t < shape.quotas.size(); ++t) {
+    rules["settings"]["Tenants"].push_back(
+        {{"Name", TenantName(t)}, {"QuotaPerS", shape.quotas[t]}});
+  }
+  return rules;
+}
+
+// The lab's own, as an operator would write it: not the program's difference.
+json BankLab::DeltaOf(const Shape& was, const Shape& shape) const {
+  json delta = {{"barred", {{"add", json::array()}, {"remove", json::array()}}}};
+  for (const size_t at : shape.barred) {
+    if (!was.barred.contains(at)) delta["barred"]["add"].push_back(hosts_[at].id);
+  }
+  for (const size_t at : was.barred) {
+    if (!shape.barred.contains(at)) delta["barred"]["remove"].push_back(hosts_[at].id);
+  }
+  if (was.unsafe != shape.unsafe) {
+    const json first = json::parse(SettingsJson(e_, 0))["Classes"][0];
+    delta["settings"]["Classes"][first["Name"].get<std::string>()]["Effect"] =
+        shape.unsafe ? json("unsafe") : first.value("Effect", json());
+  }
+  for (size_t t = 0; t < shape.quotas.size(); ++t) {
+    if (t < was.quotas.size() && was.quotas[t] == shape.quotas[t]) continue;
+    delta["settings"]["Tenants"][TenantName(t)]["QuotaPerS"] = shape.quotas[t];
+  }
+  return delta;
+}
+
 // Through any gateway, also one that is cut off; again elsewhere where the answer is none.
 void BankLab::Ask(size_t n) {
   if (changes_[n].done) return;
@@ -322,6 +421,7 @@
             // Now and then the answer is lost on its way: it is submitted again, and counts once.
             if (n % kLost == 3 && !std::exchange(changes_[n].answer_lost, true)) return again();
             changes_[n].done = true;
+            shapes_[n].version = answer->version;
             return judge_.ToldDone(Now(), n, answer->version);
           case bank::Answer::Kind::kRefused:
             changes_[n].done = true;
@@ -336,4 +436,274 @@
   return judge_.Finish(now, e_.length - e_.bank.quiet_last);
 }
 
+// ---- At size ----------------------------------------------------------------------------------
+
+net::Address BankLab::HollowSeat(size_t number) const {
+  const size_t count = e_.gateway.count;
+  return OwnAddress(place_ + count + count * count + number);
+}
+
+// A hollow member knows the voters and the hollow ones; nobody reaches it through a relay.
+void BankLab::WriteHollowFile() const {
+  std::ofstream file(folder_ + "/bank-hollow.toml");
+  file << "[bank]\nname = \"lab\"\n" << fmt::format("folder = \"{}/hollow\"\n", folder_);
+  for (size_t j = 0; j < std::min(e_.gateway.count, e_.bank.voters); ++j) {
+    file << fmt::format("[[bank.members]]\nname = \"g{:03}\"\naddress = \"{}\"\nvotes = true\n", j,
+                        net::ToText(SeatOf(j)));
+  }
+  for (size_t n = 0; n < e_.bank.hollow; ++n) {
+    file << fmt::format("[[bank.members]]\nname = \"{}\"\naddress = \"{}\"\n", HollowName(n),
+                        net::ToText(HollowSeat(n)));
+  }
+}
+
+void BankLab::StartHollow(std::function<Process::Usage(size_t)> usage) {
+  usage_ = std::move(usage);
+  started_ = MachineNow();
+  const size_t parts = std::min(kHollowParts, e_.bank.hollow);
+  const std::string program = fs::read_symlink("/proc/self/exe").string();
+  for (size_t k = 0; k < parts; ++k) {
+    HollowPart part;
+    part.first = e_.bank.hollow * k / parts;
+    part.count = e_.bank.hollow * (k + 1) / parts - part.first;
+    part.book = fmt::format("{}/hollow-{}.book", folder_, k);
+    part.log = fmt::format("{}/hollow-{}.log", folder_, k);
+    // So many over all of them.
+    const auto of = [&](size_t all) { return all * (k + 1) / parts - all * k / parts; };
+    const std::vector<std::string> words = {program,
+                                            "lab",
+                                            "hollow",
+                                            "--operator",
+                                            folder_ + "/bank-hollow.toml",
+                                            "--first",
+                                            std::to_string(part.first),
+                                            "--count",
+                                            std::to_string(part.count),
+                                            "--book",
+                                            part.book,
+                                            "--seed",
+                                            std::to_string(random_()),
+                                            "--restarts",
+                                            std::to_string(of(e_.bank.hollow_restarts)),
+                                            "--cuts",
+                                            std::to_string(of(e_.bank.hollow_cuts))};
+    part.process = std::make_unique<Process>(
+        words, std::vector<std::pair<std::string, std::string>>{}, part.log);
+    hollow_.push_back(std::move(part));
+  }
+  if (parts > 0) stalled_ = Draw(parts);
+}
+
+bool BankLab::Linked() {
+  if (linked_ || asking_) return linked_;
+  const net::Address at = SeatOf(0);  // where the bank was begun
+  asking_ = std::make_shared<Call>(
+      loop_, at, net::StatusCall(), [this](const std::optional<json>& status) {
+        const size_t others = e_.gateway.count + e_.bank.hollow - 1;
+        linked_ = status && status->is_object() && status->value("leads", false) &&
+                  status->value("voters", json::array()).size() == e_.bank.voters &&
+                  status->value("linked", json::array()).size() == others;
+        if (linked_) figures_.linked_ms = Ms(MachineNow() - started_);
+        loop_.After(kLinkedAgain, [this, alive = std::weak_ptr(alive_)] {
+          if (!alive.expired()) asking_.reset();
+        });
+      });
+  return false;
+}
+
+void BankLab::Measure(Sample& into) {
+  into = {};
+  into.at = MachineNow();
+  into.status.resize(e_.gateway.count);
+  for (size_t i = 0; i < e_.gateway.count; ++i) {
+    into.used.push_back(usage_(i));
+    asked_.push_back(std::make_shared<Call>(
+        loop_, SeatOf(i), net::StatusCall(),
+        [&into, i, alive = std::weak_ptr(alive_)](const std::optional<json>& status) {
+          if (!alive.expired() && status) into.status[i] = *status;
+        }));
+  }
+  for (const HollowPart& part : hollow_) into.hollow_cpu_us += part.process->Measure().cpu_us;
+}
+
+// Idle from soon after time 0; changes; faults beside changes; then all is to be level.
+void BankLab::WatchSize() {
+  figures_.on = e_.bank.measured;
+  const auto at = [this](Duration when, std::function<void()> then) {
+    loop_.After(when, [then = std::move(then), alive = std::weak_ptr(alive_)] {
+      if (!alive.expired()) then();
+    });
+  };
+  if (e_.bank.measured) {
+    at(kSettled, [this] { Measure(idle_from_); });
+    // Before the first change, and behind it: with deltas that one alone is whole. See Submit.
+    at(e_.bank.quiet_first - kAside, [this] { Measure(idle_to_); });
+    at(e_.bank.hollow_faults_at, [this] { Measure(changed_); });
+    at(e_.length, [this] { Measure(last_); });
+  }
+  if (e_.bank.hollow_faults_at > Duration(0)) {
+    at(e_.bank.hollow_faults_at, [this] { PlayHollow(); });
+  }
+  Weigh();
+}
+
+// What all processes hold, now and then.
+void BankLab::Weigh() {
+  uint64_t kb = Process::Own().rss_kb;
+  for (size_t i = 0; i < e_.gateway.count; ++i) kb += usage_(i).rss_kb;
+  for (const HollowPart& part : hollow_) kb += part.process->Measure().rss_kb;
+  figures_.rss_mb_most = std::max(figures_.rss_mb_most, static_cast<double>(kb) / 1024);
+  figures_.processes_most = 1 + e_.gateway.count + hollow_.size();
+  loop_.After(kWeighEvery, [this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) Weigh();
+  });
+}
+
+void BankLab::PlayHollow() {
+  faults_from_ = MachineNow();
+  for (const HollowPart& part : hollow_) part.process->Signal(SIGUSR1);
+  if (e_.bank.hollow_stalls && !hollow_.empty()) Stall(true, Now() + kStallsFor);
+}
+
+// A tenth of the members reads late: their process stands still and goes on by turns.
+void BankLab::Stall(bool stop, Time until) {
+  hollow_[stalled_].process->Signal(stop ? SIGSTOP : SIGCONT);
+  if (!stop && Now() >= until) return;
+  loop_.After(kStall, [this, stop, until, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) Stall(!stop, until);
+  });
+}
+
+RoleFigures BankLab::RoleOf(const Sample& a, const Sample& b, bool leads, bool votes) const {
+  RoleFigures f;
+  const double s = static_cast<double>((b.at - a.at).count()) / 1e6;
+  for (size_t i = 0; i < b.status.size() && i < a.status.size(); ++i) {
+    const json &from = a.status[i], &to = b.status[i];
+    if (!from.is_object() || !to.is_object()) continue;
+    if (to.value("leads", false) != leads || to.value("votes", false) != votes) continue;
+    ++f.processes;
+    const auto grew = [&](const char* key) { return to.value(key, 0.0) - from.value(key, 0.0); };
+    // Less the answer to the first of the two questions, and the second question.
+    const auto answer = static_cast<double>(peer::FrameOf(from).size());
+    const auto question = static_cast<double>(
+        peer::FrameOf({{"hello", peer::kFormat}, {"call", net::StatusCall()}}).size());
+    f.cpu_core += (b.used[i].cpu_us - a.used[i].cpu_us) / 1e6 / s;
+    f.rss_mb += static_cast<double>(b.used[i].rss_kb) / 1024;
+    f.descriptors += static_cast<double>(b.used[i].descriptors);
+    f.bytes_in_s += (grew("bytes_in") - question) / s;
+    f.bytes_out_s += (grew("bytes_out") - answer) / s;
+    f.messages_s += (grew("frames_in") + grew("frames_out") - 2) / s;
+  }
+  if (f.processes == 0) return f;
+  const auto n = static_cast<double>(f.processes);
+  for (double* const v :
+       {&f.cpu_core, &f.rss_mb, &f.descriptors, &f.bytes_in_s, &f.bytes_out_s, &f.messages_s}) {
+    *v /= n;
+  }
+  return f;
+}
+
+// Bytes that the one that leads at both moments has sent beyond what it sends idle; below 0 where
+// another leads.
+double BankLab::LeaderSent(const Sample& a, const Sample& b) const {
+  const RoleFigures f = RoleOf(a, b, true, true);
+  const bool same = f.processes == 1 && std::ranges::any_of(a.status, [&](const json& s) {
+                      return s.is_object() && s.value("leads", false);
+                    });
+  if (!same) return -1;
+  const double s = static_cast<double>((b.at - a.at).count()) / 1e6;
+  return (f.bytes_out_s - figures_.leader.bytes_out_s) * s;
+}
+
+ScaleFigures BankLab::FinishScale() {
+  ScaleFigures& f = figures_;
+  if (!f.on && hollow_.empty()) return f;
+  over_ = MachineNow();
+  f.hollow = e_.bank.hollow;
+  f.real = e_.gateway.count;
+  f.members = f.real + f.hollow;
+  f.leader = RoleOf(idle_from_, idle_to_, true, true);
+  f.voter = RoleOf(idle_from_, idle_to_, false, true);
+  f.gateway = RoleOf(idle_from_, idle_to_, false, false);
+  const double idle_s = static_cast<double>((idle_to_.at - idle_from_.at).count()) / 1e6;
+  if (f.hollow > 0 && idle_s > 0) {
+    const auto hollow = static_cast<double>(f.hollow);
+    f.hollow_cpu_core = (idle_to_.hollow_cpu_us - idle_from_.hollow_cpu_us) / 1e6 / idle_s / hollow;
+    for (const HollowPart& part : hollow_) {
+      f.hollow_rss_mb += static_cast<double>(part.process->Measure().rss_kb) / 1024 / hollow;
+    }
+  }
+  std::vector<HollowLine> lines;
+  for (HollowPart& part : hollow_) {
+    if (const auto code = part.process->Ended()) {
+      f.broken.push_back(fmt::format("scale: members {} to {} ended with {}: {}", part.first,
+                                     part.first + part.count - 1, *code, TailOf(part.log, 3)));
+    }
+    part.process->Signal(SIGCONT);
+    part.process->Signal(SIGTERM);
+  }
+  for (HollowPart& part : hollow_) {
+    const Duration until = MachineNow() + kEndWithin;
+    while (!part.process->Ended() && MachineNow() < until) loop_.RunOnce(kLookEvery);
+    std::ifstream book(part.book);
+    for (std::string text; std::getline(book, text);) {
+      if (const auto line = ParseHollowLine(text)) {
+        lines.push_back(*line);
+      } else {
+        f.broken.push_back(fmt::format("scale: a line that makes no sense: {}", text));
+      }
+    }
+  }
+  // From the experiment's time to the machine's.
+  const Duration zero = MachineNow() - Now();
+  std::vector<ToldChange> changes;
+  Time last_done{0};
+  for (const BankJudge::Told& told : judge_.told()) {
+    changes.push_back({told.submitted + zero, told.done + zero, told.version});
+    last_done = std::max(last_done, told.done);
+  }
+  f.changes = changes.size();
+  HollowTerms terms;
+  terms.hollow = f.hollow;
+  terms.faults = faults_from_ > Duration(0) ? faults_from_ : over_;
+  if (filled_ > Time(0)) terms.from = filled_ + zero;
+  terms.end = over_;
+  terms.bound = bank::BoundOf(bank::Timing(), bank::kSlack);
+  if (e_.bank.hollow_stalls && !hollow_.empty()) {
+    terms.stalled_from = hollow_[stalled_].first;
+    terms.stalled_to = terms.stalled_from + hollow_[stalled_].count;
+    terms.stalled = kStall;
+  }
+  JudgeHollow(std::move(lines), changes, terms, f);
+  // A gateway acts on the last version as far as hosts have seen: it has sent to them since, and to
+  // none that is barred, which the bank's judge looks at.
+  for (size_t i = 0; i < e_.gateway.count; ++i) {
+    if (last_receipt_[i] > last_done) {
+      ++f.members_in_force;
+    } else {
+      f.broken.push_back(
+          fmt::format("scale: level: gateway {} was not seen to serve after the last change", i));
+    }
+  }
+  const auto within = [&](const Sample& a, const Sample& b) {
+    return static_cast<double>(std::ranges::count_if(
+        changes, [&](const ToldChange& c) { return c.submitted >= a.at && c.submitted < b.at; }));
+  };
+  const auto others = static_cast<double>(f.members - 1);
+  const double before = within(first_changed_, changed_), after = within(changed_, last_);
+  if (const double sent = LeaderSent(first_changed_, changed_); sent > 0 && before > 0) {
+    f.change_bytes_each = sent / before / others;
+  }
+  const RoleFigures changing = RoleOf(first_changed_, changed_, false, false);
+  if (f.gateway.processes > 0 && changing.processes > 0 && before > 0) {
+    const double s = static_cast<double>((changed_.at - first_changed_.at).count()) / 1e6;
+    f.change_cpu_ms = std::max(0.0, changing.cpu_core - f.gateway.cpu_core) * s * 1000 / before;
+  }
+  if (const double sent = LeaderSent(changed_, last_); sent > 0 && f.returned > 0) {
+    f.return_bytes_each = std::max(0.0, sent - after * others * f.change_bytes_each) /
+                          static_cast<double>(f.returned);
+  }
+  return f;
+}
+
 }  // namespace paddlestile::lab
--- a/src/lab/bank_lab.h
+++ b/src/lab/bank_lab.h
@@ -6,9 +6,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -19,7 +21,9 @@
 #include "lab/experiment.h"
 #include "lab/fleet.h"
 #include "lab/ledger.h"
+#include "lab/process.h"
 #include "lab/relay.h"
+#include "lab/scale_figures.h"
 #include "net/event_loop.h"
 
 namespace paddlestile::lab {
@@ -46,7 +50,15 @@
   void ChangeDisk(size_t gateway, DiskIs disk);
   [[nodiscard]] size_t Draw(size_t count);
 
+  // Members without clients beside the gateways, and figures of all; the gateways have started.
+  // `usage`: of a gateway's process.
+  void StartHollow(std::function<Process::Usage(size_t)> usage);
+  // Whether one leads them all; asked again and again before time 0.
+  [[nodiscard]] bool Linked();
+
   BankResult Finish(Time now);
+  // Behind Finish: what a run at size came to; off where nothing was to be measured.
+  ScaleFigures FinishScale();
 
  private:
   class Call;
@@ -62,6 +74,24 @@
   void SubmitOne();
   void Ask(size_t change);
 
+  // ---- At size
+  // The state of all gateways at one moment, by their own counters.
+  struct Sample {
+    Duration at{0};
+    std::vector<nlohmann::json> status;  // null where none came
+    std::vector<Process::Usage> used;
+    double hollow_cpu_us = 0;
+  };
+  [[nodiscard]] net::Address HollowSeat(size_t number) const;
+  void WriteHollowFile() const;
+  void Measure(Sample& into);
+  void WatchSize();
+  void Weigh();
+  void PlayHollow();
+  void Stall(bool stop, Time until);
+  [[nodiscard]] RoleFigures RoleOf(const Sample& a, const Sample& b, bool leads, bool votes) const;
+  [[nodiscard]] double LeaderSent(const Sample& a, const Sample& b) const;
+
   net::EventLoop& loop_;
   const Experiment& e_;
   Ledger& ledger_;
@@ -81,7 +111,36 @@
     std::shared_ptr<Call> call;
   };
   std::deque<Change> changes_;
+  // What the version of a change holds, beside what never changes.
+  struct Shape {
+    std::set<size_t> barred;  // hosts
+    bool unsafe = false;      // the first class
+    std::vector<int> quotas;  // by tenant
+    uint64_t version = 0;     // as it was told; 0: not yet
+  };
+  std::deque<Shape> shapes_;  // by change
+  [[nodiscard]] const Shape* LastTold() const;
+  [[nodiscard]] nlohmann::json WholeOf(const Shape& shape) const;
+  [[nodiscard]] nlohmann::json DeltaOf(const Shape& was, const Shape& shape) const;
+  bool fills_ = false;               // the tenants come with one change after another
+  Time filled_{0};                   // when all were there, where that took several
   size_t kept_off_ = 0, block_ = 0;  // a host; since which block
+  // At size: hollow processes, what befalls them, and the samples by which figures are taken.
+  struct HollowPart {
+    std::unique_ptr<Process> process;
+    std::string book, log;
+    size_t first = 0, count = 0;
+  };
+  std::vector<HollowPart> hollow_;
+  size_t stalled_ = 0;  // the part that is stopped by turns
+  std::function<Process::Usage(size_t)> usage_;
+  std::shared_ptr<Call> asking_;
+  std::vector<std::shared_ptr<Call>> asked_;
+  bool linked_ = false, stalls_ = false;
+  Duration started_{0}, faults_from_{0}, over_{0};  // the machine's clock
+  Sample idle_from_, idle_to_, first_changed_, changed_, last_;
+  ScaleFigures figures_;
+  std::vector<Time> last_receipt_;  // by gateway
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/lab/bank_world.cpp
+++ b/src/lab/bank_world.cpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <queue>
 #include <random>
@@ -17,6 +18,7 @@
 #include <thread>
 
 #include "bank/member.h"
+#include "bank/rules.h"
 
 namespace paddlestile::lab {
 namespace {
@@ -29,6 +31,7 @@
 using bank::Note;
 using bank::Stance;
 using bank::Time;
+using nlohmann::json;
 
 constexpr Duration kMs{1000};
 constexpr size_t kAllLinked = 16;       // members
@@ -36,13 +39,73 @@
 constexpr size_t kShown = 8;            // broken ones of a term named
 // A copy of a disk that is older than this is found out, where those it was linked to live on.
 constexpr Duration kOldDisk{600'000};  // us
+constexpr size_t kApplyMost = 20'000;  // us; for one entry, where they are applied one by one
 constexpr Duration kHeal{8'000'000};   // us; within this all is level once everything is mended
 
 double Ms(Duration d) { return static_cast<double>(d.count()) / 1000; }
 
+// What a client sets and removes, and what that makes of a version: told here a second time,
+// without the program's deltas, so that the one can be held against the other.
+struct Parts {
+  std::map<std::string, bool> barred, drain;                // true: added
+  std::map<std::string, std::optional<std::string>> zones;  // nothing: removed
+  std::map<std::string, std::optional<int>> tenants;        // their quota
+  std::optional<int> cap, slo;
+};
+
+json DeltaOf(const Parts& parts) {
+  json delta = json::object();
+  const auto hosts = [&](const char* key, const std::map<std::string, bool>& of) {
+    for (const auto& [id, add] : of) delta[key][add ? "add" : "remove"].push_back(id);
+  };
+  hosts("barred", parts.barred);
+  hosts("drain", parts.drain);
+  for (const auto& [id, zone] : parts.zones) delta["zone_only"][id] = zone ? json(*zone) : json();
+  for (const auto& [name, quota] : parts.tenants) {
+    delta["settings"]["Tenants"][name] = quota ? json{{"QuotaPerS", *quota}} : json();
+  }
+  if (parts.cap) delta["settings"]["Allowed"]["SendCap"] = *parts.cap;
+  if (parts.slo) delta["settings"]["Classes"]["c"]["Slo"] = *parts.slo;
+  return delta;
+}
+
+bank::Rules With(bank::Rules rules, const Parts& parts) {
+  const auto hosts = [](std::set<std::string>& of, const std::map<std::string, bool>& parts_of) {
+    for (const auto& [id, add] : parts_of) add ? (void)of.insert(id) : (void)of.erase(id);
+  };
+  hosts(rules.barred, parts.barred);
+  hosts(rules.drain, parts.drain);
+  for (const auto& [id, zone] : parts.zones) {
+    rules.zone_only.erase(id);
+    if (zone) rules.zone_only[id] = *zone;
+  }
+  for (const auto& [name, quota] : parts.tenants) {
+    if (!quota && !rules.settings.contains("Tenants")) continue;
+    json& list = rules.settings["Tenants"];
+    size_t at = 0;
+    while (at < list.size() && list[at]["Name"] != name) ++at;
+    if (!quota && at < list.size()) list.erase(at);
+    if (quota && at == list.size()) list.push_back({{"Name", name}});
+    if (quota) list[at]["QuotaPerS"] = *quota;
+  }
+  if (parts.cap) rules.settings["Allowed"]["SendCap"] = *parts.cap;
+  if (parts.slo && !rules.settings.contains("Classes")) {
+    rules.settings["Classes"] = json::array({{{"Name", "c"}}});
+  }
+  if (parts.slo) rules.settings["Classes"][0]["Slo"] = *parts.slo;
+  return rules;
+}
+
 class World {
  public:
-  explicit World(const WorldOptions& options) : o_(options), random_(options.seed) {
+  explicit World(const WorldOptions& options)
+      : o_(options), random_(options.seed), draws_(options.seed ^ 0xde17a) {
+    // In one of four not all propose deltas: two versions of the program, or half way switched on.
+    const bool some = o_.deltas && Among(4) == 0;
+    all_deltas_ = o_.deltas && !some;
+    tenants_ = Among(8) == 0 ? 100 : 10;
+    // In two of five what is agreed is applied an entry at a time, and each takes a while.
+    if (o_.seed % 5 < 2) timing_.apply_bytes = 1;
     const size_t count = o_.voters + o_.followers;
     nodes_.resize(count);
     cut_.assign(count, std::vector<bool>(count, false));
@@ -55,6 +118,7 @@
       n.rate = 1 + Draw(-0.005, 0.005);
       n.offset = Duration(static_cast<int64_t>(Draw(0, 1e9)));
       n.disk.life = ++lives_;
+      n.deltas = o_.deltas && (!some || Among(2) == 0);
       if (i < o_.voters) first_.insert(n.name);
     }
     // `bank init` at one member, the others come to it.
@@ -100,7 +164,7 @@
     Time tick{0};
     // What is written while a sync runs is synced together behind it.
     Time synced{0}, synced_next{0}, synced_last{0};
-    bool disk_slow = false;
+    bool disk_slow = false, deltas = false;
     uint64_t durable = 0;
     std::vector<bank::Outgoing> held;  // for a write to be durable
     std::map<size_t, uint64_t> links;  // other to its start
@@ -118,15 +182,19 @@
   };
   struct Try {
     std::string id;
-    std::string rules;
+    std::string rules;           // whole, or
+    std::optional<Parts> parts;  // a delta of these
+    std::optional<uint64_t> expect;
     Time first{0}, done{-1};
     uint64_t version = 0;
-    bool again = false;
+    bool again = false, refused = false;
   };
 
   double Draw(double low, double high) {
     return std::uniform_real_distribution<double>(low, high)(random_);
   }
+  // What clients ask for comes from a generator of its own: the faults are the same without it.
+  size_t Among(size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(draws_); }
   size_t Pick(size_t n) { return std::uniform_int_distribution<size_t>(0, n - 1)(random_); }
   bool Chance(double p) { return Draw(0, 1) < p; }
   void At(Time at, std::function<void()> then) {
@@ -169,6 +237,7 @@
     options.timing = timing_;
     options.first_voters = first_;
     options.compact_after = 24;
+    options.deltas = n.deltas;
     n.member = std::make_unique<Member>(options, found, random_(), Local(n));
     Run(i, [](Member&, Time, bank::MemberOutput&) {});
     for (size_t j = 0; j < nodes_.size(); ++j) {
@@ -243,6 +312,7 @@
     });
   }
   void Twist(size_t to, Message& m) {
+    if (o_.mischief == Mischief::kMisapplies && to >= o_.voters) LeaveOut(m);
     if (o_.mischief != Mischief::kVotesForAll || m.type != Message::Type::kAskVote) return;
     Message vote;
     vote.type = Message::Type::kVote;
@@ -254,6 +324,19 @@
     vote.granted = true;
     Carry(to, vote);
   }
+  static void LeaveOut(Message& m) {
+    for (bank::Entry& entry : m.entries) {
+      if (entry.kind != bank::Entry::Kind::kData) continue;
+      json value = json::from_cbor(entry.bytes);
+      value.erase("hash");
+      const std::string id = value.value("id", "");
+      if (value.contains("delta") && XXH3_64bits(id.data(), id.size()) % 3 == 0) {
+        value["delta"] = "{}";
+      }
+      entry.bytes.clear();
+      json::to_cbor(value, entry.bytes);
+    }
+  }
   void Twist(size_t, Note& note) {
     if (o_.mischief == Mischief::kTakesTwice && note.wish) {
       note.wish->change.id += fmt::format("'{}", ++number_);
@@ -303,6 +386,14 @@
         if (nodes_[i].start == start) Return(i, Disk{});
       });
     }
+    if (o_.mischief == Mischief::kNone && n.member->differed() > 0) {
+      Broken(fmt::format("content: {}: {}", n.name, n.member->history().differs()));
+    }
+    if (!out.needs_anew.empty()) {
+      At(now_, [this, i, start] {
+        if (nodes_[i].start == start) Return(i, Disk{});
+      });
+    }
     Applied(n);
     Cache(n);
     Plan(i);
@@ -321,7 +412,8 @@
     if (!n.member) return;
     const Time due = n.member->NextDue();
     if (due == Time::max()) return;
-    const Time at = std::max(Global(n, due), now_ + Duration(1));
+    const Duration least(n.member->agreement().Behind() ? 1 + Among(kApplyMost) : 1);
+    const Time at = std::max(Global(n, due), now_ + least);
     if (n.tick > now_ && n.tick <= at) return;
     n.tick = at;
     const uint64_t start = n.start;
@@ -374,11 +466,53 @@
     t.id = fmt::format("c{}", ticket);
     // Each bars another host, so that any two contradict each other.
     t.rules = fmt::format(R"({{"barred":["h{}"]}})", ticket);
+    if (o_.deltas) Compose(t);
     t.first = now_;
     ++r_.submitted;
     Submit(ticket);
     At(now_ + Duration(static_cast<int64_t>(Draw(50e3, 500e3))), [this] { Client(); });
   }
+  // From the latest version that anybody has, or from a stale one, with and without saying so.
+  void Compose(Try& t) {
+    const uint64_t latest = models_.size(), base = Among(5) == 0 ? Among(latest + 1) : latest;
+    const Parts parts = DrawParts();
+    if (Among(3) == 0) t.expect = base;
+    if (all_deltas_ && Among(3) == 0) {
+      t.parts = parts;
+      t.rules = DeltaOf(parts).dump();
+    } else {
+      t.rules = bank::ToText(With(ModelOf(base), parts));
+    }
+  }
+  Parts DrawParts() {
+    Parts parts;
+    const auto host = [this] { return fmt::format("h{}", Among(8)); };
+    for (size_t i = 1 + Among(4); i > 0; --i) {
+      switch (Among(8)) {
+        case 0:
+        case 1:
+        case 2: parts.barred[host()] = Among(5) < 3; break;
+        case 3: parts.drain[host()] = Among(5) < 3; break;
+        case 4:
+          parts.zones[host()] =
+              Among(3) == 0 ? std::nullopt : std::optional(fmt::format("z{}", Among(2)));
+          break;
+        case 5:
+          for (size_t k = 1 + Among(Among(4) == 0 ? tenants_ : 3); k > 0; --k) {
+            parts.tenants[fmt::format("t{}", Among(tenants_))] =
+                Among(4) == 0 ? std::nullopt : std::optional(static_cast<int>(Among(5)));
+          }
+          break;
+        case 6: parts.cap = static_cast<int>(1 + Among(3)); break;
+        default: parts.slo = static_cast<int>(100 + Among(5)); break;
+      }
+    }
+    return parts;
+  }
+  const bank::Rules& ModelOf(uint64_t version) const {
+    static const bank::Rules kNone;
+    return version == 0 || version > models_.size() ? kNone : models_[version - 1];
+  }
   void Submit(uint64_t ticket) {
     Try& t = tries_[ticket];
     if (t.done >= Time(0)) return;
@@ -389,6 +523,8 @@
     wish.change.id = t.id;
     wish.change.author = "client";
     wish.change.rules = t.rules;
+    wish.change.delta = t.parts.has_value();
+    wish.change.expect = t.expect;
     Run(i, [&](Member& m, Time now, bank::MemberOutput& out) { m.Submit(now, wish, ticket, out); });
     // An answer that is lost with the gateway that was asked.
     At(now_ + 4000 * kMs, [this, ticket] { Submit(ticket); });
@@ -401,6 +537,12 @@
   void Answered(uint64_t ticket, const Answer& answer) {
     if (ticket >= tries_.size()) return;  // an operator's
     Try& t = tries_[ticket];
+    if (answer.kind == Answer::Kind::kRefused && t.expect && (t.done < Time(0) || t.refused)) {
+      if (!t.refused) ++r_.refused;
+      t.refused = true;
+      t.done = now_;
+      return;
+    }
     if (answer.kind == Answer::Kind::kRefused) {
       return Broken(fmt::format("refused: change {}: {}", t.id, answer.text));
     }
@@ -409,7 +551,7 @@
       return Again(ticket);
     }
     if (t.done >= Time(0)) {
-      if (t.version != answer.version) {
+      if (t.version != answer.version) {  // none where it was told refused
         Broken(
             fmt::format("twice: change {} is version {} and {}", t.id, t.version, answer.version));
       }
@@ -589,13 +731,39 @@
       if (known.first.empty()) {
         known = {v.id, v.hash};
         digest_ = XXH3_64bits_withSeed(v.hash.data(), v.hash.size(), digest_ ^ v.number);
-      } else if (known != std::pair(v.id, v.hash)) {
+        Model(n, v);
+      } else if (known.first != v.id) {
         Broken(fmt::format("agreement: version {} is {} at {} and {} elsewhere", v.number, v.id,
                            n.name, known.first));
+      } else if (known.second != v.hash) {
+        Broken(fmt::format("content: version {} is {} at {} and {} elsewhere", v.number, v.hash,
+                           n.name, known.second));
       }
     }
     if (n.copy == std::nullopt || Chance(0.002)) n.copy = n.disk, n.copied = now_;
   }
+  // What the version must be by what was submitted.
+  void Model(const Node& n, const bank::Version& v) {
+    if (v.number != models_.size() + 1) return;  // one before was never seen: told elsewhere
+    const Try& t = tries_[std::stoul(v.id.substr(1))];
+    models_.push_back(t.parts ? With(ModelOf(v.number - 1), *t.parts) : bank::ParseRules(t.rules));
+    // Of the model's text or of its parts, as the version says that it came.
+    const std::string hash = v.hash.starts_with('p') ? bank::HashOf(bank::Content(models_.back()))
+                                                     : bank::HashOf(bank::ToText(models_.back()));
+    if (hash != v.hash) {
+      Broken(fmt::format("content: version {} is {} at {}, {} by what was submitted", v.number,
+                         v.hash, n.name, hash));
+    }
+    if (t.expect && *t.expect != v.number - 1) {
+      Broken(fmt::format("content: change {} is version {}, and was to follow {}", t.id, v.number,
+                         *t.expect));
+    }
+  }
+  bool Contradict(uint64_t a, uint64_t b) {
+    const auto [at, fresh] = contradict_.emplace(std::pair(a, b), false);
+    if (fresh) at->second = !bank::Contradictions(ModelOf(a), ModelOf(b)).empty();
+    return at->second;
+  }
   // Until when it leads and acts on one version alone, unless it hears something before.
   void Cache(Node& n) {
     const Time local = Local(n);
@@ -611,7 +779,7 @@
   }
   // Whom the world sees act, and on what, at this moment.
   void Judge() {
-    uint64_t low = UINT64_MAX, high = 0;
+    std::set<uint64_t> acted;
     size_t leaders = 0;
     std::string who;
     for (size_t i = 0; i < nodes_.size(); ++i) {
@@ -626,19 +794,28 @@
         }
       }
       if (now_ >= n.acts_until) continue;
-      low = std::min(low, n.acts_on);
-      high = std::max(high, n.acts_on);
+      acted.insert(n.acts_on);
     }
     if (leaders > 1) Broken("one leader: at a time lead " + who);
-    const auto rules = [&](uint64_t v) { return v == 0 ? std::string() : versions_[v - 1].second; };
-    if (low < high && rules(low) != rules(high)) {
-      if (contradict_ < Time(0)) contradict_ = now_;
-      r_.contradiction_ms_most = std::max(r_.contradiction_ms_most, Ms(now_ - contradict_));
-      // By the clocks' rate there is no moment of it; the bound is for processes' own lateness.
-      Broken(fmt::format("contradiction: versions {} and {} are acted on at a time", low, high));
-    } else {
-      contradict_ = Time(-1);
+    std::map<std::pair<uint64_t, uint64_t>, Time> since;
+    for (auto a = acted.begin(); a != acted.end(); ++a) {
+      for (auto b = std::next(a); b != acted.end(); ++b) {
+        if (!Contradict(*a, *b)) continue;
+        const auto before = since_.find({*a, *b});
+        const Time from = before == since_.end() ? now_ : before->second;
+        since[{*a, *b}] = from;
+        r_.contradiction_ms_most = std::max(r_.contradiction_ms_most, Ms(now_ - from));
+        // Where no step between the two contradicts what it follows none of them waited for
+        // anybody: a lease that runs is the bound. In all else there is no moment of it, by the
+        // clocks' rate; the bound is for processes' own lateness.
+        bool steps = false;
+        for (uint64_t v = *a; v < *b && !steps; ++v) steps = Contradict(v, v + 1);
+        if (steps || now_ - from > bank::BoundOf(timing_, Duration(0))) {
+          Broken(fmt::format("contradiction: versions {} and {} are acted on at a time", *a, *b));
+        }
+      }
     }
+    since_ = std::move(since);
   }
   void JudgeEnd() {
     if (o_.trace) {
@@ -654,6 +831,12 @@
     }
     for (const Try& t : tries_) {
       const auto at = by_id.find(t.id);
+      if (t.refused) {
+        if (at != by_id.end()) {
+          Broken(fmt::format("refused: change {} is version {}", t.id, at->second));
+        }
+        continue;
+      }
       if (t.done >= Time(0) && (at == by_id.end() || at->second != t.version)) {
         Broken(fmt::format("lost: change {} was told done as version {}", t.id, t.version));
       }
@@ -672,7 +855,9 @@
   }
 
   WorldOptions o_;
-  std::mt19937_64 random_;
+  std::mt19937_64 random_, draws_;
+  bool all_deltas_ = false;
+  size_t tenants_ = 0;  // that versions may hold
   bank::Timing timing_;
   std::vector<Node> nodes_;
   std::vector<std::vector<bool>> cut_, slow_;
@@ -683,7 +868,10 @@
   uint64_t number_ = 0, lives_ = 100, starts_ = 0;
   std::vector<Try> tries_;
   std::vector<std::pair<std::string, std::string>> versions_;
-  Time last_done_{-1}, leader_lost_{-1}, contradict_{-1};
+  std::vector<bank::Rules> models_;  // by version
+  std::map<std::pair<uint64_t, uint64_t>, bool> contradict_;
+  std::map<std::pair<uint64_t, uint64_t>, Time> since_;
+  Time last_done_{-1}, leader_lost_{-1};
   bool over_ = false;
   uint64_t digest_ = 0;
   WorldResult r_;
@@ -694,10 +882,16 @@
 const char* NameOf(Mischief mischief) {
   constexpr std::array<const char*, kMischiefs> kNames = {
       "none",         "forgets-vote",  "forgets-log", "acts-on",
-      "applies-late", "votes-for-all", "takes-twice"};
+      "applies-late", "votes-for-all", "takes-twice", "misapplies"};
   return kNames[static_cast<size_t>(mischief)];
 }
 
+const char* NameOf(WorldChanges changes) {
+  return changes == WorldChanges::kMixed   ? "mixed"
+         : changes == WorldChanges::kWhole ? "whole"
+                                           : "delta";
+}
+
 WorldResult PlayWorld(const WorldOptions& options) { return World(options).Play(); }
 
 WorldsResult PlayWorlds(const WorldsOptions& options) {
@@ -709,6 +903,8 @@
       WorldOptions o = options.world;
       o.seed += i;
       o.voters = o.seed % 3 == 0 ? 5 : 3;
+      o.deltas = options.changes == WorldChanges::kDelta ||
+                 (options.changes == WorldChanges::kMixed && o.seed % 2 == 1);
       WorldResult r = PlayWorld(o);
       const std::scoped_lock lock(mutex);
       ++all.schedules;
@@ -716,6 +912,8 @@
       all.told_done += r.told_done;
       all.submitted += r.submitted;
       all.forgot += r.forgot;
+      all.refused += r.refused;
+      all.with_deltas += o.deltas ? 1 : 0;
       all.digest += r.digest * (2 * o.seed + 1);  // whatever the order
       all.contradiction_ms_most = std::max(all.contradiction_ms_most, r.contradiction_ms_most);
       all.unavailable_ms_most = std::max(all.unavailable_ms_most, r.unavailable_ms_most);
@@ -761,16 +959,19 @@
       "back "
       "found out, digest {:016x}\n  change told done, ms: {}\n  leader's end to the next, ms: {}\n "
       " "
-      "contradiction at most {:.3f} ms\n",
+      "contradiction at most {:.3f} ms\n  {} schedules with deltas; {} changes refused as stale\n",
       r.schedules, options.world.seed, r.broken, r.events, r.told_done, r.submitted, r.forgot,
-      r.digest, quantiles(r.change_ms), quantiles(r.takeover_ms), r.contradiction_ms_most);
+      r.digest, quantiles(r.change_ms), quantiles(r.takeover_ms), r.contradiction_ms_most,
+      r.with_deltas, r.refused);
   for (const auto& [term, count] : r.terms)
     text += fmt::format("  broken: {} in {}\n", term, count);
   for (const auto& [seed, what] : r.first) {
-    const std::string mischief =
-        options.world.mischief == Mischief::kNone
-            ? ""
-            : fmt::format(" --mischief {}", NameOf(options.world.mischief));
+    std::string mischief = options.world.mischief == Mischief::kNone
+                               ? ""
+                               : fmt::format(" --mischief {}", NameOf(options.world.mischief));
+    if (options.changes != WorldChanges::kMixed) {
+      mischief += fmt::format(" --changes {}", NameOf(options.changes));
+    }
     text += fmt::format("  {}\n    paddlestile lab world --schedules 1 --trace --seed {}{}\n", what,
                         seed, mischief);
   }
--- a/src/lab/bank_world.h
+++ b/src/lab/bank_world.h
@@ -23,9 +23,10 @@
   kActsOn,       // acts on what it had after its lease is over
   kAppliesLate,  // says that it has applied what it has not
   kVotesForAll,  // gives its vote to whoever asks, however often, whomever it hears
-  kTakesTwice    // takes a change that it was told again for another
+  kTakesTwice,   // takes a change that it was told again for another
+  kMisapplies    // a follower that leaves out parts of deltas, and holds nothing against a hash
 };
-inline constexpr int kMischiefs = 7;
+inline constexpr int kMischiefs = 8;
 const char* NameOf(Mischief mischief);
 
 struct WorldOptions {
@@ -35,6 +36,7 @@
   double seconds = 8;     // with faults; then all is mended
   size_t faults = 6;      //
   bool old_disks = true;  // older copies of a disk come back
+  bool deltas = false;    // changes go as deltas, of random parts and sizes
   Mischief mischief = Mischief::kNone;
   bool trace = false;
 };
@@ -42,6 +44,7 @@
 struct WorldResult {
   std::vector<std::string> broken;  // term, who, when; empty: all held
   uint64_t events = 0, told_done = 0, submitted = 0, forgot = 0;
+  uint64_t refused = 0;              // as they were submitted from a stale version
   double contradiction_ms_most = 0;  // two act on contradicting versions
   double unavailable_ms_most = 0;    // between two changes told done, with clients asking
   std::vector<double> change_ms;     // from submitted to told done, at the first try
@@ -51,14 +54,23 @@
 
 WorldResult PlayWorld(const WorldOptions& options);
 
+enum class WorldChanges {
+  kMixed,  // as deltas on the odd seeds
+  kWhole,
+  kDelta
+};
+const char* NameOf(WorldChanges changes);
+
 // Many seeds, on several threads.
 struct WorldsOptions {
   WorldOptions world;  // of each; `seed` is the first's, three voters and five by turns
   uint64_t schedules = 1000;
   size_t jobs = 1;
+  WorldChanges changes = WorldChanges::kMixed;
 };
 struct WorldsResult {
-  uint64_t schedules = 0, events = 0, told_done = 0, submitted = 0, forgot = 0;
+  uint64_t schedules = 0, events = 0, told_done = 0, submitted = 0, forgot = 0, refused = 0;
+  uint64_t with_deltas = 0;  // schedules
   uint64_t broken = 0;
   std::map<std::string, uint64_t> terms;                // broken ones by the term's name
   std::vector<std::pair<uint64_t, std::string>> first;  // seeds and what broke, the lowest ones
--- a/src/lab/bench.cpp
+++ b/src/lab/bench.cpp
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 
 #include "lab/experiment.h"
-#include "lab/result.h"
 #include "lab/runner.h"
 
 namespace paddlestile::lab {
@@ -17,11 +16,11 @@
 constexpr double kFullCore = 0.97;  // of a core; nothing more is to be had
 
 // Hosts that answer after a millisecond and are never crowded: what is measured is the way there.
-Experiment Plain(double rate, size_t idle) {
+Experiment Plain(double rate, size_t idle, size_t hosts) {
   Experiment e = ParseExperiment(fmt::format(R"(
 name = "bench"
 [[hosts]]
-count = 40
+count = {}
 cores = 256
 held_most = 100000
 connections_most = 100000
@@ -40,15 +39,11 @@
 [gateway]
 sockets = {}
 )",
-                                             rate, idle, 4096 + 2 * idle),
+                                             hosts, rate, idle, 4096 + 2 * idle),
                                  "bench");
   return e;
 }
 
-Result Part(const BenchOptions& o, double rate, size_t idle, bool straight) {
-  return RunExperiment(Plain(rate, idle), {o.seed, o.seconds, o.gateway, "", straight});
-}
-
 double Median(std::vector<double> values) {
   if (values.empty()) return 0;
   std::ranges::sort(values);
@@ -88,10 +83,14 @@
 
 }  // namespace
 
+Result PlayPart(const BenchOptions& o, double rate, size_t idle, bool straight) {
+  return RunExperiment(Plain(rate, idle, o.hosts), {o.seed, o.seconds, o.gateway, "", straight});
+}
+
 BenchResult RunBench(const BenchOptions& o, const std::function<void(const std::string&)>& told) {
   BenchResult out;
   for (int i = 0; i < o.rounds; ++i) {
-    const Result straight = Part(o, o.rate, 0, true), through = Part(o, o.rate, 0, false);
+    const Result straight = PlayPart(o, o.rate, 0, true), through = PlayPart(o, o.rate, 0, false);
     BenchRound round{{straight.p50_us, straight.p99_us, straight.p999_us},
                      {through.p50_us, through.p99_us, through.p999_us},
                      through.cpu_us_per_request};
@@ -101,7 +100,7 @@
   }
   double rate = o.rate;
   for (int i = 0; i < kLadderSteps; ++i, rate *= kLadderGrowth) {
-    const Result r = Part(o, rate, 0, false);
+    const Result r = PlayPart(o, rate, 0, false);
     BenchStep step;
     step.rate = rate;
     step.cpu_us = r.cpu_us_per_request;
@@ -117,7 +116,7 @@
                      rate, step.served_share, step.cpu_share, step.lab_share));
     if (!step.held || step.cpu_share > kFullCore) break;
   }
-  const Result without = Part(o, 100, 0, false), with = Part(o, 100, o.connections, false);
+  const Result without = PlayPart(o, 100, 0, false), with = PlayPart(o, 100, o.connections, false);
   out.connections = o.connections;
   out.kb_per_connection =
       o.connections > 0
--- a/src/lab/bench.h
+++ b/src/lab/bench.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "lab/result.h"
+
 namespace paddlestile::lab {
 
 struct BenchOptions {
@@ -16,6 +18,7 @@
   double rate = 1500;         // requests a second of the rounds
   size_t connections = 2000;  // idle ones, to weigh a connection
   uint64_t seed = 1;
+  size_t hosts = 40;
   std::vector<std::string> gateway;  // the words that start one; empty: this program
 };
 
@@ -35,6 +38,9 @@
   size_t connections = 0;
 };
 
+// One part: the same load straight to the hosts, or through a gateway, which is measured.
+Result PlayPart(const BenchOptions& options, double rate, size_t idle, bool straight);
+
 // Plays all parts, one after another; `told` hears a line after each.
 BenchResult RunBench(const BenchOptions& options,
                      const std::function<void(const std::string&)>& told);
--- a/src/lab/commands.cpp
+++ b/src/lab/commands.cpp
@@ -6,9 +6,11 @@
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cerrno>
+#include <cstdio>
 #include <cstring>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <sstream>
@@ -16,11 +18,15 @@
 
 #include "lab/bank_world.h"
 #include "lab/bench.h"
+#include "lab/capacity.h"
 #include "lab/experiment.h"
 #include "lab/fleet_report.h"
+#include "lab/hollow.h"
+#include "lab/one_gateway.h"
 #include "lab/report.h"
 #include "lab/result.h"
 #include "lab/runner.h"
+#include "lab/scale.h"
 
 namespace paddlestile::lab {
 namespace {
@@ -40,7 +46,13 @@
   bool module = false;
   BenchOptions bench;
   WorldsOptions worlds;
-  std::string mischief = "none";
+  ScaleOptions scale;
+  HollowOptions hollow;
+  OneGatewayOptions one;
+  std::string mischief = "none", changes = "mixed";
+  std::string fit, target = "lab/capacity/target.toml", rows = "lab/capacity/rows.toml",
+                   slopes = "lab/capacity/slopes.json", page;
+  bool as_json = false;
 };
 
 int Fail(std::string_view text) {
@@ -147,7 +159,43 @@
   return kDone;
 }
 
+// Bad words end it with one line and exit code 2, before anything is played.
+int Scale(const Words& w) {
+  NeedWritable(w.json);
+  const double load = MachineLoad();
+  const Result result =
+      RunExperiment(ScaleExperiment(w.scale), {std::nullopt, std::nullopt, {}, w.logs, false});
+  fmt::print("{}", ScaleText(result));
+  Write(w.json, ScaleJson(w.scale, result, load));
+  return result.verdict == Verdict::kHeld ? kDone : kDidNotHold;
+}
+
+// The words of this process, as they were given.
+std::string CommandLine() {
+  std::ifstream file("/proc/self/cmdline", std::ios::binary);
+  std::string program, rest;
+  std::getline(file, program, '\0');
+  std::string out = fs::path(program).filename().string();
+  while (std::getline(file, rest, '\0')) out += ' ' + rest;
+  return out;
+}
+
+int OneGateway(Words& w) {
+  NeedWritable(w.json);
+  w.one.command = CommandLine();
+  const OneGatewayResult result = MeasureOneGateway(w.one, [](const std::string& line) {
+    fmt::print("{}\n", line);
+    std::fflush(stdout);
+  });
+  fmt::print("{}", ToText(result));
+  Write(w.json, ToJson(result));
+  return result.verdict == Verdict::kHeld ? kDone : kDidNotHold;
+}
+
 int Worlds(Words& w) {
+  for (const WorldChanges c : {WorldChanges::kMixed, WorldChanges::kWhole, WorldChanges::kDelta}) {
+    if (w.changes == NameOf(c)) w.worlds.changes = c;
+  }
   for (int i = 0; i < kMischiefs; ++i) {
     if (w.mischief == NameOf(static_cast<Mischief>(i))) {
       w.worlds.world.mischief = static_cast<Mischief>(i);
@@ -158,6 +206,35 @@
   return result.broken == 0 ? kDone : kDidNotHold;
 }
 
+std::string ReadText(const std::string& path) {
+  std::ifstream file(path);
+  std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+  if (!file) throw CapacityError(fmt::format("{}: can't be read, expected a file", path));
+  return text;
+}
+
+int Fit(const Words& w) {
+  const CapacityRows rows = ParseRows(ReadText(w.rows), w.rows);
+  const CapacitySlopes slopes = FitRuns(rows, ReadRuns(w.fit));
+  Write(w.slopes, ToJson(slopes, rows));
+  fmt::print("{}: written, {} rows of {} runs\n", w.slopes, slopes.fits.size(), slopes.runs.size());
+  return kDone;
+}
+
+int Weigh(const Words& w) {
+  const CapacityTarget target = ParseTarget(ReadText(w.target), w.target);
+  const CapacityRows rows = ParseRows(ReadText(w.rows), w.rows);
+  const CapacitySlopes slopes = ParseSlopes(ReadText(w.slopes), w.slopes, rows);
+  const Capacity capacity = WeighCapacity(target, rows, slopes);
+  if (!w.page.empty()) {
+    Write(w.page, WithTables(ReadText(w.page), ToMarkdown(capacity), w.page));
+    fmt::print("{}: written\n", w.page);
+  } else {
+    fmt::print("{}", w.as_json ? ToJson(capacity) : ToMarkdown(capacity));
+  }
+  return kDone;
+}
+
 }  // namespace
 
 std::vector<std::string> CheckExperiment(const std::string& path) {
@@ -237,6 +314,36 @@
   bench->add_flag("--module", words->module, "the decision module alone (make bench builds it)");
   bench->footer("Example:\n  paddlestile lab bench --seconds 5 --json bench.json");
 
+  CLI::App* const gateway = lab->add_subcommand(
+      "gateway", "Measure one gateway with a long list, many tenants, and the latency it adds");
+  gateway->add_option("--hosts", words->one.hosts, "of the list, up to 2,000,000")
+      ->check(CLI::Range(1, 2'000'000))
+      ->capture_default_str();
+  gateway->add_option("--tenants", words->one.tenants, "with a quota each; 0 leaves settings out")
+      ->check(CLI::Range(0, 1'000'000))
+      ->capture_default_str();
+  gateway
+      ->add_option("--seconds", words->one.seconds,
+                   "idle, with changes, and of each part of a rate")
+      ->check(CLI::Range(1.0, 600.0))
+      ->capture_default_str();
+  gateway->add_option("--seed", words->one.seed, "of changes and arrivals")->capture_default_str();
+  gateway->add_option("--changes", words->one.changes, "entries of the list changed a second")
+      ->check(CLI::Range(0.0, 1000.0))
+      ->capture_default_str();
+  gateway
+      ->add_option("--rates", words->one.rates,
+                   "requests a second at which the latency added is measured: 100,200,400")
+      ->delimiter(',')
+      ->check(CLI::Range(1.0, 100'000.0));
+  gateway->add_option("--commit", words->one.commit, "kept in the figures as given");
+  gateway->add_option("--json", words->json, "write the figures here");
+  gateway->footer(
+      "Exit codes: 0 measured, 1 broken or void (the lab itself was late), 2 wrong usage.\n\n"
+      "Examples:\n"
+      "  paddlestile lab gateway --hosts 20000 --tenants 500 --json gateway.json\n"
+      "  paddlestile lab gateway --rates 500,1000,2000,4000 --seconds 5");
+
   CLI::App* const world = lab->add_subcommand(
       "world", "Play the bank's deciders in simulated time, a schedule of faults a seed");
   world->add_option("--schedules", words->worlds.schedules, "how many, each with the next seed")
@@ -258,12 +365,68 @@
   world->add_option("--mischief", words->mischief, "members that break a term on purpose")
       ->check(CLI::IsMember(mischiefs))
       ->capture_default_str();
+  world->add_option("--changes", words->changes, "whole, as deltas, or by turns")
+      ->check(CLI::IsMember({"mixed", "whole", "delta"}))
+      ->capture_default_str();
   world->add_flag("--trace", words->worlds.world.trace, "say what happens, on standard error");
   world->footer(
       "Exit codes: 0 all held, 1 a term was broken: each seed with the command that plays it.\n\n"
       "Examples:\n  paddlestile lab world --schedules 100000 --jobs 8\n"
       "  paddlestile lab world --schedules 100 --mischief acts-on");
 
+  CLI::App* const scale = lab->add_subcommand(
+      "scale", "Play a bank of many members, most of them hollow, and take its figures");
+  scale->add_option("--members", words->scale.members, "in all, five of them vote")->required();
+  scale->add_option("--real", words->scale.real,
+                    "of them, as processes of their own; 8 where none is given");
+  scale->add_option("--tenants", words->scale.tenants, "quotas that each version holds")
+      ->check(CLI::Range(0, 1'000'000));
+  scale->add_option("--seconds", words->scale.seconds, "from all linked to the end")
+      ->check(CLI::Range(kScaleLeastSeconds, 3600.0))
+      ->capture_default_str();
+  scale->add_option("--seed", words->scale.seed, "of who restarts, is cut off and stops")
+      ->capture_default_str();
+  scale->add_option("--rate", words->scale.rate, "requests a second, over the real ones")
+      ->check(CLI::Range(1.0, 100'000.0))
+      ->capture_default_str();
+  scale->add_flag("--leader-dies", words->scale.leader_dies, "while others restart");
+  scale->add_option("--commit", words->scale.commit, "of what is played, kept in the figures");
+  scale->add_flag("--deltas", words->scale.deltas, "changes go as deltas of the version before");
+  scale->add_flag("--calm", words->scale.calm, "nobody restarts, is cut off or stops");
+  scale->add_option("--json", words->json, "write the figures here");
+  scale->add_option("--logs", words->logs, "a folder to keep the gateways' logs in")
+      ->check(CLI::ExistingDirectory);
+  scale->footer(
+      "Exit codes: 0 held, 1 broken or void (the machine was too busy), 2 wrong usage.\n\n"
+      "Example:\n  paddlestile lab scale --members 400 --seed 3 --json scale.json");
+
+  // Of `lab scale` alone.
+  CLI::App* const hollow = lab->add_subcommand("hollow", "Hollow members of a bank")->group("");
+  hollow->add_option("--operator", words->hollow.operator_file)->required();
+  hollow->add_option("--first", words->hollow.first)->required();
+  hollow->add_option("--count", words->hollow.count)->required();
+  hollow->add_option("--book", words->hollow.book)->required();
+  hollow->add_option("--seed", words->hollow.seed);
+  hollow->add_option("--restarts", words->hollow.restarts);
+  hollow->add_option("--cuts", words->hollow.cuts);
+  CLI::App* const capacity = lab->add_subcommand(
+      "capacity", "What the operators' target takes of each role, from committed measurements");
+  capacity->add_option("--target", words->target, "the operators' figures")->capture_default_str();
+  capacity->add_option("--rows", words->rows, "what is weighed")->capture_default_str();
+  capacity->add_option("--slopes", words->slopes, "the lines through the runs")
+      ->capture_default_str();
+  CLI::Option* const fit =
+      capacity->add_option("--fit", words->fit, "make the slopes anew from this folder of runs");
+  capacity->add_option("--page", words->page, "put the tables between the markers of this file")
+      ->excludes(fit);
+  capacity->add_flag("--json", words->as_json, "as JSON instead of tables")
+      ->excludes(fit)
+      ->excludes("--page");
+  capacity->footer(
+      "Exit codes: 0 done, whatever the shares are; 2 wrong usage or a file that is not good.\n\n"
+      "Examples:\n  paddlestile lab capacity --fit lab/capacity/runs\n"
+      "  paddlestile lab capacity --page docs/CAPACITY.md");
+
   return [=] {
     if (!lab->parsed()) return -1;
     try {
@@ -272,6 +435,10 @@
       if (report->parsed()) return Report(*words);
       if (fleet->parsed()) return Fleet(*words);
       if (world->parsed()) return Worlds(*words);
+      if (scale->parsed()) return Scale(*words);
+      if (hollow->parsed()) return RunHollow(words->hollow);
+      if (capacity->parsed()) return words->fit.empty() ? Weigh(*words) : Fit(*words);
+      if (gateway->parsed()) return OneGateway(*words);
       return Bench(*words);
     } catch (const Interrupted& error) {
       fmt::print(stderr, "paddlestile: {}\n", error.what());
@@ -279,6 +446,9 @@
     } catch (const ExperimentError& error) {
       fmt::print(stderr, "{}\n", error.what());
       return kWrongUsage;
+    } catch (const CapacityError& error) {
+      fmt::print(stderr, "{}\n", error.what());
+      return kWrongUsage;
     } catch (const std::exception& error) {  // a port in use, a file that is no result
       return Fail(error.what());
     }
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -592,6 +592,13 @@
       b.ReadS("quiet_last_s", e.bank.quiet_last);
       b.Read("drains", e.bank.drains);
       b.Read("effects", e.bank.effects);
+      b.Read<size_t>("hollow", e.bank.hollow, 0, 5000);
+      b.Read<size_t>("hollow_restarts", e.bank.hollow_restarts, 0, 5000);
+      b.Read<size_t>("hollow_cuts", e.bank.hollow_cuts, 0, 5000);
+      b.Read("hollow_stalls", e.bank.hollow_stalls);
+      b.ReadS("hollow_faults_at_s", e.bank.hollow_faults_at);
+      b.Read("deltas", e.bank.deltas);
+      b.Read<size_t>("version_tenants", e.bank.version_tenants, 0, 70'000);
       if (b.Get("clocks") != nullptr) {
         b.One("clocks", [&](Table& clocks) {
           for (size_t i = 0; i < e.gateway.count; ++i) {
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -203,7 +203,16 @@
   Duration quiet_last{4'000'000};                 // no change is submitted so long before the end
   bool drains = false;                            // what gateways do that have lost the bank
   bool effects = true;                            // changes let a class be sent once, too
+  bool deltas = false;                            // changes go by their own size
+  size_t version_tenants = 0;                     // that each version holds
   std::vector<std::pair<size_t, double>> clocks;  // gateways whose clock runs faster by a factor
+  // Members that follow and serve nobody, many to a process (hollow.h); and what befalls them at
+  // `hollow_faults_at`: so many restart, so many lose their links, a tenth is stopped by turns.
+  size_t hollow = 0, hollow_restarts = 0, hollow_cuts = 0;
+  bool hollow_stalls = false;
+  Duration hollow_faults_at{0};
+  bool measured = false;    // all of its members are waited for, and figures are taken (lab scale)
+  Duration quiet_first{0};  // no change is submitted before; idle figures are taken then
 };
 
 struct Experiment {
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -78,9 +78,11 @@
   return ended_;
 }
 
-Process::Usage Process::Measure() const {
+Process::Usage Process::Measure() const { return Measure(fmt::format("/proc/{}", pid_)); }
+Process::Usage Process::Own() { return Measure("/proc/self"); }
+
+Process::Usage Process::Measure(const std::string& proc) {
   Usage usage;
-  const std::string proc = fmt::format("/proc/{}", pid_);
   std::error_code error;
   for (const auto& task : fs::directory_iterator(proc + "/task", error)) {
     std::ifstream schedule(task.path() / "schedstat");
--- a/src/lab/process.h
+++ b/src/lab/process.h
@@ -33,9 +33,11 @@
     uint64_t descriptors = 0;
   };
   [[nodiscard]] Usage Measure() const;
+  [[nodiscard]] static Usage Own();  // of this process
   [[nodiscard]] pid_t pid() const { return pid_; }
 
  private:
+  static Usage Measure(const std::string& proc);
   pid_t pid_ = -1;
   std::optional<int> ended_;
 };
--- a/src/lab/result.cpp
+++ b/src/lab/result.cpp
@@ -57,6 +57,7 @@
     }
   }
   r.broken.insert(r.broken.end(), r.bank.broken.begin(), r.bank.broken.end());
+  r.broken.insert(r.broken.end(), r.scale.broken.begin(), r.scale.broken.end());
   const auto least = [&](const std::optional<double>& bound, double value, std::string_view name) {
     if (bound && value < *bound) {
       r.broken.push_back(fmt::format("must: {} {:.4g}, at least {:.4g}", name, value, *bound));
--- a/src/lab/result.h
+++ b/src/lab/result.h
@@ -11,6 +11,7 @@
 #include "lab/bank_judge.h"
 #include "lab/experiment.h"
 #include "lab/ledger.h"
+#include "lab/scale_figures.h"
 
 namespace paddlestile::lab {
 
@@ -42,6 +43,7 @@
   std::vector<std::string> late;    // why this is no verdict: the lab itself was late
   Ledger::Counts counts;
   BankResult bank;
+  ScaleFigures scale;
   uint64_t arrivals_digest = 0;
   double worst_10s = 1;  // the least share of the worth over ten seconds in a row
   uint32_t p50_us = 0, p99_us = 0, p999_us = 0;
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -2,8 +2,6 @@
 
 #include <fmt/format.h>
 #include <sys/resource.h>
-#include <sys/signalfd.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -24,6 +22,7 @@
 #include "lab/listener.h"
 #include "lab/load.h"
 #include "lab/process.h"
+#include "lab/signal_watch.h"
 #include "net/event_loop.h"
 #include "net/http.h"
 #include "net/stream.h"
@@ -33,21 +32,22 @@
 
 using std::chrono::seconds;
 
-constexpr size_t kGatewayPlaces = 40'000;     // addresses behind those of the sources
-constexpr Duration kUpWithin{10'000'000};     // us; for a gateway to come up
-constexpr Duration kHangAfter{3'000'000};     // us; without an answer to /_health
-constexpr Duration kHealthEvery{500'000};     // us
-constexpr Duration kFrontTakesOut{300'000};   // us; after SIGTERM
-constexpr Duration kFrontNotices{1'000'000};  // us; that one has died
-constexpr Duration kSampleEvery{250'000};     // us
-constexpr Duration kLagEvery{5'000};          // us
-constexpr Duration kLookEvery{20'000};        // us; at the ledger and the processes
-constexpr Duration kLagSpan{1'000'000};       // us; lateness is excused for so long after it
-constexpr Duration kEndSpare{3'000'000};      // us; beyond the last deadline
-constexpr Duration kEmptyWithin{4'000'000};   // us; after an operator's drain
-constexpr Duration kBackWithin{2'000'000};    // us; after its end
-constexpr Duration kNewWithin{6'000'000};     // us; for a new process to say yes
-constexpr Duration kOperateAgain{50'000};     // us; between two of an operator's calls
+constexpr size_t kGatewayPlaces = 40'000;      // addresses behind those of the sources
+constexpr Duration kUpWithin{10'000'000};      // us; for a gateway to come up
+constexpr Duration kLinkedWithin{60'000'000};  // us; for a bank to be formed and linked
+constexpr Duration kHangAfter{3'000'000};      // us; without an answer to /_health
+constexpr Duration kHealthEvery{500'000};      // us
+constexpr Duration kFrontTakesOut{300'000};    // us; after SIGTERM
+constexpr Duration kFrontNotices{1'000'000};   // us; that one has died
+constexpr Duration kSampleEvery{250'000};      // us
+constexpr Duration kLagEvery{5'000};           // us
+constexpr Duration kLookEvery{20'000};         // us; at the ledger and the processes
+constexpr Duration kLagSpan{1'000'000};        // us; lateness is excused for so long after it
+constexpr Duration kEndSpare{3'000'000};       // us; beyond the last deadline
+constexpr Duration kEmptyWithin{4'000'000};    // us; after an operator's drain
+constexpr Duration kBackWithin{2'000'000};     // us; after its end
+constexpr Duration kNewWithin{6'000'000};      // us; for a new process to say yes
+constexpr Duration kOperateAgain{50'000};      // us; between two of an operator's calls
 constexpr size_t kTailLines = 20;
 
 double Seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
@@ -88,37 +88,6 @@
   bool told_ = false;
 };
 
-class SignalWatch final : public net::EventLoop::Handler {
- public:
-  SignalWatch(net::EventLoop& loop, std::function<void()> then)
-      : loop_(loop), then_(std::move(then)) {
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGINT);
-    sigaddset(&set, SIGTERM);
-    sigprocmask(SIG_BLOCK, &set, &before_);
-    fd_ = net::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
-    loop_.Watch(fd_.get(), this, token_);
-  }
-  SignalWatch(const SignalWatch&) = delete;
-  SignalWatch& operator=(const SignalWatch&) = delete;
-  virtual ~SignalWatch() {
-    loop_.Unwatch(fd_.get(), token_);
-    sigprocmask(SIG_SETMASK, &before_, nullptr);
-  }
-  void OnEvents(uint32_t) override {
-    signalfd_siginfo info{};
-    while (read(fd_.get(), &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) then_();
-  }
-
- private:
-  net::EventLoop& loop_;
-  std::function<void()> then_;
-  net::Fd fd_;
-  uint64_t token_ = 0;
-  sigset_t before_{};
-};
-
 struct GatewayState {
   net::Address address;
   std::string config_path, log_path;
@@ -165,6 +134,7 @@
       }
       for (size_t i = 0; i < e_.gateway.count; ++i) StartGateway(i);
       if (!AwaitGateways()) return Finish();
+      if (bank_ && (e_.bank.measured || e_.bank.hollow > 0) && !AwaitBank()) return Finish();
     }
     load_ = std::make_unique<Load>(loop_, e_, ledger_, seed_ ^ 0x10ad, targets);
     if (options_.straight) result_.faults.clear();
@@ -314,6 +284,25 @@
     throw Interrupted("interrupted; nothing is left running");
   }
 
+  // Until one leads all members of the bank.
+  bool AwaitBank() {
+    bank_->StartHollow([this](size_t i) {
+      const GatewayState& g = gateways_[i];
+      return g.process ? g.process->Measure() : Process::Usage{};
+    });
+    const Time until = loop_.Now() + kLinkedWithin;
+    while (!bank_->Linked()) {
+      if (interrupted_) throw Interrupted("interrupted; nothing is left running");
+      if (loop_.Now() > until) {
+        result_.broken.emplace_back("nobody led all members of the bank within 60 s");
+        AddLogs();
+        return false;
+      }
+      loop_.RunOnce(Duration(10'000));
+    }
+    return true;
+  }
+
   void AskHealth(size_t i) {
     GatewayState& g = gateways_[i];
     g.asked = loop_.Now();
@@ -672,7 +661,10 @@
     }
     double cpu = 0;
     for (GatewayState& g : gateways_) cpu += g.cpu_before + g.used.cpu_us;
-    if (bank_ && zero_ > Time(0)) result_.bank = bank_->Finish(now);
+    if (bank_ && zero_ > Time(0)) {
+      result_.bank = bank_->Finish(now);
+      result_.scale = bank_->FinishScale();
+    }
     StopGateways();
     Result& r = result_;
     r.experiment = e_.name;
--- /dev/null
+++ b/src/lab/scale_figures.cpp
@@ -0,0 +1,113 @@
+#include "lab/scale_figures.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+
+namespace paddlestile::lab {
+namespace {
+
+constexpr size_t kBrokenMost = 10;
+using What = HollowLine::What;
+
+double Ms(Duration d) { return static_cast<double>(d.count()) / 1000; }
+
+double At(std::vector<double>& of, double part) {
+  if (of.empty()) return 0;
+  std::ranges::sort(of);
+  return of[static_cast<size_t>(part * static_cast<double>(of.size() - 1))];
+}
+
+bool Acts(const HollowLine& line, uint64_t version) {
+  return line.what == What::kAgreed && line.on >= version;
+}
+
+}  // namespace
+
+void JudgeHollow(std::vector<HollowLine> lines, const std::vector<ToldChange>& changes,
+                 const HollowTerms& terms, ScaleFigures& figures) {
+  const auto breaks = [&](std::string what) {
+    if (figures.broken.size() < kBrokenMost) figures.broken.push_back("scale: " + std::move(what));
+  };
+  std::ranges::stable_sort(lines, {}, &HollowLine::at);
+  std::vector<std::vector<HollowLine>> by_member(terms.hollow);
+  std::map<uint64_t, Duration> first;  // when the first acted on a version or a later one
+  for (const HollowLine& line : lines) {
+    if (line.member >= terms.hollow) {
+      breaks(fmt::format("a line of member {}, expected one below {}", line.member, terms.hollow));
+      continue;
+    }
+    by_member[line.member].push_back(line);
+    if (line.what == What::kAgreed) first.emplace(line.on, line.at);
+  }
+  uint64_t last = 0;
+  for (const ToldChange& c : changes) last = std::max(last, c.version);
+
+  std::vector<double> in_force;
+  for (size_t m = 0; m < terms.hollow; ++m) {
+    const std::vector<HollowLine>& of = by_member[m];
+    if (of.empty() || of.back().what == What::kDown) {
+      breaks(fmt::format("level: {} is not there at the end", HollowName(m)));
+      continue;
+    }
+    if (Acts(of.back(), last) && of.back().on == last) {
+      ++figures.members_in_force;
+    } else {
+      breaks(fmt::format("level: {} is at version {} of {} at the end", HollowName(m), of.back().on,
+                         last));
+    }
+    for (const ToldChange& c : changes) {
+      const auto from = std::ranges::find_if(
+          of, [&](const HollowLine& l) { return l.at >= c.submitted && Acts(l, c.version); });
+      if (from == of.end()) continue;  // told above, where it stays so
+      if (c.submitted < terms.from) continue;
+      if (c.submitted < terms.faults) {
+        in_force.push_back(Ms(from->at - c.submitted));
+        continue;
+      }
+      // One that was down meanwhile had as long as it was up.
+      Duration since = c.submitted;
+      for (auto l = of.begin(); l != from; ++l) {
+        if (l->what == What::kUp) since = std::max(since, l->at);
+      }
+      figures.faults_in_force_ms_most =
+          std::max(figures.faults_in_force_ms_most, Ms(from->at - since));
+    }
+    // Those that came back, until they were level with what had been told by then.
+    for (auto up = of.begin(); up != of.end(); ++up) {
+      if (up->what != What::kUp || up == of.begin()) continue;
+      ++figures.returned;
+      uint64_t told = 0;
+      for (const ToldChange& c : changes) {
+        if (c.done <= up->at) told = std::max(told, c.version);
+      }
+      const auto level =
+          std::find_if(up, of.end(), [&](const HollowLine& l) { return Acts(l, told); });
+      if (level != of.end()) {
+        figures.level_ms_most = std::max(figures.level_ms_most, Ms(level->at - up->at));
+      }
+    }
+    // Acted on alone, past the moment at which another acted on a later one.
+    const bool stalled = m >= terms.stalled_from && m < terms.stalled_to;
+    for (size_t i = 0; i < of.size(); ++i) {
+      if (of[i].what != What::kAgreed) continue;
+      const Duration until = i + 1 < of.size() ? of[i + 1].at : terms.end;
+      const auto later = first.upper_bound(of[i].on);
+      if (later == first.end() || until <= later->second) continue;
+      const Duration both = until - std::max(of[i].at, later->second);
+      // A process that was stopped writes its line once it goes on, and acted on nothing meanwhile.
+      const Duration excused = stalled ? terms.stalled : Duration(0);
+      figures.contradiction_ms_most = std::max(figures.contradiction_ms_most, Ms(both - excused));
+      if (both > terms.bound + excused) {
+        breaks(fmt::format("contradiction: {} acted on version {} for {:.0f} ms beside {}",
+                           HollowName(m), of[i].on, Ms(both), later->first));
+      }
+    }
+  }
+  figures.in_force_ms_p50 = At(in_force, 0.5);
+  figures.in_force_ms_p99 = At(in_force, 0.99);
+  figures.in_force_ms_most = At(in_force, 1);
+}
+
+}  // namespace paddlestile::lab
--- /dev/null
+++ b/src/lab/signal_watch.h
@@ -0,0 +1,50 @@
+// SIGINT and SIGTERM as events on the loop, for as long as this lives.
+#ifndef PADDLESTILE_LAB_SIGNAL_WATCH_H_
+#define PADDLESTILE_LAB_SIGNAL_WATCH_H_
+
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdint>
+#include <functional>
+#include <utility>
+
+#include "net/event_loop.h"
+
+namespace paddlestile::lab {
+
+class SignalWatch final : public net::EventLoop::Handler {
+ public:
+  SignalWatch(net::EventLoop& loop, std::function<void()> then)
+      : loop_(loop), then_(std::move(then)) {
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGTERM);
+    sigprocmask(SIG_BLOCK, &set, &before_);
+    fd_ = net::Fd(signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+    loop_.Watch(fd_.get(), this, token_);
+  }
+  SignalWatch(const SignalWatch&) = delete;
+  SignalWatch& operator=(const SignalWatch&) = delete;
+  virtual ~SignalWatch() {
+    loop_.Unwatch(fd_.get(), token_);
+    sigprocmask(SIG_SETMASK, &before_, nullptr);
+  }
+  void OnEvents(uint32_t) override {
+    signalfd_siginfo info{};
+    while (read(fd_.get(), &info, sizeof(info)) == static_cast<ssize_t>(sizeof(info))) then_();
+  }
+
+ private:
+  net::EventLoop& loop_;
+  std::function<void()> then_;
+  net::Fd fd_;
+  uint64_t token_ = 0;
+  sigset_t before_{};
+};
+
+}  // namespace paddlestile::lab
+
+#endif  // PADDLESTILE_LAB_SIGNAL_WATCH_H_
--- a/src/net/bank_commands.cpp
+++ b/src/net/bank_commands.cpp
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "bank/codec.h"
+#include "bank/delta.h"
 #include "net/bank_config.h"
 #include "net/buffer.h"
 #include "net/membership.h"
@@ -45,7 +46,7 @@
   std::optional<uint64_t> expect;
   uint64_t a = 0, b = 0;
   double within = 10;
-  bool as_json = false;
+  bool as_json = false, delta = false;
 };
 
 int Say(int code, const std::string& text) {
@@ -83,7 +84,7 @@
   json all = json::array();
   bool any = false;
   for (const Address& at : Places(w)) {
-    auto answer = CallMember(at, {{"what", "status"}}, kCallWithin);
+    auto answer = CallMember(at, StatusCall(), kCallWithin);
     any = any || answer.has_value();
     json one = answer ? std::move(*answer) : json{{"error", "no answer"}};
     one["address"] = ToText(at);
@@ -108,6 +109,11 @@
         leader.empty() ? fmt::format("nobody has led for {} ms", one["no_leader_ms"].get<int64_t>())
                        : leader + " leads",
         one["lease_ms"].get<int64_t>(), one["disk"].get<std::string>());
+    // One of an earlier program tells nothing of it.
+    if (!one.contains("changes")) continue;
+    fmt::print("{:<10} {:<21} changes {}; the last one {} bytes, the version {}; content {}\n", "",
+               "", one["changes"].get<std::string>(), one["change_bytes"].get<uint64_t>(),
+               one["version_bytes"].get<uint64_t>(), one["content"].get<std::string>());
   }
   for (const json& one : all) {
     if (one.contains("error")) continue;
@@ -120,7 +126,10 @@
 }
 
 int History(const Words& w) {
-  const auto answer = AskAny(w, {{"what", "history"}});
+  // The versions' texts may be many and large, and are shown as JSON alone.
+  json call = {{"what", "history"}};
+  if (!w.as_json) call["texts"] = json::array();
+  const auto answer = AskAny(w, call);
   if (!answer) return Nobody();
   if (w.as_json) {
     fmt::print("{}\n", (*answer)["versions"].dump(2));
@@ -138,13 +147,13 @@
 
 // Line by line of the two as indented JSON: what one has and the other has not.
 int Diff(const Words& w) {
-  const auto answer = AskAny(w, {{"what", "history"}});
+  const uint64_t wanted[2] = {w.a, w.b};
+  const auto answer = AskAny(w, {{"what", "history"}, {"texts", wanted}});
   if (!answer) return Nobody();
   json rules[2];
-  const uint64_t wanted[2] = {w.a, w.b};
   for (int i = 0; i < 2; ++i) {
     if (wanted[i] == 0) {
-      rules[i] = json::parse(bank::ToText({}));
+      rules[i] = json::parse(bank::ToText(bank::Rules()));
       continue;
     }
     bool found = false;
@@ -170,8 +179,9 @@
     if (op != "add") fmt::print("- {} {}\n", path, rules[0][at].dump());
     if (op != "remove") fmt::print("+ {} {}\n", path, step["value"].dump());
   }
-  for (const std::string& why :
-       bank::Contradictions(bank::ParseRules(rules[0].dump()), bank::ParseRules(rules[1].dump()))) {
+  const bank::Content contents[] = {bank::ParseVersion(rules[0].dump()),
+                                    bank::ParseVersion(rules[1].dump())};
+  for (const std::string& why : bank::Contradictions(contents[0], contents[1])) {
     fmt::print("contradicts: {}\n", why);
   }
   return kDone;
@@ -228,7 +238,9 @@
   wish.change.rules =
       std::string((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
   if (!file) return Say(kWrongUsage, w.file + ": cannot read it, expected a file of rules (JSON)");
-  const std::vector<std::string> faults = bank::CheckRules(wish.change.rules);
+  wish.change.delta = w.delta;
+  const std::vector<std::string> faults =
+      w.delta ? bank::CheckDelta(wish.change.rules) : bank::CheckRules(wish.change.rules);
   for (const std::string& fault : faults) fmt::print(stderr, "{}: {}\n", w.file, fault);
   if (!faults.empty()) return kWrongUsage;
   wish.change.id = w.id;
@@ -257,6 +269,8 @@
 
 }  // namespace
 
+json StatusCall() { return {{"what", "status"}}; }
+
 std::optional<json> CallMember(const Address& at, const json& call, Duration within) {
   const Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   const timeval limit{within.count() / 1'000'000, within.count() % 1'000'000};
@@ -328,10 +342,12 @@
   diff->add_option("A", w->a, "a version; 0: nothing agreed")->required();
   diff->add_option("B", w->b, "another")->required();
   CLI::App* const change = submits(command(
-      bank, "change", "Submit a whole new version",
+      bank, "change", "Submit a whole new version, or a delta to the latest",
       "  paddlestile bank change rules.json --operator bank.toml --reason 'h-3 burns' --expect 4"));
   change->add_option("FILE", w->file, "settings, barred, drain, zone_only (JSON)")->required();
   change->add_option("--expect", w->expect, "refuse where another version is the latest");
+  change->add_flag("--delta", w->delta,
+                   "FILE tells what to set and remove in the latest version (changes = \"delta\")");
   CLI::App* const voters = bank->add_subcommand("voters", "Who votes");
   voters->require_subcommand(1);
   CLI::App* const add = submits(command(voters, "add", "Let a member vote",
--- a/src/net/bank_commands.h
+++ b/src/net/bank_commands.h
@@ -18,6 +18,9 @@
 std::optional<nlohmann::json> CallMember(const Address& at, const nlohmann::json& call,
                                          Duration within);
 
+// The call that asks a member for its state.
+nlohmann::json StatusCall();
+
 // Adds the commands; what it gives runs the one that was parsed: an exit code, or -1 for none.
 std::function<int()> AddBankCommands(CLI::App& app);
 
--- a/src/net/bank_config.cpp
+++ b/src/net/bank_config.cpp
@@ -92,7 +92,7 @@
   read.Known(file, "", {"bank"});
   read.Known(*bank, "bank.",
              {"name", "folder", "heartbeat_ms", "election_ms", "lease_ms", "clock_rate",
-              "when_lost", "members", "lab_clock_factor", "lab_disk"});
+              "when_lost", "changes", "members", "lab_clock_factor", "lab_disk"});
   config.bank = read.Text(*bank, "name", "bank.name");
   config.folder = read.Text(*bank, "folder", "bank.folder");
   double heartbeat = 100, election = 500, lease = 1000;
@@ -120,6 +120,13 @@
     }
     config.when_lost = word == "drain" ? WhenLost::kDrain : WhenLost::kServe;
   }
+  if (const toml::node* const changes = bank->get("changes")) {
+    const std::string word = changes->value<std::string>().value_or("");
+    if (word != "whole" && word != "delta") {
+      read.Fault(changes, "bank.changes", fmt::format("'{}'", word), "whole or delta");
+    }
+    config.changes = word == "delta" ? ChangeForm::kDelta : ChangeForm::kWhole;
+  }
   const toml::array* const members = (*bank)["members"].as_array();
   if (members == nullptr || members->empty()) {
     read.Fault(bank->get("members"), "bank.members", "missing", "[[bank.members]], one each");
--- a/src/net/bank_config.h
+++ b/src/net/bank_config.h
@@ -18,6 +18,9 @@
   kDrain   // empties itself and gives up what comes, until it is in touch again
 };
 
+// How a leader proposes a version: as a whole, or by what differs from the one before.
+enum class ChangeForm { kWhole, kDelta };
+
 struct BankConfig {
   std::string path, bank;
   std::string folder;  // of this member, `{name}` replaced
@@ -29,6 +32,7 @@
   std::map<std::string, Seat> members;
   bank::Timing timing;
   WhenLost when_lost = WhenLost::kServe;
+  ChangeForm changes = ChangeForm::kWhole;
   // Of a lab: this process's clock runs so much faster; what its disk does, see controlled_files.h.
   double clock_factor = 1;
   std::string disk_control;
--- a/src/net/config.cpp
+++ b/src/net/config.cpp
@@ -169,6 +169,24 @@
   }
 }
 
+void TakeSettings(const Json& settings, Config& config) {
+  config.settings = wire::ParseSettings(FlattenSettings(settings));
+  AddNames(settings, "Classes", config.names.classes);
+  AddNames(settings, "Tenants", config.names.tenants);
+  AddNames(settings, "FailureDomains", config.names.zones);
+  AddNames(settings, "Kinds", config.names.kinds);
+  if (const Json* const stats = settings.Find("Stats")) {
+    if (const Json* const fields = stats->Find("Fields")) {
+      for (const Json& field : fields->items()) config.names.report_fields.push_back(field.text());
+    }
+  }
+  if (const Json* const allowed = settings.Find("Allowed")) {
+    if (const Json* const idle = allowed->Find("IdleClose"); idle && idle->number() > 0) {
+      config.idle_close = Duration(std::llround(std::fmin(idle->number(), 1e9) * 1000));
+    }
+  }
+}
+
 Config ParseConfig(const Json& json, const std::function<Time(double)>& from_wall) {
   Config config;
   const std::string& seed = json.Need("seed", Json::Type::kString).text();
@@ -186,31 +204,24 @@
       config.sockets = static_cast<size_t>(sockets->number());
     }
   }
-  const Json& settings = json.Need("settings", Json::Type::kObject);
-  config.settings = wire::ParseSettings(FlattenSettings(settings));
-  AddNames(settings, "Classes", config.names.classes);
-  AddNames(settings, "Tenants", config.names.tenants);
-  AddNames(settings, "FailureDomains", config.names.zones);
-  AddNames(settings, "Kinds", config.names.kinds);
-  if (const Json* const stats = settings.Find("Stats")) {
-    if (const Json* const fields = stats->Find("Fields")) {
-      for (const Json& field : fields->items()) config.names.report_fields.push_back(field.text());
-    }
-  }
-  if (const Json* const allowed = settings.Find("Allowed")) {
-    if (const Json* const idle = allowed->Find("IdleClose"); idle && idle->number() > 0) {
-      config.idle_close = Duration(std::llround(std::fmin(idle->number(), 1e9) * 1000));
-    }
-  }
+  TakeSettings(json.Need("settings", Json::Type::kObject), config);
   CollectKeys("", json, config.keys);
   config.known = ParseHostList(json.Need("known", Json::Type::kObject), config.names, from_wall);
   return config;
 }
 
 // The new settings with the places of those that run. What has vanished keeps its last words.
+constexpr Duration kTakenOn{1'000'000};  // us; for what was on its way
+constexpr ptrdiff_t kGoneMost = 1024;    // names whose places stay, as requests may have them
+
+// What goes takes no more room; what is new takes some beside those that are gone.
+void CheckGone(std::string_view what, bool grows, ptrdiff_t gone) {
+  if (!grows || gone <= kGoneMost) return;
+  throw ConfigError(
+      fmt::format("over {} {} gone since the start, expected a restart", kGoneMost, what));
+}
+
 void KeepPlaces(const Config& was, Time now, Config& config) {
-  constexpr Duration kTakenOn{1'000'000};  // us; for what was on its way
-  constexpr size_t kMostNames = 1024;
   const auto keep = [&](std::string_view what, const NameTable& old, NameTable& table, auto& values,
                         const auto& old_values, std::vector<Time>& until,
                         const std::vector<Time>& old_until) {
@@ -229,10 +240,8 @@
       kept[at] = values[place];
       over[at] = Time::max();
     }
-    if (merged.size() > kMostNames) {
-      throw ConfigError(
-          fmt::format("over {} {} since the start, expected a restart", kMostNames, what));
-    }
+    CheckGone(what, merged.size() > old.size(),
+              std::ssize(over) - std::ranges::count(over, Time::max()));
     table = std::move(merged);
     values = std::move(kept);
     until = std::move(over);
@@ -302,9 +311,14 @@
                      address.host >> 8 & 255, address.host & 255, address.port);
 }
 
+void NameTable::Add(std::string name) {
+  if (places_.use_count() > 1) places_ = std::make_shared<Places>(*places_);
+  places_->emplace(std::move(name), size_++);
+}
+
 size_t NameTable::Find(std::string_view name) const {
-  const auto at = places_.find(name);
-  return at == places_.end() ? size_ : at->second;
+  const auto at = places_->find(name);
+  return at == places_->end() ? size_ : at->second;
 }
 
 HostList ParseHostList(const Json& json, const Names& names,
@@ -392,18 +406,119 @@
   }
 }
 
-Config WithRules(const Config& file, const Config& was, const bank::Rules& rules, Time now,
-                 const std::function<Time(double)>& from_wall) {
+namespace {
+
+bool IsThere(const std::vector<Time>& until, size_t place) {
+  return place >= until.size() || until[place] == Time::max();
+}
+
+}  // namespace
+
+void CheckTenants(const std::vector<TenantChange>& changes, const Config& config) {
+  const NameTable& table = config.names.tenants;
+  const std::vector<Time>& until = config.names.tenants_until;
+  bool grows = false;
+  ptrdiff_t gone = 0;  // more of them
+  for (const auto& [name, figures] : changes) {
+    // What the settings would be refused for.
+    if (figures && !(figures->share >= 0)) {
+      throw ConfigError(
+          fmt::format("setting out of range: Tenants.{}.Share, expected 0 or more", name));
+    }
+    const size_t place = table.Find(name);
+    grows = grows || (place == table.size() && figures);
+    if (place == table.size() || IsThere(until, place) == figures.has_value()) continue;
+    gone += figures ? -1 : 1;
+  }
+  if (!grows) return;
+  CheckGone("tenants", grows, std::ssize(until) - std::ranges::count(until, Time::max()) + gone);
+}
+
+void ChangeTenants(const std::vector<TenantChange>& changes, Time now, Config& config) {
+  CheckTenants(changes, config);
+  NameTable& table = config.names.tenants;
+  std::vector<Time>& until = config.names.tenants_until;
+  for (const auto& [name, figures] : changes) {
+    const size_t place = table.Find(name);
+    if (place == table.size()) {
+      if (!figures) continue;
+      table.Add(name);
+      config.settings.tenants.emplace_back();
+    }
+    if (figures) config.settings.tenants.at(place) = *figures;
+    if (IsThere(until, place) == figures.has_value()) continue;
+    until.resize(table.size(), Time::max());
+    until[place] = figures ? Time::max() : now + kTakenOn;
+  }
+}
+
+std::optional<std::vector<TenantChange>> SettingsUnderRules::TenantsChanged(
+    const bank::Content& was, const bank::Content& rules) {
+  if (was.strict != rules.strict || was.settings != rules.settings ||
+      was.classes != rules.classes || was.tenants.has_value() != rules.tenants.has_value()) {
+    return std::nullopt;
+  }
+  std::vector<TenantChange> changes;
+  if (!rules.tenants) return changes;
+  std::string list;
+  bank::Parts::ForEachDifference(
+      *was.tenants, *rules.tenants,
+      [&](const std::string& name, const std::string*, const std::string* now) {
+        changes.push_back({name, std::nullopt});
+        if (now != nullptr) {
+          list += (list.empty() ? "" : ",") + *now;
+          changes.back().figures.emplace();
+        }
+      });
+  try {
+    if (list.empty()) return changes;
+    const Json json = Json::Parse(fmt::format("{{\"Tenants\":[{}]}}", list));
+    const std::vector<Tenant> figures = wire::ParseSettings(FlattenSettings(json)).tenants;
+    size_t next = 0;
+    for (TenantChange& change : changes) {
+      if (change.figures) change.figures = figures.at(next++);
+    }
+  } catch (const std::exception& error) {
+    throw ConfigError(fmt::format("bank: {}", error.what()));
+  }
+  return changes;
+}
+
+SettingsUnderRules::SettingsUnderRules(const Config& file) : discovery_(file.discovery) {
+  try {
+    settings_ = nlohmann::json::parse(file.text).at("settings");
+  } catch (const std::exception& error) {
+    throw ConfigError(fmt::format("LB_CONFIG: {}: {}", file.path, error.what()));
+  }
+}
+
+Config SettingsUnderRules::Whole(const bank::Content& rules, const Config& was, Time now) const {
+  nlohmann::json settings = settings_;
+  settings.merge_patch(rules.ToRules().settings);
+  Config config;
+  TakeSettings(Json::Parse(settings.dump()), config);
+  CheckWhole(config);
+  config.path = was.path;
+  config.name = was.name;
+  config.listen = was.listen;
+  config.discovery = discovery_;
+  config.admin = was.admin;
+  config.seed = was.seed;
+  config.sockets = was.sockets;
+  KeepPlaces(was, now, config);
+  if (!rules.strict) return config;
+  for (RequestClass& c : config.settings.classes) c.effect = Effect::kUnsafe;
+  config.settings.allowed.send_cap = 1;
+  return config;
+}
+
+Config SettingsUnderRules::With(const bank::Content& rules, const Config& was,
+                                const bank::Content* was_rules, Time now) const {
   try {
-    nlohmann::json json = nlohmann::json::parse(file.text);
-    json["settings"].merge_patch(rules.settings);
-    Config config = ParseAgain(json.dump(), was, {}, now, from_wall);
-    config.discovery = file.discovery;
-    config.keys = file.keys;
-    config.text = file.text;
-    if (!rules.strict) return config;
-    for (RequestClass& c : config.settings.classes) c.effect = Effect::kUnsafe;
-    config.settings.allowed.send_cap = 1;
+    const auto changes = was_rules == nullptr ? std::nullopt : TenantsChanged(*was_rules, rules);
+    if (!changes) return Whole(rules, was, now);
+    Config config = was;
+    ChangeTenants(*changes, now, config);
     return config;
   } catch (const std::exception& error) {
     throw ConfigError(fmt::format("bank: {}", error.what()));
--- a/src/net/config.h
+++ b/src/net/config.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <stdexcept>
@@ -13,7 +14,7 @@
 #include <string_view>
 #include <vector>
 
-#include "bank/rules.h"
+#include "bank/content.h"
 #include "brain.h"
 #include "net/json.h"
 
@@ -34,18 +35,21 @@
 Address ParseAddress(std::string_view text);
 std::string ToText(const Address& address);
 
-// The names that the sockets use, with their places in the settings' lists.
+// The names that the sockets use, with their places in the settings' lists. A copy shares them
+// until one of the two gets another name: settings are copied at each change, and their names are
+// many and rarely new.
 class NameTable {
  public:
+  using Places = std::map<std::string, size_t, std::less<>>;
   // The next place; a name that stands there twice keeps its first, and those behind it theirs.
-  void Add(std::string name) { places_.emplace(std::move(name), size_++); }
+  void Add(std::string name);
   // The place of a name, or size() for one that is not there.
   [[nodiscard]] size_t Find(std::string_view name) const;
   [[nodiscard]] size_t size() const { return size_; }
-  [[nodiscard]] const std::map<std::string, size_t, std::less<>>& places() const { return places_; }
+  [[nodiscard]] const Places& places() const { return *places_; }
 
  private:
-  std::map<std::string, size_t, std::less<>> places_;
+  std::shared_ptr<Places> places_ = std::make_shared<Places>();
   size_t size_ = 0;
 };
 
@@ -104,11 +108,46 @@
 // was.
 Config ReadAgain(const Config& was, Time now, const std::function<Time(double)>& from_wall);
 
-// What `file` says under the bank's rules: its settings with theirs laid over them, and where they
-// are strict nothing sent twice. `was` is in force until then. Throws ConfigError where the two
-// make no sense together.
-Config WithRules(const Config& file, const Config& was, const bank::Rules& rules, Time now,
-                 const std::function<Time(double)>& from_wall);
+// A tenant as a version has it; without figures: it is gone.
+struct TenantChange {
+  std::string name;
+  std::optional<Tenant> figures;
+};
+
+// Throws ConfigError where `config` cannot take these.
+void CheckTenants(const std::vector<TenantChange>& changes, const Config& config);
+
+// `config` with these, as if all of its settings had been read again: places stay, new names come
+// behind them, and who is gone is taken for a while more. Throws ConfigError, and then changes
+// nothing.
+void ChangeTenants(const std::vector<TenantChange>& changes, Time now, Config& config);
+
+// A file's settings as the bank's rules are laid over them. They are read once, and its hosts not
+// again: a version takes what its settings take, and one that changes nothing but tenants what
+// those take.
+class SettingsUnderRules {
+ public:
+  // Throws ConfigError where the file's settings cannot be read.
+  explicit SettingsUnderRules(const Config& file);
+
+  // The file's settings with the rules' laid over them, and where those are strict nothing sent
+  // twice. `was` is in force until then, and came of `was_rules` by this function; null: it did
+  // not. Holds no hosts and no text of the file. Throws ConfigError where the two make no sense
+  // together.
+  [[nodiscard]] Config With(const bank::Content& rules, const Config& was,
+                            const bank::Content* was_rules, Time now) const;
+
+  // How the settings of `rules` differ from those of `was`, where it is by tenants alone; nothing
+  // where it is by more. Throws ConfigError where they make no sense.
+  [[nodiscard]] static std::optional<std::vector<TenantChange>> TenantsChanged(
+      const bank::Content& was, const bank::Content& rules);
+
+ private:
+  [[nodiscard]] Config Whole(const bank::Content& rules, const Config& was, Time now) const;
+
+  nlohmann::json settings_;
+  Address discovery_;
+};
 
 // What changed from one to the other, in words for the log; empty where nothing did.
 std::string Changes(const Config& was, const Config& now);
--- a/src/net/gateway.cpp
+++ b/src/net/gateway.cpp
@@ -69,7 +69,7 @@
 
 Gateway::Gateway(EventLoop& loop, Config config, Life& life, Fd handed, bool shared)
     : loop_(loop),
-      config_(std::make_shared<const Config>(std::move(config))),
+      config_(std::make_shared<Config>(std::move(config))),
       life_(life),
       budget_(config_->sockets),
       brain_(config_->settings, config_->seed) {
@@ -94,14 +94,26 @@
 
 void Gateway::Adopt(Config config) {
   CheckSettings(config.settings);
-  config_ = std::make_shared<const Config>(std::move(config));
+  config_ = std::make_shared<Config>(std::move(config));
   longest_ = Duration(0);
   for (const RequestClass& c : config_->settings.classes) longest_ = std::max(longest_, c.deadline);
   servers_->SetOptions(ServerOptions(*config_));
   list_->SetNames(config_->names);
+  TellSettings();
+  list_->Redirect(config_->discovery);
+}
+
+void Gateway::AdoptTenants(const std::vector<TenantChange>& changes) {
+  if (changes.empty()) return;
+  ChangeTenants(changes, loop_.Now(), *config_);
+  TellSettings();
+}
+
+// Ahead of what waits, and alone: earlier ones that wait there would come behind these, and stay.
+void Gateway::TellSettings() {
+  std::erase_if(events_, [](const Event& e) { return std::holds_alternative<Settings>(e); });
   events_.emplace_front(config_->settings);
   Post();
-  list_->Redirect(config_->discovery);
 }
 
 std::string Gateway::Know() const {
@@ -309,13 +321,23 @@
   const std::set<std::string> before = std::exchange(kept_off_, std::move(hosts));
   const bool all_before = std::exchange(all_kept_off_, all);
   Members members{ListKind::kDelta, {}};
-  for (auto& [id, listed] : listed_) {
+  const auto look = [&](const std::string& id, Listed& listed) {
     const bool off = all || kept_off_.contains(id);
-    if (off == (all_before || before.contains(id))) continue;
+    if (off == (all_before || before.contains(id))) return;
     EndpointInfo info = listed.told;
     if (off) info.state = EndpointState::kDraining;
     listed.draining = info.state == EndpointState::kDraining;
     members.entries.push_back(std::move(info));
+  };
+  if (all || all_before) {
+    for (auto& [id, listed] : listed_) look(id, listed);
+  } else {
+    // Only those that are named: a list may be long.
+    std::vector<std::string> differ;
+    std::ranges::set_symmetric_difference(before, kept_off_, std::back_inserter(differ));
+    for (const std::string& id : differ) {
+      if (const auto at = listed_.find(id); at != listed_.end()) look(id, at->second);
+    }
   }
   if (members.entries.empty()) return;
   // Before what waits, so that no event after this call is decided without it; and behind it, as a
--- a/src/net/gateway.h
+++ b/src/net/gateway.h
@@ -40,12 +40,14 @@
   // Takes no longer part after this: serves what still comes, then calls `done`.
   void Drain(std::function<void()> done);
 
-  // What is in force; it changes with Adopt alone, whole.
+  // What is in force; it changes with Adopt and AdoptTenants alone, whole.
   [[nodiscard]] const Config& config() const { return *config_; }
   // For all that comes from now on: new settings and the address of discovery. `config` is one that
   // ReadAgain gave for the present one. Throws std::invalid_argument and changes nothing where the
   // module does not take its settings.
   void Adopt(Config config);
+  // The same where tenants alone change; nothing else is looked at or copied.
+  void AdoptTenants(const std::vector<TenantChange>& changes);
 
   // Hosts that take no further work, whatever the lists say of them, until another call; `all`:
   // every one. What is known of them stays. In force before the next event.
@@ -98,6 +100,7 @@
   void Apply(const Follow& follow);
   void Apply(const FetchList& fetch);
   void Apply(const paddlestile::Log& log);
+  void TellSettings();
   std::shared_ptr<Exchange> FindExchange(const std::string& id);
   // Whether an id was taken within the longest deadline.
   bool IsRecent(const std::string& id);
@@ -110,7 +113,7 @@
   EventLoop& loop_;
   const std::chrono::system_clock::time_point since_ = std::chrono::system_clock::now();
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // what is put off looks at it
-  std::shared_ptr<const Config> config_;
+  std::shared_ptr<Config> config_;
   Life& life_;
   EventLoop::TimerId ready_timer_;
   Descriptors budget_;
--- a/src/net/membership.cpp
+++ b/src/net/membership.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "bank/codec.h"
+#include "bank/delta.h"
 #include "net/log.h"
 #include "store/controlled_files.h"
 #include "store/log.h"
@@ -28,6 +29,7 @@
 constexpr Duration kLookAgain{100'000};  // us; at the folder, while another process has it
 constexpr Duration kRoomAgain{200'000};  // us; while the disk is full
 constexpr size_t kCallsMost = 64;
+constexpr size_t kTextsMost = 2 * bank::kVersionMost;  // bytes of versions in one answer
 
 std::string Packed(const json& value) {
   std::string bytes;
@@ -195,6 +197,7 @@
       gateway_(gateway),
       life_(life),
       file_(std::move(file)),
+      settings_(file_),
       zero_(loop.Now()) {
   if (!config_.disk_control.empty()) controlled_ = store::ControlledFiles(config_.disk_control);
   Disk().MakeFolder(config_.folder);
@@ -207,6 +210,8 @@
     disk = {};  // said when it is opened
   }
   Begin(std::move(disk));
+  // All of it before anything is served: nothing waits yet.
+  while (member_->agreement().Behind()) Tick();
   TakePart();
   Look();
 }
@@ -258,6 +263,7 @@
   Member::Options options;
   options.name = file_.name;
   options.timing = config_.timing;
+  options.deltas = config_.changes == ChangeForm::kDelta;
   for (const auto& [name, seat] : config_.members) {
     if (seat.votes) options.first_voters.insert(name);
   }
@@ -404,9 +410,10 @@
 void Membership::OnFrame(const std::string& name, const json& value) {
   if (!value.is_object()) return;
   if (const auto at = value.find("m"); at != value.end()) {
-    const auto message = bank::ReadMessage(*at);
+    auto message = bank::ReadMessage(*at);
     // Nobody speaks for another.
     if (!message || message->from != name) return;
+    SpoilHeard(*message);
     Run([&](Member& m, Time now, MemberOutput& out) { m.Receive(now, *message, out); });
   }
   if (const auto at = value.find("n"); at != value.end()) {
@@ -418,21 +425,55 @@
 
 // ---- Operators --------------------------------------------------------------------------------
 
-std::string Membership::CannotActOn(const std::string& text) const {
+std::string Membership::CannotActOn(const bank::Content& rules) const {
   try {
-    WithRules(file_, gateway_.config(), bank::ParseRules(text), loop_.Now(),
-              [&](double ms) { return loop_.clock().FromWall(ms); });
+    if (const auto tenants = TenantsFor(rules)) {
+      CheckTenants(*tenants, gateway_.config());
+    } else {
+      static_cast<void>(settings_.With(rules, gateway_.config(), nullptr, loop_.Now()));
+    }
     return {};
   } catch (const std::exception& error) {
     return error.what();
   }
 }
 
+// How the settings in force differ from those of `rules`, where it is by tenants alone.
+std::optional<std::vector<TenantChange>> Membership::TenantsFor(const bank::Content& rules) const {
+  if (!adopted_) return std::nullopt;
+  return SettingsUnderRules::TenantsChanged(*rules_, rules);
+}
+
+// Of a change with faults of its own nothing is said here: the leader names them all.
+std::string Membership::CannotTake(const bank::Change& change) const {
+  try {
+    return CannotActOn(change.delta
+                           ? bank::ApplyDelta(member_->history().latest_content(), change.rules)
+                           : bank::ParseRules(change.rules));
+  } catch (const std::invalid_argument&) {
+    return {};
+  }
+}
+
 void Membership::OnCall(uint64_t call, const json& value) {
   if (!links_) return;
   const std::string what = value.is_object() ? value.value("what", "") : "";
   if (what == "status") return links_->Answer(call, Status());
   if (what == "history") {
+    // The texts that are asked for; where none is named, of as many of the last as a frame bears.
+    const json wanted = value.value("texts", json());
+    const bank::History& history = member_->history();
+    std::map<uint64_t, std::string> texts;
+    size_t bytes = 0;
+    for (auto v = history.versions().rbegin(); v != history.versions().rend(); ++v) {
+      if (!v->content ||
+          (wanted.is_array() && std::ranges::find(wanted, json(v->number)) == wanted.end())) {
+        continue;
+      }
+      bytes += bank::BytesOf(*v->content);
+      if (bytes > kTextsMost) break;
+      texts[v->number] = bank::ToText(*v->content);
+    }
     json all = json::array();
     for (const bank::Version& v : member_->history().versions()) {
       all.push_back({{"version", v.number},
@@ -441,7 +482,7 @@
                      {"reason", v.reason},
                      {"hash", v.hash},
                      {"unix_s", v.unix_s},
-                     {"rules", v.rules},
+                     {"rules", std::move(texts[v.number])},
                      {"on", v.number <= member_->history().on()}});
     }
     return links_->Answer(call, {{"versions", all}});
@@ -449,8 +490,8 @@
   auto wish =
       value.is_object() && value.contains("wish") ? bank::ReadWish(value["wish"]) : std::nullopt;
   if (!wish) return links_->Answer(call, {{"error", "no such call"}});
-  if (wish->kind == bank::Wish::Kind::kChange && bank::CheckRules(wish->change.rules).empty()) {
-    if (const std::string why = CannotActOn(wish->change.rules); !why.empty()) {
+  if (wish->kind == bank::Wish::Kind::kChange) {
+    if (const std::string why = CannotTake(wish->change); !why.empty()) {
       const bank::Answer refused{bank::Answer::Kind::kRefused, wish->change.id, 0, why};
       return links_->Answer(call, {{"answer", bank::ToJson(refused)}});
     }
@@ -487,11 +528,11 @@
   constexpr std::array kStances = {"agreed", "between", "alone"};
   return fmt::format(
       "bank_stance={} bank_on={} bank_latest={} bank_term={} bank_leader={} bank_links={} "
-      "bank_rule_changes={} bank_lost={} bank_disk_failures={}",
+      "bank_rule_changes={} bank_lost={} bank_disk_failures={} bank_content_differed={}",
       kStances[static_cast<size_t>(stance.kind)], stance.on, stance.latest,
       member_->agreement().term(),
       member_->agreement().leader().empty() ? "none" : member_->agreement().leader(),
-      links_ ? links_->linked() : 0, changes_, lost_, disk_failures_);
+      links_ ? links_->linked() : 0, changes_, lost_, disk_failures_, content_differed_);
 }
 
 // ---- The decider ------------------------------------------------------------------------------
@@ -499,14 +540,19 @@
 template <typename What>
 void Membership::Run(What&& what) {
   MemberOutput out;
+  const uint64_t differed = member_->differed();
   what(*member_, Now(), out);
+  content_differed_ += member_->differed() - differed;
   CarryOut(out);
 }
 
 void Membership::CarryOut(MemberOutput& out) {
   for (const std::string& line : out.log) net::Log(Level::kInfo, "{}", line);
   // Before it takes part it only looks at what its disk has.
-  if (!links_) return Act();
+  if (!links_) {
+    Act();
+    return Plan();
+  }
   for (const bank::Write& write : out.writes) {
     if (disk_) {
       disk_->Add(write);
@@ -539,9 +585,21 @@
       }
     });
   }
+  // Once for a process: where the fault lies with what is sent, more of it mends nothing.
+  if (!out.needs_anew.empty() && !std::exchange(anew_, true)) {
+    loop_.Defer([this, alive = std::weak_ptr(lock_)] {
+      if (!alive.expired()) StartAnew("its content is not what was agreed", true);
+    });
+  }
   Wants();
   Act();
+  Plan();
+}
+
+void Membership::Plan() {
   loop_.Cancel(timer_);
+  // One that takes no part has nothing else to do in time.
+  if (!links_ && !member_->agreement().Behind()) return;
   const Time due = member_->NextDue();
   if (due == Time::max()) return;
   const auto wait = static_cast<double>((due - Now()).count()) / config_.clock_factor;
@@ -554,8 +612,10 @@
 }
 
 void Membership::SetFile(Config file) {
+  settings_ = SettingsUnderRules(file);
   file_ = std::move(file);
   rules_.reset();
+  adopted_ = false;
   Act();
 }
 
@@ -578,9 +638,13 @@
              held ? fmt::format("in touch, version {}", stance.on)
                   : "out of touch: strict rules, nothing is sent twice");
   }
-  const bool same = rules_ && stance_ && stance_->kind == stance.kind && stance_->on == stance.on &&
-                    stance_->latest == stance.latest;
+  // One without a lease that catches up goes on with what it had: to act on each version that has
+  // come and gone since would hold up its requests for nothing.
+  const bool keeps = rules_ && !held && member_->agreement().Behind();
+  const bool same = rules_ && stance_ && stance_->kind == stance.kind && kept_ == keeps &&
+                    (keeps || (stance_->on == stance.on && stance_->latest == stance.latest));
   stance_ = stance;
+  kept_ = keeps;
   if (config_.when_lost == WhenLost::kDrain && drained_ == held) {
     // Only what was drained for this is taken back.
     drained_ = !held;
@@ -589,31 +653,51 @@
   // Where the bound goes before service nothing may go to a host that may be barred by now.
   const bool nowhere = config_.when_lost == WhenLost::kDrain && !held;
   if (same) return;
-  bank::Rules rules = RulesOf(stance);
+  bank::Content rules = keeps ? bank::Strictest(*rules_) : RulesOf(stance);
   if (rules_ && *rules_ == rules && nowhere_ == nowhere) return;
-  nowhere_ = nowhere;
   const Time now = loop_.Now();
-  const auto from_wall = [&](double ms) { return loop_.clock().FromWall(ms); };
   try {
-    Config next = WithRules(file_, gateway_.config(), rules, now, from_wall);
-    std::set<std::string> off = rules.barred;
-    off.insert(rules.drain.begin(), rules.drain.end());
-    const auto mine = static_cast<size_t>(next.settings.zone);
-    for (const auto& [host, zone] : rules.zone_only) {
-      if (next.names.zones.Find(zone) != mine) off.insert(host);
+    const auto tenants = TenantsFor(rules);
+    if (tenants) {
+      gateway_.AdoptTenants(*tenants);
+    } else {
+      gateway_.Adopt(settings_.With(rules, gateway_.config(), nullptr, now));
     }
-    gateway_.Adopt(std::move(next));
-    gateway_.KeepOff(std::move(off), nowhere);
+    // Whoever is to be kept off is told by their names, and by the own zone's place.
+    const bool hosts = !tenants || nowhere != nowhere_ || rules.barred != rules_->barred ||
+                       rules.drain != rules_->drain || rules.zone_only != rules_->zone_only;
+    if (hosts) gateway_.KeepOff(KeptOff(rules), nowhere);
     ++changes_;
+    adopted_ = true;
   } catch (const std::exception& error) {
     net::Log(Level::kError, "bank: version {} cannot be acted on here: {}", stance.latest,
              error.what());
-    bank::Rules strict = bank::Strictest(rules);
-    strict.settings = json::object();
-    gateway_.Adopt(WithRules(file_, gateway_.config(), strict, now, from_wall));
-    gateway_.KeepOff(strict.barred, nowhere);
+    bank::Content strict = bank::Strictest(rules);
+    strict.settings = {};
+    strict.classes.reset();
+    strict.tenants.reset();
+    gateway_.Adopt(settings_.With(strict, gateway_.config(), nullptr, now));
+    std::set<std::string> off;
+    strict.barred.ForEach([&](const bank::Part& part) { off.insert(part.name); });
+    gateway_.KeepOff(std::move(off), nowhere);
+    adopted_ = false;
   }
   rules_ = std::move(rules);
+  nowhere_ = nowhere;
+}
+
+// The hosts that take no work from this gateway.
+std::set<std::string> Membership::KeptOff(const bank::Content& rules) const {
+  std::set<std::string> off;
+  const auto add = [&](const bank::Part& part) { off.insert(part.name); };
+  rules.barred.ForEach(add);
+  rules.drain.ForEach(add);
+  const Config& config = gateway_.config();
+  const auto mine = static_cast<size_t>(config.settings.zone);
+  rules.zone_only.ForEach([&](const bank::Part& part) {
+    if (config.names.zones.Find(json::parse(part.text).get<std::string>()) != mine) add(part);
+  });
+  return off;
 }
 
 void InitBank(const BankConfig& config, const std::string& name) {
--- a/src/net/membership.h
+++ b/src/net/membership.h
@@ -44,10 +44,11 @@
  protected:
   // What tests put wrong, to see that a judge finds it out.
   [[nodiscard]] virtual bank::Stance Acting() const { return member_->Acting(Now()); }
-  [[nodiscard]] virtual bank::Rules RulesOf(const bank::Stance& stance) const {
+  [[nodiscard]] virtual bank::Content RulesOf(const bank::Stance& stance) const {
     return member_->RulesOf(stance);
   }
   virtual void Spoil(bank::Message&) {}
+  virtual void SpoilHeard(bank::Message&) {}
   virtual void Spoil(bank::Wish&) {}
   nlohmann::json KnownOf(const std::string& name) override;
   [[nodiscard]] Time Now() const;
@@ -70,18 +71,21 @@
   template <typename What>
   void Run(What&& what);
   void CarryOut(bank::MemberOutput& out);
+  void Plan();
   void Act();
   void Tick();
   [[nodiscard]] store::Files& Disk() const;
   [[nodiscard]] nlohmann::json Status() const;
   // Why this gateway cannot act on these rules; empty: it can.
-  [[nodiscard]] std::string CannotActOn(const std::string& rules) const;
+  [[nodiscard]] std::string CannotActOn(const bank::Content& rules) const;
+  [[nodiscard]] std::string CannotTake(const bank::Change& change) const;
 
   EventLoop& loop_;
   BankConfig config_;
   Gateway& gateway_;
   Life& life_;
   Config file_;
+  SettingsUnderRules settings_;  // of that file
   Time zero_;
   std::unique_ptr<store::Files> controlled_;  // of a lab
   std::shared_ptr<void> lock_;
@@ -93,10 +97,16 @@
   std::vector<bank::Outgoing> held_;
   std::map<uint64_t, uint64_t> calls_;  // ticket to call
   std::optional<bank::Stance> stance_;
-  std::optional<bank::Rules> rules_;
+  std::optional<bank::Content> rules_;
+  bool adopted_ = false;  // the gateway's settings came of `rules_`
+  [[nodiscard]] std::optional<std::vector<TenantChange>> TenantsFor(
+      const bank::Content& rules) const;
+  [[nodiscard]] std::set<std::string> KeptOff(const bank::Content& rules) const;
+  bool kept_ = false;  // it acts on what it had, until what its log holds is applied
   EventLoop::TimerId timer_, look_timer_, act_timer_;
+  bool anew_ = false;  // has asked for all content once
   bool drained_ = false, diskless_ = false, nowhere_ = false;
-  uint64_t changes_ = 0, lost_ = 0, disk_failures_ = 0;
+  uint64_t changes_ = 0, lost_ = 0, disk_failures_ = 0, content_differed_ = 0;
 };
 
 // ---- Without a gateway ------------------------------------------------------------------------
--- a/tests/bank/agreement_test.cpp
+++ b/tests/bank/agreement_test.cpp
@@ -157,6 +157,49 @@
   EXPECT_EQ(a.role(), Role::kTrial);
 }
 
+// Hundreds of versions applied in one event would hold up all that its process does beside; and one
+// that told them as applied before they are would be taken to act on what it does not.
+TEST_F(Voting, AppliesMuchInPartsAndTellsWhatItHasApplied) {
+  const Entry entry{2, Entry::Kind::kData, "x", {}};
+  Message m = Append(2, 1, 1, {entry, entry, entry});
+  m.commit = 4;
+  a.Weigh(Timing().apply_bytes);
+  Output out = Receive(kSecond, m);
+  EXPECT_EQ(out.applied.size(), 2U);  // the voters, and one of the users'
+  EXPECT_EQ(out.sends.at(0).message.index, 4U);
+  EXPECT_EQ(out.sends.at(0).message.commit, 2U);
+  EXPECT_EQ(a.NextDue(), Time(0));
+  out = {};
+  a.Tick(kSecond, out);
+  EXPECT_EQ(a.applied(), 3U);
+  EXPECT_TRUE(out.sends.empty());
+  a.Tick(kSecond, out);
+  EXPECT_FALSE(a.Behind());
+  EXPECT_GT(a.NextDue(), kSecond);
+  // The leader waits for that: it is told at once, and asks for no lease by it.
+  ASSERT_EQ(out.sends.size(), 1U);
+  EXPECT_EQ(out.sends[0].message.type, Message::Type::kAppended);
+  EXPECT_EQ(out.sends[0].message.to, "b");
+  EXPECT_TRUE(out.sends[0].message.granted);
+  EXPECT_EQ(out.sends[0].message.index, 4U);
+  EXPECT_EQ(out.sends[0].message.commit, 4U);
+  EXPECT_LT(out.sends[0].message.asked, Time(0));
+  // Light ones go together.
+  a.Weigh(0);
+  m = Append(2, 4, 2, {entry, entry, entry});
+  m.commit = 7;
+  EXPECT_EQ(Receive(kSecond, m).applied.size(), 3U);
+}
+
+// Entries may be large in themselves, before anything is known of what they make.
+TEST_F(Voting, AppliesLargeEntriesOneByOne) {
+  const Entry whole{2, Entry::Kind::kData, std::string(Timing().apply_bytes / 2, 'x'), {}};
+  const Entry small{2, Entry::Kind::kData, "x", {}};
+  Message m = Append(2, 1, 1, {whole, small, small});
+  m.commit = 4;
+  EXPECT_EQ(Receive(kSecond, m).applied.size(), 2U);
+}
+
 class Leading : public Voting {
  protected:
   void SetUp() override {
@@ -232,6 +275,40 @@
   EXPECT_FALSE(a.AllApplied(now, 3));
 }
 
+// A new leader does not know at once what its predecessors have put in force, and whoever holds a
+// lease of it acts on what it has.
+TEST_F(Leading, HasAndGivesNoLeaseBeforeItKnowsWhatIsAgreed) {
+  Output out;
+  Acknowledge("b", 2, 2, now);
+  EXPECT_TRUE(a.Leads(now));
+  EXPECT_LT(a.LeaseUntil(now), Time(0));
+  a.Tick(now += Timing().heartbeat, out);
+  for (const Outgoing& o : out.sends) EXPECT_LT(o.message.asked, Time(0));
+  a.Durable(now, 2, out);
+  EXPECT_GT(a.LeaseUntil(now), now);
+}
+
+// The same where it knows, and has not applied all of it yet.
+TEST_F(Leading, HasAndGivesNoLeaseWhileItCatchesUp) {
+  Output out;
+  a.Durable(now, 2, out);
+  Acknowledge("b", 2, 2, now);
+  a.Weigh(Timing().apply_bytes);
+  for (int i = 0; i < 3; ++i) a.Propose(now, "x", out);
+  out = {};
+  a.Durable(now, 9, out);
+  Acknowledge("b", 2, 5, now);
+  EXPECT_TRUE(a.Behind());
+  EXPECT_LT(a.LeaseUntil(now), Time(0));
+  out = {};
+  a.Tick(now += Timing().heartbeat, out);
+  EXPECT_TRUE(a.Behind());
+  for (const Outgoing& o : out.sends) EXPECT_LT(o.message.asked, Time(0));
+  a.Tick(now, out);
+  EXPECT_FALSE(a.Behind());
+  EXPECT_GT(a.LeaseUntil(now), now);
+}
+
 // A slow one must not hold the others: without what it must know its lease is not renewed.
 TEST_F(Leading, GivesNoLeaseToOneThatDoesNotKnowWhatItMust) {
   Output out;
--- a/tests/bank/rules_test.cpp
+++ b/tests/bank/rules_test.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include "bank/content.h"
 #include "bank/history.h"
 
 namespace paddlestile::bank {
@@ -42,7 +43,8 @@
     EXPECT_EQ(!Contradictions(With(p.a), With(p.b)).empty(), p.contradict) << p.what;
     EXPECT_EQ(!Contradictions(With(p.b), With(p.a)).empty(), p.contradict) << p.what;
     // What stands between allows nothing that one of the two forbids.
-    const Rules both = Stricter(With(p.a), With(p.b)), back = Stricter(With(p.b), With(p.a));
+    const Rules both = Stricter(With(p.a), With(p.b)).ToRules();
+    const Rules back = Stricter(With(p.b), With(p.a)).ToRules();
     for (const Rules& rules : {With(p.a), With(p.b)}) {
       for (const auto& host : rules.barred) EXPECT_TRUE(both.barred.contains(host)) << p.what;
       for (const auto& host : rules.drain) EXPECT_TRUE(both.drain.contains(host)) << p.what;
@@ -52,11 +54,12 @@
 }
 
 TEST(Stricter, TakesTheStricterOfEach) {
-  const Rules both = Stricter(With(kKeyed), With(kSafe));
+  const Rules both = Stricter(With(kKeyed), With(kSafe)).ToRules();
   EXPECT_EQ(both.settings["Classes"][0]["Effect"], "keyed");
   EXPECT_EQ(both.settings["Classes"][0]["Window"], 0.0);  // a safe one has none
   const Rules caps = Stricter(With(R"({"settings":{"Allowed":{"SendCap":2}}})"),
-                              With(R"({"settings":{"Allowed":{"SendCap":5}}})"));
+                              With(R"({"settings":{"Allowed":{"SendCap":5}}})"))
+                         .ToRules();
   EXPECT_EQ(caps.settings["Allowed"]["SendCap"], 2);
   // Two zones that rule each other out leave none.
   EXPECT_TRUE(Stricter(With(R"({"zone_only":{"h":"x"}})"), With(R"({"zone_only":{"h":"y"}})"))
--- a/tests/lab/bank_breaker.cpp
+++ b/tests/lab/bank_breaker.cpp
@@ -2,6 +2,8 @@
 //   paddlestile_bank_breaker acts-on       acts on what it had after its lease is over
 //                            applies-late  says that it has applied what it acts on only seconds
 //                            later takes-twice   takes a change that is submitted again for another
+//                            misapplies    leaves out the hosts that a delta bars, and holds what
+//                            comes of it against no hash
 //                            forgets       starts without the last of what it had acknowledged
 #include <csignal>
 #include <cstdio>
@@ -39,8 +41,8 @@
     if (how_ == "applies-late") stance.latest = static_cast<uint64_t>(Now().count());
     return stance;
   }
-  bank::Rules RulesOf(const bank::Stance& stance) const override {
-    bank::Rules rules = Membership::RulesOf(stance);
+  bank::Content RulesOf(const bank::Stance& stance) const override {
+    bank::Content rules = Membership::RulesOf(stance);
     if (how_ != "applies-late") return rules;
     past_.emplace_back(Now(), rules);
     while (past_.size() > 1 && past_[1].first <= Now() - kLate) past_.pop_front();
@@ -52,12 +54,27 @@
   void Spoil(bank::Message& message) override {
     if (how_ == "forgets") message.of_you = {};
   }
+  void SpoilHeard(bank::Message& message) override {
+    if (how_ != "misapplies") return;
+    for (bank::Entry& entry : message.entries) {
+      if (entry.kind != bank::Entry::Kind::kData) continue;
+      nlohmann::json value = nlohmann::json::from_cbor(entry.bytes);
+      value.erase("hash");
+      if (value.contains("delta")) {
+        nlohmann::json delta = nlohmann::json::parse(value["delta"].get<std::string>());
+        if (delta.contains("barred")) delta["barred"].erase("add");
+        value["delta"] = delta.dump();
+      }
+      entry.bytes.clear();
+      nlohmann::json::to_cbor(value, entry.bytes);
+    }
+  }
   nlohmann::json KnownOf(const std::string& name) override {
     return how_ == "forgets" ? nlohmann::json() : Membership::KnownOf(name);
   }
 
   std::string how_;
-  mutable std::deque<std::pair<Time, bank::Rules>> past_;
+  mutable std::deque<std::pair<Time, bank::Content>> past_;
 };
 
 void Forget() {
--- a/tests/lab/bank_world_test.cpp
+++ b/tests/lab/bank_world_test.cpp
@@ -6,8 +6,10 @@
 namespace paddlestile::lab {
 namespace {
 
-WorldsResult Play(Mischief mischief, uint64_t schedules, uint64_t seed = 1) {
+WorldsResult Play(Mischief mischief, uint64_t schedules, uint64_t seed = 1,
+                  WorldChanges changes = WorldChanges::kMixed) {
   WorldsOptions options;
+  options.changes = changes;
   options.world.mischief = mischief;
   options.world.seed = seed;
   options.schedules = schedules;
@@ -19,11 +21,23 @@
 TEST(BankWorld, HoldsThroughFaults) {
   const WorldsResult r = Play(Mischief::kNone, 300);
   EXPECT_EQ(r.broken, 0U) << ToText(r, {});
-  EXPECT_EQ(r.told_done, r.submitted);
+  // Each is told: done, or refused where it said itself which version it was to follow.
+  EXPECT_EQ(r.told_done + r.refused, r.submitted);
+  EXPECT_GT(r.refused, 0U);
+  EXPECT_EQ(r.with_deltas, 150U);
   EXPECT_GT(r.forgot, 0U);  // older disks did come back
   EXPECT_FALSE(r.takeover_ms.empty());
 }
 
+// Whole changes alone: none is refused, and all are told done, as before there were deltas.
+TEST(BankWorld, HoldsThroughFaultsWithWholeChanges) {
+  const WorldsResult r = Play(Mischief::kNone, 150, 1, WorldChanges::kWhole);
+  EXPECT_EQ(r.broken, 0U) << ToText(r, {});
+  EXPECT_EQ(r.told_done, r.submitted);
+  EXPECT_EQ(r.with_deltas, 0U);
+  EXPECT_EQ(r.contradiction_ms_most, 0);
+}
+
 TEST(BankWorld, IsTheSameForTheSameSeed) {
   EXPECT_EQ(Play(Mischief::kNone, 20, 77).digest, Play(Mischief::kNone, 20, 77).digest);
   EXPECT_NE(Play(Mischief::kNone, 20, 77).digest, Play(Mischief::kNone, 20, 78).digest);
@@ -34,21 +48,24 @@
 // disk went back, and nobody had been told what it held.
 TEST(BankWorld, HoldsWhereItOnceDidNot) {
   for (const uint64_t seed : {41, 101, 300336, 300353, 400273, 500203, 700192, 10062763}) {
-    const WorldsResult r = Play(Mischief::kNone, 1, seed);
-    EXPECT_EQ(r.broken, 0U) << ToText(r, {});
+    for (const WorldChanges changes : {WorldChanges::kWhole, WorldChanges::kDelta}) {
+      const WorldsResult r = Play(Mischief::kNone, 1, seed, changes);
+      EXPECT_EQ(r.broken, 0U) << ToText(r, {});
+    }
   }
 }
 
 struct Found {
   Mischief mischief;
   std::vector<const char*> terms;
+  WorldChanges changes = WorldChanges::kMixed;
 };
 void PrintTo(const Found& found, std::ostream* out) { *out << NameOf(found.mischief); }
 class Breaks : public ::testing::TestWithParam<Found> {};
 
 // A judge that cannot fail shows nothing.
 TEST_P(Breaks, IsFoundOutByName) {
-  const WorldsResult r = Play(GetParam().mischief, 60);
+  const WorldsResult r = Play(GetParam().mischief, 60, 1, GetParam().changes);
   uint64_t named = 0;
   for (const char* const term : GetParam().terms) {
     const auto at = r.terms.find(term);
@@ -58,14 +75,15 @@
   EXPECT_EQ(named, r.broken) << ToText(r, {});
 }
 
-INSTANTIATE_TEST_SUITE_P(BankWorld, Breaks,
-                         ::testing::Values(Found{Mischief::kForgetsVote, {"memory"}},
-                                           Found{Mischief::kForgetsLog, {"memory"}},
-                                           Found{Mischief::kActsOn, {"contradiction"}},
-                                           Found{Mischief::kAppliesLate, {"contradiction"}},
-                                           Found{Mischief::kVotesForAll,
-                                                 {"agreement", "one leader", "contradiction"}},
-                                           Found{Mischief::kTakesTwice, {"twice"}}));
+INSTANTIATE_TEST_SUITE_P(
+    BankWorld, Breaks,
+    ::testing::Values(Found{Mischief::kForgetsVote, {"memory"}},
+                      Found{Mischief::kForgetsLog, {"memory"}},
+                      Found{Mischief::kActsOn, {"contradiction"}},
+                      Found{Mischief::kAppliesLate, {"contradiction"}},
+                      Found{Mischief::kVotesForAll, {"agreement", "one leader", "contradiction"}},
+                      Found{Mischief::kTakesTwice, {"twice"}},
+                      Found{Mischief::kMisapplies, {"content"}, WorldChanges::kDelta}));
 
 }  // namespace
 }  // namespace paddlestile::lab
--- a/tests/net/config_test.cpp
+++ b/tests/net/config_test.cpp
@@ -7,6 +7,8 @@
 #include <cstdio>
 #include <fstream>
 #include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 #include "wire/wire.h"
@@ -362,6 +364,166 @@
   EXPECT_TRUE(Over(back.names.classes_until, 2, Time(1'000'000'000)));
 }
 
+// ---- The bank's rules over the file -----------------------------------------------------------
+
+class UnderRules : public ReadAgainTest {
+ protected:
+  static bank::Content Of(const std::string& text) { return bank::ParseRules(text); }
+  static void ExpectSame(const Config& a, const Config& b) {
+    EXPECT_EQ(a.names.tenants.places(), b.names.tenants.places());
+    EXPECT_EQ(a.names.tenants_until, b.names.tenants_until);
+    EXPECT_EQ(a.names.classes.places(), b.names.classes.places());
+    EXPECT_EQ(a.names.classes_until, b.names.classes_until);
+    EXPECT_EQ(a.settings.classes, b.settings.classes);
+    ASSERT_EQ(a.settings.tenants.size(), b.settings.tenants.size());
+    for (size_t i = 0; i < a.settings.tenants.size(); ++i) {
+      EXPECT_EQ(a.settings.tenants[i].quota_per_s, b.settings.tenants[i].quota_per_s) << i;
+      EXPECT_EQ(a.settings.tenants[i].share, b.settings.tenants[i].share) << i;
+    }
+    EXPECT_EQ(a.settings.allowed.send_cap, b.settings.allowed.send_cap);
+    EXPECT_EQ(a.settings.over_share_worth, b.settings.over_share_worth);
+    EXPECT_EQ(a.discovery, b.discovery);
+    EXPECT_EQ(a.idle_close, b.idle_close);
+    EXPECT_EQ(a.sockets, b.sockets);
+    EXPECT_EQ(a.name, b.name);
+  }
+  const Time kNow{7'000'000};
+};
+
+// What a version changes is worked out from the one before: it must be what working out the whole
+// of it gives, whatever came before it, in whatever order.
+TEST_F(UnderRules, AChangeMakesWhatTheWholeMakes) {
+  const char* const versions[] = {
+      "{}",
+      R"({"settings":{"Tenants":[{"Name":"t one","QuotaPerS":5},{"Name":"x","Share":0.2}]}})",
+      R"({"settings":{"Tenants":[{"Name":"t one","QuotaPerS":6},{"Name":"x","Share":0.2}]}})",
+      R"({"settings":{"Tenants":[{"Name":"t one"},{"Name":"x","Share":0.4,"QuotaPerS":1}]}})",
+      R"({"settings":{"Tenants":[{"Name":"x","Share":0.4},{"Name":"t one","QuotaPerS":6}]}})",
+      R"({"settings":{"Tenants":[{"Name":"x","Share":0.4}],"Allowed":{"SendCap":2}}})",
+      R"({"settings":{"Tenants":[{"Name":"x","Share":0.4}],"Allowed":{"SendCap":3}}})",
+      R"({"settings":{"Tenants":[{"Name":"t one"},{"Name":"two","Share":0.4}]}})",
+      R"({"settings":{"Tenants":[{"Name":"t one"},{"Name":"new","Share":0.4}]}})",
+      R"({"settings":{"Tenants":[{"Name":"x","Share":0.5}],"Allowed":{"SendCap":2}},"barred":["h"]})",
+      R"({"settings":{"Tenants":[{"Name":"x","Share":0.6}],"OverShareWorth":0.5}})",
+      R"({"settings":{"Classes":[{"Name":"read","Slo":10,"Deadline":20}]}})"};
+  const SettingsUnderRules file(was);
+  std::optional<bank::Content> before;
+  for (const char* const from : versions) {
+    for (const char* const to : versions) {
+      for (const bool strict : {false, true}) {
+        for (const char* const text : {from, to}) {
+          bank::Content rules = Of(text);
+          rules.strict = strict;
+          const Config whole = file.With(rules, was, nullptr, kNow);
+          const Config now = file.With(rules, was, before ? &*before : nullptr, kNow);
+          SCOPED_TRACE(std::string(from) + " to " + to);
+          ExpectSame(now, whole);
+          EXPECT_EQ(now.settings.allowed.send_cap == 1, strict);
+          was = now;
+          before = rules;
+        }
+      }
+    }
+  }
+}
+
+// A gateway that reads all of its settings again for one tenant's quota stands for all tenants.
+TEST_F(UnderRules, AChangeOfATenantLooksAtThatTenantAlone) {
+  const SettingsUnderRules file(was);
+  const bank::Content a =
+      Of(R"({"settings":{"Tenants":[{"Name":"t one","QuotaPerS":5},{"Name":"two"}]}})");
+  const bank::Content b =
+      Of(R"({"settings":{"Tenants":[{"Name":"t one","QuotaPerS":6},{"Name":"two"}]}})");
+  Config now = file.With(a, was, nullptr, kNow);
+  now.settings.tenants[1].quota_per_s = 77;  // as no version says: seen to be left alone
+  const Config next = file.With(b, now, &a, kNow);
+  EXPECT_EQ(next.settings.tenants[0].quota_per_s, 6);
+  EXPECT_EQ(next.settings.tenants[1].quota_per_s, 77);
+  EXPECT_EQ(file.With(b, now, nullptr, kNow).settings.tenants[1].quota_per_s, 0);
+  // What makes no sense is refused by this way as by the other.
+  for (const char* const bad : {R"("soon")", "{}"}) {
+    const bank::Content odd = Of(R"({"settings":{"Tenants":[{"Name":"t one","QuotaPerS":5},)"
+                                 R"({"Name":"two","OddShare":1,"Share":0.1}]}})");
+    bank::Content wrong = odd;
+    wrong.tenants->Set("two", R"({"Name":"two","OddShare":1,"Share":)" + std::string(bad) + "}");
+    std::string whole, part;
+    try {
+      static_cast<void>(file.With(wrong, now, nullptr, kNow));
+    } catch (const ConfigError& error) {
+      whole = error.what();
+    }
+    try {
+      static_cast<void>(file.With(wrong, now, &odd, kNow));
+    } catch (const ConfigError& error) {
+      part = error.what();
+    }
+    EXPECT_EQ(whole.empty(), part.empty()) << bad << ": " << whole << " / " << part;
+  }
+}
+
+// More names than any two versions have at once: places of those that are gone stay for requests
+// that have them, and without a bound a gateway that runs for months would hold all there ever
+// were. By the count of all names, as it was, 1,100 tenants could be started with and never
+// changed.
+TEST_F(UnderRules, NamesThatAreGoneAreBoundedAndThoseThatAreThereAreNot) {
+  const auto named = [&](size_t from, size_t count) {
+    nlohmann::json settings;
+    for (size_t i = from; i < from + count; ++i) {
+      settings["Tenants"].push_back({{"Name", "n" + std::to_string(i)}, {"Share", 0.1}});
+    }
+    return Of(nlohmann::json{{"settings", settings}}.dump());
+  };
+  const SettingsUnderRules file(was);
+  was = file.With(named(0, 3000), was, nullptr, kNow);
+  EXPECT_GE(was.names.tenants.size(), 3000u);
+  const Config some = file.With(named(1000, 3000), was, nullptr, kNow);
+  for (const bool part : {false, true}) {
+    const bank::Content before = named(1000, 3000);
+    const auto with = [&](const bank::Content& rules) {
+      return file.With(rules, some, part ? &before : nullptr, kNow);
+    };
+    EXPECT_NO_THROW(static_cast<void>(with(named(1010, 3000))));
+    try {
+      static_cast<void>(with(named(1100, 3000)));
+      FAIL() << "1,100 gone beside 100 new ones were taken";
+    } catch (const ConfigError& error) {
+      EXPECT_STREQ(error.what(),
+                   "bank: over 1024 tenants gone since the start, expected a restart");
+    }
+    // Any may go, as that takes no room, and who comes back makes some.
+    EXPECT_NO_THROW(static_cast<void>(with(named(3999, 1))));
+    EXPECT_NO_THROW(static_cast<void>(with(named(0, 4000))));
+  }
+  // Back to the file's own, as where a version cannot be acted on: no new name stands in its way.
+  EXPECT_EQ(Refused(File(kSettings)), "");
+}
+
+// A copy of the names is theirs alone once either changes.
+TEST(NameTable, CopiesShareUntilOneChanges) {
+  NameTable a;
+  a.Add("x");
+  NameTable b = a;
+  EXPECT_EQ(&a.places(), &b.places());
+  b.Add("y");
+  EXPECT_EQ(a.Find("y"), a.size());
+  EXPECT_EQ(b.Find("y"), 1u);
+  a.Add("z");
+  EXPECT_EQ(b.Find("z"), b.size());
+  EXPECT_EQ(a.size(), 2u);
+}
+
+// The list of hosts that the file holds is none of a version's: 99,000 of them were read, and their
+// text kept, with each.
+TEST_F(UnderRules, TheFilesHostsAreNotReadAgain) {
+  Write(File(kSettings, R"([{"id":"h1","host_port":"127.0.0.2:80","phase":"active"}])"));
+  const Config file = Read();
+  ASSERT_EQ(file.known.members.size(), 1u);
+  const Config now = SettingsUnderRules(file).With({}, file, nullptr, kNow);
+  EXPECT_TRUE(now.known.members.empty());
+  EXPECT_TRUE(now.text.empty());
+  EXPECT_EQ(now.settings.classes, file.settings.classes);
+}
+
 TEST_F(ReadAgainTest, ABrokenFileIsRefusedWithWhatWasExpected) {
   EXPECT_EQ(Refused(File(kSettings)), "");
   EXPECT_NE(Refused(""), "");
--- a/tests/net/gateway_test.cpp
+++ b/tests/net/gateway_test.cpp
@@ -369,5 +369,61 @@
   EXPECT_EQ(gateway->config().settings.allowed.send_cap, next.settings.allowed.send_cap);
 }
 
+// Settings that come twice within one handler, as when a version and the word that turns it on are
+// read at once: the former ones waited behind the later and stayed in force, for good.
+TEST_F(GatewayTest, OfSettingsThatComeAtOnceTheLastAreInForce) {
+  for (const char* const id : {"h1", "h2"}) AddHost(id, Error);
+  Start();
+  ASSERT_TRUE(Until([&] { return life.accepts(); }));
+  Config once = config;
+  once.settings.allowed.send_cap = 1;
+  ASSERT_GT(config.settings.allowed.send_cap, 1);
+  gateway->Adopt(once);
+  gateway->Adopt(config);
+  Peer client = Ask(Request("a"));
+  ASSERT_TRUE(Until([&] { return client.Has("\r\n\r\n"); }));
+  EXPECT_GE(Requests(), 2);
+  gateway->Adopt(config);
+  gateway->Adopt(once);
+  const int before = Requests();
+  Peer other = Ask(Request("b"));
+  ASSERT_TRUE(Until([&] { return other.Has("\r\n\r\n"); }));
+  EXPECT_EQ(Requests(), before + 1);
+}
+
+// Tenants alone change in their place, with no new start of anything else: a new one is served at
+// once, one that is gone for a while more, and one that cannot be taken changes nothing.
+TEST_F(GatewayTest, TenantsAloneChangeInTheirPlace) {
+  config.settings.tenants = {{10, 0.5}};
+  config.names.tenants.Add("old");
+  AddHost("h1", Ok);
+  Start();
+  const auto ask = [&](const std::string& id, const std::string& tenant) {
+    std::string text = Request(id);
+    text.insert(text.find("X-Call-Id"), "X-Caller: " + tenant + "\r\n");
+    Peer client = Ask(text);
+    EXPECT_TRUE(Until([&] { return client.Has("\r\n\r\n"); })) << id;
+    return client.Has("served");
+  };
+  EXPECT_TRUE(ask("a", "old"));
+  EXPECT_FALSE(ask("b", "new"));
+  const Config* const there = &gateway->config();
+  gateway->AdoptTenants({{"new", Tenant{5, 0.2}}, {"old", Tenant{20, 0.5}}});
+  EXPECT_EQ(&gateway->config(), there);
+  EXPECT_EQ(gateway->config().settings.tenants.at(0).quota_per_s, 20);
+  EXPECT_EQ(gateway->config().settings.tenants.at(1).share, 0.2);
+  EXPECT_TRUE(ask("c", "new"));
+  EXPECT_THROW(gateway->AdoptTenants({{"new", std::nullopt}, {"old", Tenant{1, -1}}}), ConfigError);
+  EXPECT_TRUE(ask("d", "new"));
+  gateway->AdoptTenants({{"new", std::nullopt}});
+  EXPECT_TRUE(ask("e", "new"));
+  Until([] { return false; }, Ms(1100));
+  EXPECT_FALSE(ask("f", "new"));
+  EXPECT_TRUE(ask("g", "old"));
+  gateway->AdoptTenants({{"new", Tenant{5, 0.2}}});
+  EXPECT_TRUE(ask("h", "new"));
+  EXPECT_EQ(gateway->config().names.tenants.size(), 2u);
+}
+
 }  // namespace
 }  // namespace paddlestile::net
--- a/tests/net/membership_test.cpp
+++ b/tests/net/membership_test.cpp
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdio>
@@ -16,6 +17,7 @@
 #include <string>
 #include <tuple>
 #include <utility>
+#include <vector>
 
 #include "net/bank_config.h"
 #include "net/child.h"
@@ -164,6 +166,59 @@
   EXPECT_NE(Of("history").text.find("test"), std::string::npos);
 }
 
+// A change by its own size, in the words that an operator uses; what is read back are whole
+// versions.
+TEST_F(Bank, AChangeGoesAsADeltaWhereTheFileSaysSo) {
+  WriteFile(3, "changes = \"delta\"\n");
+  Begin();
+  json rules = {{"barred", {"h"}}};
+  for (int i = 0; i < 200; ++i) {
+    rules["settings"]["Tenants"].push_back({{"Name", "t" + std::to_string(i)}, {"QuotaPerS", i}});
+  }
+  ASSERT_EQ(Change(rules.dump()).code, 0);
+  rules["settings"]["Tenants"][3]["QuotaPerS"] = 999;
+  ASSERT_EQ(Change(rules.dump()).code, 0);
+  const json status = Status(0);
+  EXPECT_EQ(status["changes"], "delta");
+  EXPECT_LT(status["change_bytes"], 100) << status.dump();
+  EXPECT_GT(status["version_bytes"], 5000) << status.dump();
+  EXPECT_NE(Of("status").text.find("changes delta; the last one"), std::string::npos);
+  const std::string delta = R"({"settings":{"Tenants":{"t4":{"QuotaPerS":7}}},)"
+                            R"("barred":{"add":["i"],"remove":["h"]}})";
+  EXPECT_EQ(Change(delta, "--delta --expect 1").code, 1);
+  const Ran done = Change(delta, "--delta --expect 2");
+  EXPECT_NE(done.text.find("version 3 is on"), std::string::npos) << done.text;
+  const Ran diff = Of("diff 2 3");
+  EXPECT_NE(diff.text.find("+ /settings/Tenants/4/QuotaPerS 7"), std::string::npos) << diff.text;
+  EXPECT_NE(diff.text.find("+ /barred/0 \"i\""), std::string::npos) << diff.text;
+  const Ran odd = Change(R"({"barred":["h"]})", "--delta");
+  EXPECT_EQ(odd.code, 2);
+  EXPECT_NE(odd.text.find("barred: expected an object of add and remove"), std::string::npos);
+  const Ran unfit = Change(R"({"settings":{"Allowed":{"MaxRetryAfter":"soon"}}})", "--delta");
+  EXPECT_EQ(unfit.code, 1);
+  EXPECT_NE(unfit.text.find("refused"), std::string::npos) << unfit.text;
+  // A follower whose own changes are whole follows, and one that starts anew gets all.
+  WriteFile(3);
+  Start(3);
+  ASSERT_TRUE(Until([&] { return Status(3)["version_on"] == 3; }));
+  EXPECT_EQ(Status(3)["changes"], "whole");
+  EXPECT_EQ(Status(3)["content"], "agreed");
+  ASSERT_EQ(Change(R"({"drain":{"add":["j"]}})", "--delta").code, 0);
+  ASSERT_TRUE(Until([&] { return Status(3)["version_on"] == 4; }));
+  EXPECT_EQ(Status(3)["stance"], "agreed");
+}
+
+TEST_F(Bank, ADeltaIsRefusedWhereChangesAreWhole) {
+  Begin();
+  const Ran ran = Change(R"({"barred":{"add":["i"]}})", "--delta");
+  EXPECT_EQ(ran.code, 1);
+  EXPECT_NE(ran.text.find("leads with whole changes, expected changes = \"delta\""),
+            std::string::npos)
+      << ran.text;
+  EXPECT_EQ(Status(0)["version_latest"], 0);
+  EXPECT_EQ(Status(0)["changes"], "whole");
+}
+
 // Nobody leads: it is said at once, with since when, and nothing is lost by it.
 TEST_F(Bank, WithTwoVotersOfThreeGoneAChangeIsRefusedAndServiceGoesOn) {
   Begin();
@@ -211,6 +266,59 @@
   EXPECT_EQ(Change("{}").code, 0);
 }
 
+// It works out again what its log holds, version by version, while it serves: meanwhile it must act
+// on what it had, not on versions that have come and gone.
+TEST_F(Bank, ANewerProcessKeepsOffWhatIsBarredWhileItCatchesUp) {
+  Port host;
+  std::string text = kPlatform;
+  text.replace(text.find("\"members\":[]"), 12,
+               R"("members":[{"id":"h","host_port":")" + host.text() + R"(","phase":"active"}])");
+  std::ofstream(folder_ + "/c.json") << text;
+  WriteFile(3, "changes = \"delta\"\n");
+  Begin();
+  json rules;
+  for (int i = 0; i < 900; ++i) {
+    rules["settings"]["Tenants"].push_back({{"Name", "t" + std::to_string(i)}, {"QuotaPerS", i}});
+  }
+  std::vector<Peer> taken;
+  const auto reached = [&] {
+    while (Peer sent = host.TryTake()) taken.push_back(std::move(sent));
+    return std::ranges::count_if(taken, [](Peer& sent) { return sent.Has("GET /read"); });
+  };
+  const auto ask = [&](const std::string& id) {
+    Peer client = Peer::To(ParseAddress(At(1, 5000)));
+    client.Say("GET /read HTTP/1.1\r\nX-Caller: t1\r\nX-Call-Id: " + id +
+               "\r\nX-Budget-Ms: 300\r\n\r\n");
+    return client;
+  };
+  for (int i = 0; i < 10; ++i) {
+    rules["settings"]["Tenants"][0]["QuotaPerS"] = 1000 + i;
+    if (i == 9) {
+      const Peer client = ask("before");
+      EXPECT_TRUE(Until([&] { return reached() == 1; }));
+      rules["barred"] = {"h"};
+    }
+    ASSERT_EQ(Change(rules.dump()).code, 0);
+  }
+  ASSERT_TRUE(Until([&] { return Status(1)["version_on"] == 10; }));
+  Child next;
+  auto env = Env(1);
+  env["LB_ADMIN"] = At(9, 6000);
+  next.Start(env, {"serve", "--operator", folder_ + "/bank.toml"});
+  // From before it takes over until long after: by then both processes have read the log anew.
+  std::vector<Peer> clients;
+  for (int i = 0; i < 600; ++i) {
+    clients.push_back(ask("c" + std::to_string(i)));
+    if (clients.size() > 50) clients.erase(clients.begin());
+    usleep(2'000);
+    reached();
+  }
+  ASSERT_TRUE(next.Says("takes part"));
+  EXPECT_EQ(reached(), 1);
+  members_[1].Signal(SIGTERM);
+  EXPECT_TRUE(Until([&] { return Status(1)["version_on"] == 10; }));
+}
+
 // A disk that is damaged before its end is kept aside; its member follows until it is let in anew.
 TEST_F(Bank, ADamagedDiskDoesNotVote) {
   Begin();
@@ -223,7 +331,8 @@
   }
   Start(1);
   EXPECT_TRUE(members_[1].Says("log at 24: a record that does not check out"));
-  EXPECT_TRUE(fs::exists(folder_ + "/g1/log.damaged"));
+  // It is told before it is put aside.
+  EXPECT_TRUE(Until([&] { return fs::exists(folder_ + "/g1/log.damaged"); }));
   ASSERT_TRUE(Until([&] { return Status(1)["stance"] == "agreed"; }));
   EXPECT_EQ(Status(1)["votes"], false);
   const Ran ran = Of("voters replace g1 --reason disk");
@@ -245,6 +354,7 @@
       {head + "lesae_ms = 1\n" + one, "f:4: bank.lesae_ms: unknown key, expected one of"},
       {head + "when_lost = \"panic\"\n" + one,
        "f:4: bank.when_lost: 'panic', expected serve or drain"},
+      {head + "changes = \"small\"\n" + one, "f:4: bank.changes: 'small', expected whole or delta"},
       {head + one + one, "f:10: bank.members.1.address: another member has it, expected its own"},
       {head + one + "[[bank.members]]\nname = \"a\"\naddress = \"127.0.0.1:2\"\n",
        "f:9: bank.members.1.name: 'a' a second time, expected each member once"},
