--- a/tests/lab/bank_run_test.cpp
+++ b/tests/lab/bank_run_test.cpp
@@ -84,7 +84,7 @@
 
 // The trouble: the host kept off behind a cut was now and then one that a version from before it
 // barred, too, so that a gateway which acted on that one sent nothing there and was not found out
-// (`bank-split acts-on`, 3 of 40 plays; seed 35: host 6, barred as the cut began).
+// (`bank-split acts-on`, 3 of 48 plays; seed 35: host 6, barred as the cut began).
 TEST(Bars, NoVersionBarsByChanceWhatALaterOneKeepsOff) {
   for (const size_t hosts : {4, 5, 12, 37}) {
     for (uint64_t seed = 1; seed <= 50; ++seed) {
