Lab: several hosts are kept off at once, as a gateway's choice can leave one alone

Cause, by a probe that printed each change's hosts and each receipt: in a missed play host 6 was barred from 9.07 to 13.9 s; the three gateways cut off until 13.0 s sent some 1,200 requests by the old version, 3 of them to host 6, none past the bound. In a found one it was 109. The module prefers quicker hosts, so one slow host kept off is left alone for seconds by all of them: BankLab::SubmitOne keeps off one host of twelve. Ruled out: cuts that did not befall (three gateways stood at version 4 of 20 to the cut's end), late changes (told done in time). Change: a third of the hosts is kept off in a block, another third in the next, and the last third comes and goes; lab scale and runs with hollow members keep one, as their figures are of a change of so many parts.

--- a/src/lab/bank_lab.cpp
+++ b/src/lab/bank_lab.cpp
@@ -337,13 +337,17 @@
   const Shape* const last = LastTold();
   Shape shape;
   if (last != nullptr) shape.quotas = last->quotas;
-  // One host is barred for long, past the bound: what goes there late is seen. Another one comes
-  // and goes, so that each change contradicts the one before.
-  if (!bars_) bars_.emplace(hosts_.size(), random_());
+  // Some hosts are barred for long, past the bound: what goes there late is seen. Another one comes
+  // and goes, so that each change contradicts the one before. At size one host alone: figures are
+  // of a change of so many parts.
+  if (!bars_) {
+    const bool at_size = e_.bank.measured || e_.bank.hollow > 0;
+    bars_.emplace(hosts_.size(), at_size ? 1 : BarPlan::Several(hosts_.size()), random_());
+  }
   const auto block = static_cast<size_t>((Now() - kFirstChange).count() / kBlock.count());
   const bool begins = n == 0 || block != block_;
   block_ = block;
-  if (!begins) shape.barred.insert(bars_->KeptOff(block));
+  if (!begins) shape.barred = bars_->KeptOff(block);
   if (n % 2 == 1) shape.barred.insert(bars_->Passing(n / 2));
   for (const size_t at : shape.barred) wanted.barred.push_back(hosts_[at].host);
   shape.unsafe = e_.bank.effects && block % 2 == 1;
--- a/tests/lab/bank_run_test.cpp
+++ b/tests/lab/bank_run_test.cpp
@@ -86,29 +86,47 @@
 // barred, too, so that a gateway which acted on that one sent nothing there and was not found out
 // (`bank-split acts-on`, 3 of 48 plays; seed 35: host 6, barred as the cut began).
 TEST(Bars, NoVersionBarsByChanceWhatALaterOneKeepsOff) {
-  for (const size_t hosts : {4, 5, 12, 37}) {
-    for (uint64_t seed = 1; seed <= 50; ++seed) {
-      const BarPlan plan(hosts, seed);
-      std::set<size_t> kept_off;
-      for (size_t block = 0; block < hosts / 2; ++block) {
-        EXPECT_TRUE(kept_off.insert(plan.KeptOff(block)).second) << hosts << " " << seed;
+  for (const size_t hosts : {3, 4, 5, 12, 37}) {
+    for (const size_t at_once : {size_t{1}, BarPlan::Several(hosts)}) {
+      for (uint64_t seed = 1; seed <= 50; ++seed) {
+        const BarPlan plan(hosts, at_once, seed);
+        ASSERT_GE(plan.blocks(), 2U);
+        std::set<size_t> kept_off;
+        for (size_t block = 0; block < plan.blocks(); ++block) {
+          for (const size_t host : plan.KeptOff(block)) {
+            EXPECT_TRUE(kept_off.insert(host).second) << hosts << " " << at_once << " " << seed;
+          }
+        }
+        EXPECT_EQ(kept_off.size(), plan.blocks() * at_once);
+        std::set<size_t> passing;
+        for (size_t n = 0; n < 2 * hosts; ++n) passing.insert(plan.Passing(n));
+        for (const size_t host : passing) {
+          EXPECT_LT(host, hosts);
+          EXPECT_FALSE(kept_off.contains(host)) << hosts << " " << at_once << " " << seed;
+        }
+        EXPECT_EQ(kept_off.size() + passing.size(), hosts);
       }
-      std::set<size_t> passing;
-      for (size_t n = 0; n < 2 * hosts; ++n) passing.insert(plan.Passing(n));
-      for (const size_t host : passing) {
-        EXPECT_LT(host, hosts);
-        EXPECT_FALSE(kept_off.contains(host)) << hosts << " " << seed;
-      }
-      EXPECT_EQ(kept_off.size() + passing.size(), hosts);
+    }
+  }
+}
+
+// The trouble: one slow host of twelve was kept off, and the three gateways that acted on an older
+// version chose others, so that 3 of their 1,100 requests came there and none past the bound
+// (`bank-split acts-on`, seed 1, 10 of 48 plays beside one another).
+TEST(Bars, SeveralHostsAreKeptOffAtOnce) {
+  for (const size_t hosts : {6, 12, 37}) {
+    const BarPlan plan(hosts, BarPlan::Several(hosts), 1);
+    for (size_t block = 0; block < 5; ++block) {
+      EXPECT_GE(plan.KeptOff(block).size(), hosts / 3) << hosts;
     }
   }
 }
 
 TEST(Bars, FewHostsAreEnough) {
   for (const size_t hosts : {1, 2, 3}) {
-    const BarPlan plan(hosts, 1);
+    const BarPlan plan(hosts, BarPlan::Several(hosts), 1);
     for (size_t n = 0; n < 9; ++n) {
-      EXPECT_LT(plan.KeptOff(n), hosts);
+      for (const size_t host : plan.KeptOff(n)) EXPECT_LT(host, hosts);
       EXPECT_LT(plan.Passing(n), hosts);
     }
   }
