Tests of ends before a close share one set-up

The two tests of the further attempt began alike; their set-up is a fixture, their checks are the same.

--- a/tests/net/terms_test.cpp
+++ b/tests/net/terms_test.cpp
@@ -352,72 +352,73 @@
   }
 }
 
+// Two hosts, each with a connection that is kept, and a request that one of them has.
+class Kept : public Gone {
+ protected:
+  Kept() {
+    config.settings.allowed.probes = false;
+    // The one that is asked first turns it away, so that the other has a connection, too.
+    const auto script = [this](const std::string& text) {
+      return quiet_ ? "" : ++asked_ == 1 ? Full(text) : Ok(text);
+    };
+    for (const char* const id : {"h1", "h2"}) AddHost(id, script);
+  }
+  // At a new gateway; the host's end of the connection that has the client's request, or null.
+  Peer* Begin(Peer& client) {
+    quiet_ = false, asked_ = 0;
+    gateway = nullptr;
+    Start();
+    Peer first = Ask(Request("f" + std::to_string(++n_), "safe", 8000));
+    EXPECT_TRUE(Until([&] { return first.Has("served"); }));
+    EXPECT_EQ(asked_, 2);
+    Until([] { return false; }, Ms(30));  // rested
+    quiet_ = true;
+    before_ = Requests();
+    std::map<Host*, int> had;
+    for (const auto& host : hosts) had[host.get()] = host->requests;
+    client = Ask(Request("a" + std::to_string(n_), "safe", 8000));
+    EXPECT_TRUE(Until([&] { return Requests() == before_ + 1; }));
+    const auto has = std::ranges::find_if(
+        hosts, [&](const auto& host) { return host->requests > had[host.get()]; });
+    return has == hosts.end() ? nullptr : &(*has)->peers.back();
+  }
+  void ExpectNoFurther(const std::string& which) {
+    Until([] { return false; }, Ms(60));
+    EXPECT_EQ(Requests(), before_ + 1) << which;
+    EXPECT_EQ(gateway->in_hand(), 0u) << which;
+  }
+
+ private:
+  bool quiet_ = false;
+  int asked_ = 0, n_ = 0, before_ = 0;
+};
+
 // The trouble: a host ends an attempt, then its client goes, and the loop, which stood still for
 // over 0.1 s, learns of both in this order: the further attempt went out on a kept connection
 // before the close was read.
-TEST_F(Gone, WhatEndsJustBeforeItsClientLeavesHasNoFurtherAttempt) {
-  config.settings.allowed.probes = false;
-  bool quiet = false;
-  int asked = 0;
-  // At first the one that is asked first turns it away, so that both have a connection that is
-  // kept.
-  const auto script = [&](const std::string& text) {
-    return quiet ? "" : ++asked == 1 ? Full(text) : Ok(text);
-  };
-  for (const char* const id : {"h1", "h2"}) AddHost(id, script);
-  int n = 0;
+TEST_F(Kept, WhatEndsJustBeforeItsClientLeavesHasNoFurtherAttempt) {
   for (const std::string& says : {Full(""), Error(""), std::string("reset")}) {
     for (const std::string how : {"end", "reset", "half-close"}) {
-      quiet = false, asked = 0;
-      gateway = nullptr;
-      Start();
-      Peer first = Ask(Request("f" + std::to_string(n), "safe", 8000));
-      ASSERT_TRUE(Until([&] { return first.Has("served"); })) << how << says;
-      ASSERT_EQ(asked, 2) << how << says;
-      Until([] { return false; }, Ms(30));  // rested
-      quiet = true;
-      const int before = Requests();
-      std::map<Host*, int> had;
-      for (const auto& host : hosts) had[host.get()] = host->requests;
-      Peer client = Ask(Request("a" + std::to_string(n++), "safe", 8000));
-      ASSERT_TRUE(Until([&] { return Requests() == before + 1; }));
-      for (const auto& host : hosts) {
-        if (host->requests == had[host.get()]) continue;
-        Peer& peer = host->peers.back();  // the one that came to this gateway
-        says == "reset" ? peer.Reset() : peer.Say(says);
-      }
+      Peer client;
+      Peer* const peer = Begin(client);
+      ASSERT_NE(peer, nullptr) << how << says;
+      says == "reset" ? peer->Reset() : peer->Say(says);
       usleep(5'000);
       if (how == "end") client.Close();
       if (how == "reset") client.Reset();
       if (how == "half-close") client.ShutWrite();
       usleep(150'000);
-      Until([] { return false; }, Ms(60));
-      EXPECT_EQ(Requests(), before + 1) << how << says;
-      EXPECT_EQ(gateway->in_hand(), 0u) << how << says;
+      ExpectNoFurther(how + says);
     }
   }
 }
 
 // The same where the client goes while the loop still works off what came with the host's answer:
 // its close is in no event of that round.
-TEST_F(Gone, WhatEndsInARoundInWhichItsClientLeavesHasNoFurtherAttempt) {
-  config.settings.allowed.probes = false;
-  bool quiet = false;
-  int asked = 0;
-  const auto script = [&](const std::string& text) {
-    return quiet ? "" : ++asked == 1 ? Full(text) : Ok(text);
-  };
-  for (const char* const id : {"h1", "h2"}) AddHost(id, script);
-  Start();
-  Peer first = Ask(Request("f", "safe", 8000));
-  ASSERT_TRUE(Until([&] { return first.Has("served"); }));
-  Until([] { return false; }, Ms(30));
-  quiet = true;
-  const int before = Requests();
-  std::map<Host*, int> had;
-  for (const auto& host : hosts) had[host.get()] = host->requests;
-  Peer client = Ask(Request("a", "safe", 8000));
-  ASSERT_TRUE(Until([&] { return Requests() == before + 1; }));
+TEST_F(Kept, WhatEndsInARoundInWhichItsClientLeavesHasNoFurtherAttempt) {
+  Peer client;
+  Peer* const peer = Begin(client);
+  ASSERT_NE(peer, nullptr);
   // Something else of the round comes first and holds it up.
   bool held = false;
   loop.Yield([&] {
@@ -426,14 +427,10 @@
     client.Close();
     usleep(150'000);
   });
-  for (const auto& host : hosts) {
-    if (host->requests > had[host.get()]) host->peers.back().Say(Full(""));
-  }
+  peer->Say(Full(""));
   usleep(2'000);
   ASSERT_TRUE(Until([&] { return held; }));
-  Until([] { return false; }, Ms(60));
-  EXPECT_EQ(Requests(), before + 1);
-  EXPECT_EQ(gateway->in_hand(), 0u);
+  ExpectNoFurther("");
 }
 
 // The trouble: where keys are kept warm a further attempt waits for the answers of the probes that
