Frames among members have checksums, agreed in the hello

Cause: a frame was a length and CBOR. A bit that flipped between two members was believed where the value was still CBOR of the right shape. The test counts believed flips of plain frames too. Change: a frame has an XXH32 of its length and an XXH64 of its value, both seeded with the number of the frame on its connection, so that one that is changed, cut, repeated or left out ends the connection and is counted (checksum_mismatches in the status). Both ends agree on it in their introductions, which stay plain frames with the checksum among their keys; a build without checksums ignores that key and is talked to in plain frames, as before. Operators' calls and their replies have it too.

--- a/src/gateway/cluster_agent_status.cpp
+++ b/src/gateway/cluster_agent_status.cpp
@@ -27,6 +27,7 @@
     status["bytes_out"] = statistics.bytes_out;
     status["dropped"] = statistics.dropped;
     status["nonsense"] = statistics.malformed_frames;
+    status["checksum_mismatches"] = statistics.checksum_mismatches;
     status["strangers"] = statistics.unidentified;
     status["old_lives"] = statistics.stale_incarnations;
   }
--- a/src/lab/cluster_experiment.cpp
+++ b/src/lab/cluster_experiment.cpp
@@ -15,6 +15,7 @@
 #include "gateway/cluster_agent.h"
 #include "lab/listener.h"
 #include "peer/blocking_call.h"
+#include "peer/call.h"
 #include "peer/framing.h"
 #include "peer/peer_connections.h"
 
@@ -64,7 +65,7 @@
     }
     timer_ = loop_.RunAfter(kCallWithin, [this] { Tell(std::nullopt); });
     if (stream_ && stream_->Start()) {
-      stream_->Write(peer::EncodeFrame({{"hello", peer::kProtocolVersion}, {"call", call}}));
+      stream_->Write(peer::EncodeCall(call));
     } else {
       Tell(std::nullopt);
     }
@@ -74,10 +75,11 @@
   virtual ~Call() { loop_.CancelTimer(timer_); }
   void OnData() override {
     json value;
-    switch (peer::TakeFrame(stream_->input(), value)) {
+    switch (peer::TakeReply(stream_->input(), value)) {
       case peer::FrameStatus::kComplete:
         return Tell(std::move(value));
       case peer::FrameStatus::kMalformed:
+      case peer::FrameStatus::kChecksumMismatch:
         return Tell(std::nullopt);
       case peer::FrameStatus::kIncomplete:
         break;
@@ -849,9 +851,8 @@
       return to.value(key, 0.0) - from.value(key, 0.0);
     };
     // Less the answer to the first of the two questions, and the second question.
-    const auto answer = static_cast<double>(peer::EncodeFrame(from).size());
-    const auto question = static_cast<double>(
-        peer::EncodeFrame({{"hello", peer::kProtocolVersion}, {"call", StatusCall()}}).size());
+    const auto answer = static_cast<double>(peer::EncodeCheckedFrame(from, 0).size());
+    const auto question = static_cast<double>(peer::EncodeCall(StatusCall()).size());
     f.cpu_core += (b.used[i].cpu_us - a.used[i].cpu_us) / 1e6 / s;
     f.rss_mb += static_cast<double>(b.used[i].rss_kb) / 1024;
     f.descriptors += static_cast<double>(b.used[i].descriptors);
--- a/src/peer/blocking_call.cpp
+++ b/src/peer/blocking_call.cpp
@@ -11,8 +11,8 @@
 
 #include "base/file_descriptor.h"
 #include "event/buffer.h"
+#include "peer/call.h"
 #include "peer/framing.h"
-#include "peer/hello.h"
 
 namespace paddlestile {
 namespace {
@@ -50,10 +50,11 @@
   Buffer input;
   while (true) {
     json value;
-    switch (peer::TakeFrame(input, value)) {
+    switch (peer::TakeReply(input, value)) {
       case peer::FrameStatus::kComplete:
         return value;
       case peer::FrameStatus::kMalformed:
+      case peer::FrameStatus::kChecksumMismatch:
         return std::nullopt;
       case peer::FrameStatus::kIncomplete:
         break;
@@ -78,8 +79,7 @@
   if (!fd || !ConnectTo(fd.get(), address)) {
     return std::nullopt;
   }
-  const std::string frame = peer::EncodeFrame({{"hello", peer::kProtocolVersion}, {"call", call}});
-  if (!SendAll(fd.get(), frame)) {
+  if (!SendAll(fd.get(), peer::EncodeCall(call))) {
     return std::nullopt;
   }
   return ReceiveFrame(fd.get());
--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -2,8 +2,6 @@
 
 #include <utility>
 
-#include "peer/framing.h"
-
 namespace paddlestile::peer {
 namespace {
 
@@ -28,8 +26,12 @@
   stream_.set_max_unread_bytes(kMaxUnreadBytes);
 }
 
+std::string Connection::Encode(const json& value) const {
+  return is_checked_ ? EncodeCheckedFrame(value, checked_frames_sent_) : EncodeFrame(value);
+}
+
 void Connection::Send(const json& value) {
-  std::string frame = EncodeFrame(value);
+  std::string frame = Encode(value);
   if (!stream_.flushed() && queued_bytes_ + frame.size() > max_queued_bytes_) {
     ++statistics_.dropped;
     return;
@@ -38,6 +40,9 @@
     queued_bytes_ = 0;
   }
   queued_bytes_ += frame.size();
+  if (is_checked_) {
+    ++checked_frames_sent_;
+  }
   ++statistics_.frames_out;
   statistics_.bytes_out += frame.size();
   stream_.Write(std::move(frame));
@@ -86,16 +91,31 @@
   });
 }
 
+FrameStatus Connection::TakeNextFrame(json& value) {
+  if (!is_checked_) {
+    return TakeFrame(stream_.input(), value);
+  }
+  const FrameStatus status = TakeCheckedFrame(stream_.input(), checked_frames_received_, value);
+  if (status == FrameStatus::kComplete) {
+    ++checked_frames_received_;
+  }
+  return status;
+}
+
 bool Connection::ReadFrame() {
   json value;
   const size_t unread_bytes = stream_.input().size();
-  const FrameStatus status = TakeFrame(stream_.input(), value);
+  const FrameStatus status = TakeNextFrame(value);
   statistics_.bytes_in += unread_bytes - stream_.input().size();
   switch (status) {
     case FrameStatus::kMalformed:
       ++statistics_.malformed_frames;
       owner_.OnEnd(*this, "a malformed frame");
       return false;
+    case FrameStatus::kChecksumMismatch:
+      ++statistics_.checksum_mismatches;
+      owner_.OnEnd(*this, "a frame whose checksum does not match");
+      return false;
     case FrameStatus::kIncomplete:
       if (stream_.ended()) {
         owner_.OnEnd(*this, "ended");
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -11,6 +11,7 @@
 
 #include "event/event_loop.h"
 #include "event/stream.h"
+#include "peer/framing.h"
 #include "peer/statistics.h"
 
 namespace paddlestile::peer {
@@ -42,6 +43,9 @@
   Connection& operator=(const Connection&) = delete;
   virtual ~Connection() = default;
 
+  // From now on all frames are checked, in both directions.
+  void EnableChecksums() { is_checked_ = true; }
+
   // Begins to read. False if the event loop cannot watch the socket.
   bool Start() { return stream_.Start(); }
 
@@ -75,6 +79,8 @@
   void OnData() override { ReadFrames(); }
   void OnWriteComplete() override;
   void OnError() override { owner_.OnEnd(*this, "broken"); }
+  [[nodiscard]] std::string Encode(const nlohmann::json& value) const;
+  [[nodiscard]] FrameStatus TakeNextFrame(nlohmann::json& value);
   void ReadFrames();
   // Reads one frame and reports it. False if none is complete or the connection ended.
   bool ReadFrame();
@@ -89,6 +95,9 @@
   uint64_t incarnation_ = 0;
   uint64_t restart_count_ = 0;
   uint64_t call_ = 0;
+  bool is_checked_ = false;               // frames have checksums
+  uint64_t checked_frames_sent_ = 0;      // the sequence number of the next one
+  uint64_t checked_frames_received_ = 0;  // the same
   bool is_member_ = false;
   bool closed_ = false;
   bool ends_after_write_ = false;
--- a/src/peer/peer_connections.cpp
+++ b/src/peer/peer_connections.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "base/log.h"
+#include "peer/introduction.h"
 
 namespace paddlestile::peer {
 namespace {
@@ -225,7 +226,7 @@
   hello.to = name;
   hello.incarnation = options_.incarnation;
   hello.restart_count = options_.restart_count;
-  return EncodeHello(hello, listener_->ClaimKnownOf(name));
+  return WithChecksum(EncodeHello(hello, listener_->ClaimKnownOf(name)));
 }
 
 void PeerConnections::Reject(Connection& connection, const std::string& reason) {
@@ -235,11 +236,17 @@
 }
 
 void PeerConnections::OnIntroduction(Connection& connection, const json& value) {
+  const IntroductionChecksum checksum = VerifyChecksum(value);
+  if (checksum == IntroductionChecksum::kMismatch) {
+    ++statistics_.checksum_mismatches;
+    return Reject(connection, "an introduction whose checksum does not match");
+  }
+  const bool is_checked = checksum == IntroductionChecksum::kMatches;
   try {
     if (const auto call = value.find("call"); call != value.end()) {
-      OnCall(connection, value, *call);
+      OnCall(connection, value, *call, is_checked);
     } else {
-      OnHello(connection, value);
+      OnHello(connection, value, is_checked);
     }
   } catch (const json::exception&) {
     // Also one that the listener throws for the contents of the call or the claim.
@@ -248,7 +255,8 @@
   }
 }
 
-void PeerConnections::OnCall(Connection& connection, const json& frame, const json& call) {
+void PeerConnections::OnCall(Connection& connection, const json& frame, const json& call,
+                             bool is_checked) {
   if (frame.value("hello", 0) != kProtocolVersion) {
     return Reject(connection, "a call of another format");
   }
@@ -260,6 +268,9 @@
     connection.set_call(next_call_++);
     calls_[connection.call()] = &connection;
   }
+  if (is_checked) {
+    connection.EnableChecksums();
+  }
   listener_->OnCall(connection.call(), call);
 }
 
@@ -311,7 +322,7 @@
   OnEnd(earlier, "another connection of it");
 }
 
-void PeerConnections::OnHello(Connection& connection, const json& frame) {
+void PeerConnections::OnHello(Connection& connection, const json& frame, bool is_checked) {
   const json& version = VersionOfHello(frame);
   const Hello hello = DecodeHello(frame);
   const json claim = ClaimOfHello(frame);
@@ -335,6 +346,9 @@
   if (!connection.is_dialed()) {
     --unidentified_count_;
   }
+  if (is_checked) {
+    connection.EnableChecksums();
+  }
   connection.SetMember(hello.from, hello.incarnation, hello.restart_count);
   connected_[hello.from] = &connection;
   ++statistics_.connected;
--- a/src/peer/peer_connections.h
+++ b/src/peer/peer_connections.h
@@ -106,8 +106,10 @@
 
   [[nodiscard]] nlohmann::json HelloTo(const std::string& name);
   void OnIntroduction(Connection& connection, const nlohmann::json& value);
-  void OnCall(Connection& connection, const nlohmann::json& frame, const nlohmann::json& call);
-  void OnHello(Connection& connection, const nlohmann::json& frame);
+  // `is_checked`: the other end knows checked frames.
+  void OnCall(Connection& connection, const nlohmann::json& frame, const nlohmann::json& call,
+              bool is_checked);
+  void OnHello(Connection& connection, const nlohmann::json& frame, bool is_checked);
   // Counts and closes a connection that is not accepted.
   void Reject(Connection& connection, const std::string& reason);
   // Why a hello is not accepted, whatever connections there are; empty: it is.
--- a/tests/peer/peer_connections_test.cpp
+++ b/tests/peer/peer_connections_test.cpp
@@ -9,7 +9,9 @@
 #include <optional>
 
 #include "gateway/test_peers.h"
+#include "peer/call.h"
 #include "peer/framing.h"
+#include "peer/introduction.h"
 
 namespace paddlestile::peer {
 namespace {
@@ -61,6 +63,11 @@
                       {"known", "x"}});
 }
 
+// The same by a build that knows checksums.
+std::string CheckedHello() {
+  return EncodeFrame(WithChecksum(EncodeHello({"north", "a", "b", 7, 1}, "x")));
+}
+
 // A member with its connections, which records what it received.
 struct TestMember final : PeerConnections::Listener {
   TestMember(EventLoop& loop, const std::string& name, PeerConnectionOptions options)
@@ -204,6 +211,57 @@
   }
 }
 
+// What is believed of a frame that was changed or repeated on the way: nothing.
+TEST_F(PeerConnectionsTest, AFrameThatWasChangedOrRepeatedEndsItsConnection) {
+  TestMember b(loop, "b", Options("b", 2, 1));
+  const std::string first = EncodeCheckedFrame({{"x", 1}}, 0);
+  std::string changed = EncodeCheckedFrame({{"x", 2}}, 1);
+  changed.back() = static_cast<char>(changed.back() ^ 1);  // the number: still CBOR
+  const std::string plain = EncodeFrame({{"x", 3}});
+  uint64_t mismatches = 0;
+  for (const std::string& second : {changed, first, plain}) {
+    b.received.clear();
+    Peer peer = Peer::To(At('b'));
+    peer.Say(CheckedHello());
+    ASSERT_TRUE(RunUntil([&] { return b.connected.contains("a"); }));
+    peer.Say(first + second);
+    EXPECT_TRUE(RunUntil([&] { return peer.Ended(); }));
+    EXPECT_EQ(b.received, "x;a says 1;");
+    EXPECT_EQ(b.connections.statistics().checksum_mismatches, ++mismatches);
+  }
+  // A hello that was changed: the incarnation is another.
+  std::string hello = CheckedHello();
+  const size_t incarnation = hello.find("life") + 4;
+  hello[incarnation] = static_cast<char>(hello[incarnation] ^ 1);
+  Peer peer = Peer::To(At('b'));
+  peer.Say(hello);
+  EXPECT_TRUE(RunUntil([&] { return peer.Ended(); }));
+  EXPECT_TRUE(b.connected.empty());
+  EXPECT_EQ(b.connections.statistics().checksum_mismatches, ++mismatches);
+}
+
+// A fleet is upgraded a member at a time.
+TEST_F(PeerConnectionsTest, TalksPlainFramesWithABuildWithoutChecksums) {
+  TestMember b(loop, "b", Options("b", 2, 1));
+  Peer peer = Peer::To(At('b'));
+  peer.Say(Hello("north", "a", "b", kProtocolVersion, 7, 1));
+  ASSERT_TRUE(RunUntil([&] { return b.connected.contains("a"); }));
+  peer.Say(EncodeFrame({{"x", 1}}));
+  EXPECT_TRUE(RunUntil([&] { return b.received == "x;a says 1;"; }));
+  peer.Forget();
+  b.connections.Send("a", {{"x", 2}});
+  const std::string expected = EncodeFrame({{"x", 2}});
+  EXPECT_TRUE(RunUntil([&] { return peer.Has(expected); }));
+}
+
+TEST_F(PeerConnectionsTest, RepliesWithAChecksumToACallerThatKnowsThem) {
+  TestMember b(loop, "b", Options("b", 2, 1));
+  Peer caller = Peer::To(At('b'));
+  caller.Say(EncodeCall("now"));
+  EXPECT_TRUE(RunUntil([&] { return caller.Ended(); }));
+  EXPECT_EQ(caller.Heard(), EncodeCheckedFrame({{"to", "now"}}, 0));
+}
+
 TEST_F(PeerConnectionsTest, AnswersAnOperatorsCallOnce) {
   TestMember b(loop, "b", Options("b", 2, 1));
   Peer caller = Peer::To(At('b'));
