A call and then a hello on one connection lock nobody out

What callers saw: nothing yet; by reading. Change: whether a connection counts is a field of the connection, taken back in one place, once; and a hello after a call is rejected.

--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -70,6 +70,10 @@
   void set_call(uint64_t call) { call_ = call; }
   [[nodiscard]] uint64_t call() const { return call_; }  // 0: none
 
+  // Whether it is one of the accepted connections that have not identified themselves.
+  [[nodiscard]] bool is_unidentified() const { return is_unidentified_; }
+  void set_unidentified(bool unidentified) { is_unidentified_ = unidentified; }
+
   [[nodiscard]] bool is_dialed() const { return !dialed_name_.empty(); }
   [[nodiscard]] const std::string& dialed_name() const { return dialed_name_; }
   // When the last frame arrived, or the connection was made.
@@ -99,6 +103,7 @@
   uint64_t checked_frames_sent_ = 0;      // the sequence number of the next one
   uint64_t checked_frames_received_ = 0;  // the same
   bool is_member_ = false;
+  bool is_unidentified_ = false;
   bool closed_ = false;
   bool ends_after_write_ = false;
   Time last_received_at_;
--- a/src/peer/peer_connections.cpp
+++ b/src/peer/peer_connections.cpp
@@ -84,6 +84,7 @@
       continue;
     }
     Connection& connection = AddConnection(Socket(std::move(fd), &budget_), "");
+    connection.set_unidentified(true);
     ++unidentified_count_;
     if (!connection.Start()) {
       OnEnd(connection, "not watched");
@@ -161,9 +162,7 @@
   if (connection.call() != 0) {
     calls_.erase(connection.call());
   }
-  if (!connection.is_dialed() && !connection.is_member() && connection.call() == 0) {
-    --unidentified_count_;
-  }
+  RemoveFromUnidentified(connection);
   ForgetMember(connection, reason);
   if (connection.is_dialed()) {
     ScheduleRedial(connection.dialed_name());
@@ -229,6 +228,13 @@
   return WithChecksum(EncodeHello(hello, listener_->ClaimKnownOf(name)));
 }
 
+void PeerConnections::RemoveFromUnidentified(Connection& connection) {
+  if (connection.is_unidentified()) {
+    connection.set_unidentified(false);
+    --unidentified_count_;
+  }
+}
+
 void PeerConnections::Reject(Connection& connection, const std::string& reason) {
   ++statistics_.unidentified;
   Log(LogLevel::kWarning, "bank: turned away: {}", reason);
@@ -263,8 +269,8 @@
   if (connection.is_dialed()) {
     return Reject(connection, "a call instead of a hello");
   }
+  RemoveFromUnidentified(connection);
   if (connection.call() == 0) {
-    --unidentified_count_;
     connection.set_call(next_call_++);
     calls_[connection.call()] = &connection;
   }
@@ -276,6 +282,9 @@
 
 std::string PeerConnections::ReasonToReject(const Connection& connection, const Hello& hello,
                                             const json& version) const {
+  if (connection.call() != 0) {
+    return "a hello after a call";
+  }
   if (version != kProtocolVersion) {
     return hello.from + " speaks format " + version.dump() + ", expected " +
            std::to_string(kProtocolVersion);
@@ -343,9 +352,7 @@
   if (connection.closed()) {
     return;
   }
-  if (!connection.is_dialed()) {
-    --unidentified_count_;
-  }
+  RemoveFromUnidentified(connection);
   if (is_checked) {
     connection.EnableChecksums();
   }
--- a/src/peer/peer_connections.h
+++ b/src/peer/peer_connections.h
@@ -110,6 +110,8 @@
   void OnCall(Connection& connection, const nlohmann::json& frame, const nlohmann::json& call,
               bool is_checked);
   void OnHello(Connection& connection, const nlohmann::json& frame, bool is_checked);
+  // No effect where it is none of the unidentified connections.
+  void RemoveFromUnidentified(Connection& connection);
   // Counts and closes a connection that is not accepted.
   void Reject(Connection& connection, const std::string& reason);
   // Why a hello is not accepted, whatever connections there are; empty: it is.
--- a/tests/peer/peer_connections_test.cpp
+++ b/tests/peer/peer_connections_test.cpp
@@ -84,12 +84,15 @@
     }
   }
   void OnCall(uint64_t call, const json& value) override {
-    connections.Reply(call, {{"to", value}});
+    if (replies) {
+      connections.Reply(call, {{"to", value}});
+    }
   }
   DescriptorBudget budget{512};
   PeerConnections connections;
   std::string name;
   std::string received;
+  bool replies = true;                        // to calls
   std::map<std::string, uint64_t> connected;  // incarnation by name
 };
 
@@ -262,6 +265,21 @@
   EXPECT_EQ(caller.Heard(), EncodeCheckedFrame({{"to", "now"}}, 0));
 }
 
+// The connection was counted out twice of those that have not identified themselves, below zero:
+// every connection that came after it was turned away.
+TEST_F(PeerConnectionsTest, AHelloAfterACallIsRejectedAndLocksNobodyOut) {
+  TestMember b(loop, "b", Options("b", 2, 1));
+  b.replies = false;
+  Peer caller = Peer::To(At('b'));
+  caller.Say(EncodeFrame({{"hello", kProtocolVersion}, {"call", "now"}}) +
+             Hello("north", "a", "b", kProtocolVersion, 7, 1));
+  EXPECT_TRUE(RunUntil([&] { return caller.Ended(); }));
+  EXPECT_TRUE(b.connected.empty());
+  Peer member = Peer::To(At('b'));
+  member.Say(Hello("north", "a", "b", kProtocolVersion, 7, 1));
+  EXPECT_TRUE(RunUntil([&] { return b.connected.contains("a"); }));
+}
+
 TEST_F(PeerConnectionsTest, AnswersAnOperatorsCallOnce) {
   TestMember b(loop, "b", Options("b", 2, 1));
   Peer caller = Peer::To(At('b'));
