A restarted voter votes only once it has heard what it may have forgotten

What callers saw: after a voter's disk had gone back, the cluster made a second history: other content under a version that was agreed before (lab world 42094), or two contradicting versions acted on at a time (300023). Cause: the members that knew what the disk had held were cut off, or had restarted and kept that in memory only. The rolled-back voter and one that lagged were a majority. In 300023 its log was rolled back to before it knew any voters; it voted all the same. Change: RestartGuard. A voter that restarts first hears so many of the other voters that one of them was in any majority with it (both of two, three of four), and for 5 s votes for no candidate with an older log than theirs nor in a term that they had reached. After 5 s it votes as before: a voter that is lost must not stop the other two for good. Weighed: claims on disk would not have closed 42094 (the one that knew was cut off); asking the members that do not vote neither closes the case without any.

--- a/src/raft/election.cpp
+++ b/src/raft/election.cpp
@@ -60,7 +60,7 @@
   } else {
     role_ = Role::kCandidate;
     own_vote_granted_ = false;
-    EnterTerm(current_term_ + 1, name_, out);
+    EnterTerm(std::max(current_term_, restart_guard_.greatest_term_heard()) + 1, name_, out);
     vote_sequence_number_ = durable_.last_sequence_number();
   }
   RequestVotes(is_pre_vote, out);
@@ -119,8 +119,9 @@
   Message reply;
   reply.type = Message::Type::kRequestVoteReply;
   reply.is_pre_vote = request.is_pre_vote;
-  const bool is_up_to_date = std::pair(request.index_term, request.index) >=
-                             std::pair(log_.last_term(), log_.last_index());
+  const LogPosition candidate_log_end{request.index_term, request.index};
+  const bool is_up_to_date = candidate_log_end >= LogEnd() &&
+                             restart_guard_.MayVote(now, request.term, candidate_log_end, voters());
   // A member that hears its leader neither votes nor enters the candidate's term: a voter that
   // cannot be heard does not depose a leader, and the leader's lease stays safe.
   const bool has_leader =
--- a/src/raft/messages.h
+++ b/src/raft/messages.h
@@ -35,7 +35,8 @@
 //                        commit_index  the last index applied by the sender
 //                        sent_at       as in the request; -1: replies to no request
 //                        asked_at      asks for a lease: the time by the sender's clock
-//   StorageClaim         nothing more than the claims
+//   StorageClaim         index         the sender's last index; 0 from builds that do not tell it
+//                        index_term    the term of that entry
 struct Message {
   // The numbers are sent; they must not change.
   enum class Type : uint8_t {
--- a/src/raft/raft_node.cpp
+++ b/src/raft/raft_node.cpp
@@ -4,6 +4,18 @@
 #include <utility>
 
 namespace paddlestile::raft {
+namespace {
+
+// A member with other storage that is a voter again tells what it holds within so many heartbeats.
+constexpr int kHeartbeatsUntilReplacedCounts = 3;
+
+RestartGuard MakeRestartGuard(const std::string& name, const RaftTiming& timing,
+                              const PersistentState& state, Time now) {
+  return state.restart_count > 1 ? RestartGuard(name, now + timing.restart_guard_duration)
+                                 : RestartGuard();
+}
+
+}  // namespace
 
 RaftNode::RaftNode(std::string name, const RaftTiming& timing, PersistentState state, uint64_t seed,
                    Time now)
@@ -19,7 +31,8 @@
           std::max(log_.snapshot().index, std::min(state.commit_index, log_.last_index()))),
       durable_(log_.last_index()),
       leader_heard_at_(now),
-      claims_due_at_(now) {
+      claims_due_at_(now),
+      restart_guard_(MakeRestartGuard(name_, timing, state, now)) {
   ValidateTiming(timing_);
   ResetElectionTimer(now);
 }
@@ -102,12 +115,18 @@
     if (voter.name == leader_ || found == peers_.end() || !found->second.connected) {
       continue;
     }
-    Message message;
-    message.type = Message::Type::kStorageClaim;
-    SendWhenDurable(out, std::move(message), voter.name);
+    SendStorageClaim(voter.name, out);
   }
 }
 
+void RaftNode::SendStorageClaim(const std::string& to, RaftOutput& out) {
+  Message message;
+  message.type = Message::Type::kStorageClaim;
+  message.index = log_.last_index();
+  message.index_term = log_.last_term();
+  SendWhenDurable(out, std::move(message), to);
+}
+
 // ---- Events -----------------------------------------------------------------------------------
 
 void RaftNode::OnPeerConnected(Time now, const std::string& name, uint64_t incarnation,
@@ -123,6 +142,10 @@
   peer.connected = true;
   peer.next_index = log_.last_index() + 1;
   peer.lease_ends_at = lease_ends_at;
+  if (!IsVoter(name, incarnation)) {
+    restart_guard_.OnStorageReplaced(
+        name, now + kHeartbeatsUntilReplacedCounts * timing_.heartbeat_interval);
+  }
   if (role_ == Role::kLeader) {
     SendAppendEntries(now, name, peer, out);
   }
@@ -152,6 +175,26 @@
   return false;
 }
 
+void RaftNode::NoteSender(Time now, const Message& message) {
+  LogPosition log_end{message.index_term, message.index};
+  Term current_term = message.term;
+  switch (message.type) {
+    case Message::Type::kRequestVote:
+      current_term -= message.is_pre_vote ? 1 : 0;
+      break;
+    case Message::Type::kAppendEntries:
+      if (!message.entries.empty()) {
+        log_end = {message.entries.back().term, message.index + message.entries.size()};
+      }
+      break;
+    case Message::Type::kStorageClaim:
+      break;
+    default:
+      return;  // shows nothing of the sender's log
+  }
+  restart_guard_.OnHeard(now, message.from, log_end, current_term, voters());
+}
+
 void RaftNode::OnMessage(Time now, const Message& message, RaftOutput& out) {
   if (message.to != name_) {
     return;
@@ -160,6 +203,7 @@
   if (!CheckOwnClaim(message.claim_of_receiver, out)) {
     return;
   }
+  NoteSender(now, message);
   switch (message.type) {
     case Message::Type::kRequestVote:
       return OnRequestVote(now, message, out);
@@ -172,7 +216,15 @@
     case Message::Type::kInstallSnapshot:
       return OnInstallSnapshot(now, message, out);
     case Message::Type::kStorageClaim:
-      return;  // the claims were handled above
+      return OnStorageClaim(message, out);
+  }
+}
+
+// The claims were handled before. A member that does not know itself a voter sends none by itself;
+// it may be one all the same, whose log was rolled back, and the sender may wait to hear it.
+void RaftNode::OnStorageClaim(const Message& message, RaftOutput& out) {
+  if (!IsVotingMember()) {
+    SendStorageClaim(message.from, out);
   }
 }
 
@@ -205,7 +257,9 @@
   if (now < election_timer_due_at_) {
     return;
   }
-  if (may_campaign_) {
+  // In the term after those that were heard, whichever that is.
+  const Term next_term = std::max(current_term_, restart_guard_.greatest_term_heard()) + 1;
+  if (may_campaign_ && restart_guard_.MayVote(now, next_term, LogEnd(), voters())) {
     return StartNewElection(now, true, out);
   }
   ResetElectionTimer(now);
--- a/src/raft/raft_node.h
+++ b/src/raft/raft_node.h
@@ -26,6 +26,7 @@
 #include "raft/persistent_state.h"
 #include "raft/raft_log.h"
 #include "raft/raft_output.h"
+#include "raft/restart_guard.h"
 #include "raft/storage_claim.h"
 #include "raft/timing.h"
 #include "raft/types.h"
@@ -184,6 +185,10 @@
   // Sends `message` once all that was written so far is durable.
   void SendWhenDurable(RaftOutput& out, Message message, const std::string& to);
   void SendStorageClaims(Time now, RaftOutput& out);
+  void SendStorageClaim(const std::string& to, RaftOutput& out);
+  void OnStorageClaim(const Message& message, RaftOutput& out);
+  // Tells the restart guard what a message shows of its sender.
+  void NoteSender(Time now, const Message& message);
   void OnLeaderTimeout(Time now, RaftOutput& out);
   [[nodiscard]] Time NextLeaderTimeout() const;
 
@@ -198,6 +203,7 @@
   void RequestVotes(bool is_pre_vote, RaftOutput& out);
   void CountVotes(Time now, RaftOutput& out);
   void BecomeLeader(Time now, RaftOutput& out);
+  [[nodiscard]] LogPosition LogEnd() const { return {log_.last_term(), log_.last_index()}; }
   void OnRequestVote(Time now, const Message& request, RaftOutput& out);
   void OnRequestVoteReply(Time now, const Message& reply, RaftOutput& out);
 
@@ -261,6 +267,7 @@
 
   std::map<std::string, Peer> peers_;  // every member that was ever connected
   KnownClaims known_claims_;
+  RestartGuard restart_guard_;
 };
 
 }  // namespace paddlestile::raft
--- a/src/raft/timing.h
+++ b/src/raft/timing.h
@@ -22,6 +22,10 @@
   // For how long after it asked a member may act on what it has applied. At least 3 heartbeat
   // intervals.
   Duration lease_duration{1'000'000};
+  // For how long after a restart a voter takes part in no election until it has heard enough of the
+  // others; see RestartGuard. Above the interruptions to be survived, and the time for which a
+  // cluster of three may have no leader where one voter is lost and another one restarts.
+  Duration restart_guard_duration{5'000'000};
   // Greatest relative difference between two clocks' rates: 0.01 is one part in a hundred. 0 to
   // 0.2.
   double clock_rate_error = 0.01;
--- a/src/raft/types.h
+++ b/src/raft/types.h
@@ -17,6 +17,14 @@
 // Election term. Grows monotonically; at most one leader is elected in a term.
 using Term = uint64_t;
 
+// The end of a log, or a position in it. Of two logs the one with the later end is more up to date
+// (section 5.4.1 of the paper).
+struct LogPosition {
+  Term term = 0;  // of the entry at `index`
+  Index index = 0;
+  auto operator<=>(const LogPosition&) const = default;
+};
+
 // Upper bound on the voters of one configuration.
 inline constexpr size_t kMaxVoters = 9;
 
--- a/tests/lab/cluster_simulation_test.cpp
+++ b/tests/lab/cluster_simulation_test.cpp
@@ -55,6 +55,15 @@
   }
 }
 
+// A voter came back with an older disk, and those that knew what it had held were cut off (42094)
+// or had restarted (300023): it and a voter that lagged made another history.
+TEST(BankWorld, HoldsWhereNobodyRemembersWhatADiskHeld) {
+  for (const uint64_t seed : {42094, 300023}) {
+    const WorldsResult r = Play(Mischief::kNone, 1, seed);
+    EXPECT_EQ(r.broken, 0U) << ToText(r, {});
+  }
+}
+
 struct Found {
   Mischief mischief;
   std::vector<const char*> terms;
