Hot restart: a busy reply is read also where the request is not taken

What callers saw: with a hot restart in progress, a third process was sometimes not turned away; it listened beside the other two and shared the connections with them. Cause: the old process replies "busy" and closes as soon as it accepts. Where that came before the third one's request was sent, the send failed (EPIPE), and the third took the process for one that does not speak, without reading the reply that was there. New: RequestHotRestartTest, which closes before the request; seen to fail before. Change: the reply is read whether or not the request was taken.

--- a/src/gateway/hot_restart.cpp
+++ b/src/gateway/hot_restart.cpp
@@ -38,12 +38,8 @@
          LocalAddress(fd) == address;
 }
 
-// Sends the request and reads the reply. Nothing where the reply is malformed or does not come.
-std::optional<HotRestartState> Exchange(int channel, const Address& listen) {
-  if (!IsPeerOfSameUser(channel) ||
-      !SendLine(channel, hot_restart::RequestLine(listen) + '\n', -1)) {
-    return std::nullopt;
-  }
+// Reads the reply to the request. Nothing where it is malformed or does not come.
+std::optional<HotRestartState> ReadReply(int channel, const Address& listen) {
   HotRestartState state;
   std::string line;
   if (!ReceiveLine(channel, hot_restart::kMaxLineBytes, kReadTimeout, line,
@@ -78,6 +74,21 @@
   return fmt::format("{}/paddlestile-{}.sock", tmpdir, ToText(listen));
 }
 
+std::optional<HotRestartState> RequestHotRestartOver(FileDescriptor channel,
+                                                     const Address& listen) {
+  if (!IsPeerOfSameUser(channel.get())) {
+    return std::nullopt;
+  }
+  // A process that is busy replies without reading: where this fails, the reply may be there.
+  SendLine(channel.get(), hot_restart::RequestLine(listen) + '\n', -1);
+  std::optional<HotRestartState> state = ReadReply(channel.get(), listen);
+  if (state) {
+    fcntl(channel.get(), F_SETFL, O_NONBLOCK);
+    state->channel = std::move(channel);
+  }
+  return state;
+}
+
 HotRestartState RequestHotRestart(const std::string& path, const Address& listen) {
   if (path.empty()) {
     return {};
@@ -86,13 +97,11 @@
   if (!channel) {
     return {};  // no process, or a file that one left
   }
-  std::optional<HotRestartState> state = Exchange(channel.get(), listen);
+  std::optional<HotRestartState> state = RequestHotRestartOver(std::move(channel), listen);
   if (!state) {
     Log(LogLevel::kWarning, "hot restart: the reply of the running process is not valid");
     return {};
   }
-  fcntl(channel.get(), F_SETFL, O_NONBLOCK);
-  state->channel = std::move(channel);
   ++GlobalCounters().hot_restarts;
   Log(LogLevel::kInfo, "hot restart: received the listening socket of {}", ToText(listen));
   return std::move(*state);
--- a/src/gateway/hot_restart.h
+++ b/src/gateway/hot_restart.h
@@ -18,6 +18,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/gateway_config.h"
@@ -45,6 +46,10 @@
 // std::runtime_error where another new process has asked before.
 HotRestartState RequestHotRestart(const std::string& path, const Address& listen);
 
+// The same over a channel that is connected to the running process. Nothing where there is no valid
+// reply.
+std::optional<HotRestartState> RequestHotRestartOver(FileDescriptor channel, const Address& listen);
+
 // The new process' side, until the old process ends.
 class NewProcess final : public Stream::Listener {
  public:
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -1,4 +1,6 @@
 // A second process of the program takes over from the first, under load.
+#include "gateway/hot_restart.h"
+
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
@@ -17,6 +19,7 @@
 #include <vector>
 
 #include "gateway/child_process.h"
+#include "gateway/hot_restart_protocol.h"
 #include "gateway/test_peers.h"
 
 namespace paddlestile {
@@ -226,7 +229,7 @@
   ASSERT_TRUE(first.Says("a new process has the listening socket"));
   second.Signal(SIGSTOP);
   Start(third, 6003);
-  EXPECT_EQ(third.Wait(), 1);
+  EXPECT_EQ(third.Wait(), 1) << first.Text() << second.Text() << third.Text();
   EXPECT_NE(third.Text().find("another process is taking over"), std::string::npos);
   second.Kill();
   usleep(300'000);
@@ -243,6 +246,19 @@
   ExpectWhole(more);
 }
 
+// The process that is busy had replied and closed before the request was sent: the new one took the
+// failed send for a process that does not speak, and served beside the other two.
+TEST(RequestHotRestartTest, ABusyReplyIsReadWhereTheRequestIsNotTaken) {
+  int ends[2] = {-1, -1};
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends), 0);
+  FileDescriptor channel(ends[0]), busy_process(ends[1]);
+  const std::string reply = hot_restart::BusyLine() + '\n';
+  send(busy_process.get(), reply.data(), reply.size(), MSG_NOSIGNAL);
+  busy_process.Reset();
+  EXPECT_THROW(RequestHotRestartOver(std::move(channel), Address{INADDR_LOOPBACK, 1}),
+               std::runtime_error);
+}
+
 // A process that ends before it could serve must not stop the old one.
 TEST_F(HotRestartTest, NewProcessEndedBeforeItServesChangesNothing) {
   Child first, second, third;
