Hot restart: a new process that hangs leaves neither nobody nor two serving

A new process that hung after it had reported ready left nobody who served: the old one accepted no more, for good. One started meanwhile got no reply from the hung one within 500 ms and listened beside the old one, with a socket of its own; so did the one after a new process that was killed once ready, whose socket file had stayed. Cause: the old process saw only that the channel ended, not that nobody answered on it; and it did not put its own socket back at the path where a new process that vanished had replaced it. Change: the old process says that it monitors; the new one then answers its reports (one each 50 ms). After 40 without an answer, once it was ready, the old one says 'revoked', serves again and listens at the path anew; the new one drains and ends when it reads that. A process that asks waits up to 3 s for a reply, and asks again where the socket at the path is replaced meanwhile. Builds without these lines ignore 'monitors' and are not monitored. A channel whose input had filled is read on (ResumeReading), as after a long stop. Chosen, not measured: 2 s and 3 s, above stalls of an event loop and within a client's retries.

--- a/src/gateway/hot_restart.cpp
+++ b/src/gateway/hot_restart.cpp
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <optional>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 #include "base/log.h"
@@ -26,6 +27,12 @@
 
 constexpr Duration kReadTimeout = milliseconds(500);
 constexpr Duration kReportInterval = milliseconds(50);  // of the descriptors held
+// Reports without an answer before a new process that was ready is taken to hang. Counted in
+// reports, not in time: a machine that stands still is no fault of the new process.
+constexpr int kMaxUnansweredReports = 40;
+// From a request until its reply begins; above the time in which a new process that hangs is found.
+constexpr Duration kMaxWaitForReply = milliseconds(3000);
+constexpr Duration kReplyCheckInterval = milliseconds(20);
 // What the old process may still open: upstream connections for requests in progress.
 constexpr size_t kSpareDescriptors = 16;
 // Of a process that ends, outside of its budget.
@@ -74,13 +81,14 @@
   return fmt::format("{}/paddlestile-{}.sock", tmpdir, ToText(listen));
 }
 
-std::optional<HotRestartState> RequestHotRestartOver(FileDescriptor channel,
-                                                     const Address& listen) {
-  if (!IsPeerOfSameUser(channel.get())) {
-    return std::nullopt;
-  }
+namespace {
+
+void SendRequest(int channel, const Address& listen) {
   // A process that is busy replies without reading: where this fails, the reply may be there.
-  SendLine(channel.get(), hot_restart::RequestLine(listen) + '\n', -1);
+  SendLine(channel, hot_restart::RequestLine(listen) + '\n', -1);
+}
+
+std::optional<HotRestartState> TakeReply(FileDescriptor channel, const Address& listen) {
   std::optional<HotRestartState> state = ReadReply(channel.get(), listen);
   if (state) {
     fcntl(channel.get(), F_SETFL, O_NONBLOCK);
@@ -89,15 +97,65 @@
   return state;
 }
 
+// Whether a reply has begun, before the socket at `path` is another one than `inode`, the peer ends
+// the connection, or `deadline`.
+bool WaitForReply(int channel, const std::string& path, uint64_t inode,
+                  std::chrono::steady_clock::time_point deadline) {
+  while (std::chrono::steady_clock::now() < deadline && InodeOf(path) == inode) {
+    switch (WaitForInput(channel, kReplyCheckInterval)) {
+      case InputStatus::kReadable:
+        return true;
+      case InputStatus::kEnded:
+        return false;
+      case InputStatus::kNone:
+        break;
+    }
+  }
+  return false;
+}
+
+// A channel to the process at `path` on which a reply has begun; none where no process replies.
+FileDescriptor ConnectAndRequest(const std::string& path, const Address& listen) {
+  const auto deadline = std::chrono::steady_clock::now() + kMaxWaitForReply;
+  FileDescriptor channel = ConnectUnix(path);
+  if (!channel) {
+    return {};  // no process, or a file that one left
+  }
+  while (std::chrono::steady_clock::now() < deadline) {
+    const uint64_t inode = InodeOf(path);
+    if (channel && IsPeerOfSameUser(channel.get())) {
+      SendRequest(channel.get(), listen);
+      if (WaitForReply(channel.get(), path, inode, deadline)) {
+        return channel;
+      }
+    }
+    std::this_thread::sleep_for(kReplyCheckInterval);
+    channel = ConnectUnix(path);
+  }
+  Log(LogLevel::kWarning, "hot restart: the running process does not reply");
+  return {};
+}
+
+}  // namespace
+
+std::optional<HotRestartState> RequestHotRestartOver(FileDescriptor channel,
+                                                     const Address& listen) {
+  if (!IsPeerOfSameUser(channel.get())) {
+    return std::nullopt;
+  }
+  SendRequest(channel.get(), listen);
+  return TakeReply(std::move(channel), listen);
+}
+
 HotRestartState RequestHotRestart(const std::string& path, const Address& listen) {
   if (path.empty()) {
     return {};
   }
-  FileDescriptor channel = ConnectUnix(path);
+  FileDescriptor channel = ConnectAndRequest(path, listen);
   if (!channel) {
-    return {};  // no process, or a file that one left
+    return {};
   }
-  std::optional<HotRestartState> state = RequestHotRestartOver(std::move(channel), listen);
+  std::optional<HotRestartState> state = TakeReply(std::move(channel), listen);
   if (!state) {
     Log(LogLevel::kWarning, "hot restart: the reply of the running process is not valid");
     return {};
@@ -123,14 +181,37 @@
   stream_.Write(std::string(hot_restart::kReadyLine) + '\n');
 }
 
+void NewProcess::OnLine(const std::string& line) {
+  if (const auto descriptors_held = hot_restart::ParseHoldsLine(line)) {
+    budget_.set_held_by_other_process(*descriptors_held);
+    is_asked_ = true;
+  } else if (line == hot_restart::kMonitorsLine) {
+    is_monitored_ = true;
+    is_asked_ = true;
+  } else if (line == hot_restart::kRevokedLine) {
+    is_revoked_ = true;
+  }
+}
+
 void NewProcess::OnData() {
-  const bool valid = hot_restart::ConsumeLines(stream_.input(), [this](const std::string& line) {
-    if (const auto descriptors_held = hot_restart::ParseHoldsLine(line)) {
-      budget_.set_held_by_other_process(*descriptors_held);
+  const bool valid =
+      hot_restart::ConsumeLines(stream_.input(), [this](const std::string& line) { OnLine(line); });
+  if (std::exchange(is_revoked_, false)) {
+    Log(LogLevel::kWarning, "hot restart: the old process serves again, this one ends");
+    OnError();
+    if (on_revoked_) {
+      on_revoked_();
     }
-  });
+    return;
+  }
   if (!valid || stream_.ended()) {
-    OnError();
+    return OnError();
+  }
+  if (std::exchange(is_asked_, false) && is_monitored_) {
+    stream_.Write(std::string(hot_restart::kAliveLine) + '\n');
+  }
+  if (!stream_.closed()) {
+    stream_.ResumeReading();
   }
 }
 
@@ -178,6 +259,13 @@
   }
   bool Start() { return stream_.Start(); }
   [[nodiscard]] Stream& stream() { return stream_; }
+  // One more report goes to the new process. False where it is taken to hang: it answered before,
+  // was ready, and has left too many without an answer.
+  bool CountReport() {
+    ++unanswered_reports_;
+    return !answers_ || !owner_.lifecycle_.replaced() ||
+           unanswered_reports_ <= kMaxUnansweredReports;
+  }
 
  private:
   void OnData() override {
@@ -196,6 +284,11 @@
     if (line == hot_restart::kReadyLine && handed_over_) {
       return OnReady();
     }
+    if (line == hot_restart::kAliveLine && handed_over_) {
+      answers_ = true;
+      unanswered_reports_ = 0;
+      return;
+    }
     const bool is_request = line == hot_restart::RequestLine(owner_.downstream_.address());
     if (!is_request || handed_over_ || owner_.downstream_.listening_socket() < 0) {
       Log(LogLevel::kWarning, "hot restart: a malformed request, not followed");
@@ -206,6 +299,7 @@
 
   void OnReady() {
     Log(LogLevel::kInfo, "hot restart: the new process serves, this one ends what is open");
+    unanswered_reports_ = 0;
     owner_.lifecycle_.set_replaced(true);
     owner_.ReportDescriptorsHeld();
   }
@@ -220,7 +314,7 @@
     if (!handed_over_) {
       return owner_.OnNewProcessGone();
     }
-    stream_.Write(learned_state);
+    stream_.Write(learned_state + std::string(hot_restart::kMonitorsLine) + '\n');
     if (stream_.closed()) {
       return;
     }
@@ -233,6 +327,8 @@
   int fd_;
   Stream stream_;
   bool handed_over_ = false;  // the listening socket was sent
+  bool answers_ = false;      // the new process answers reports
+  int unanswered_reports_ = 0;
 };
 
 OldProcess::OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle,
@@ -244,9 +340,12 @@
       downstream_(downstream),
       budget_(budget),
       export_learned_state_(std::move(export_learned_state)) {
-  if (path_.empty()) {
-    return;
+  if (!path_.empty()) {
+    Listen();
   }
+}
+
+void OldProcess::Listen() {
   FileDescriptor fd = ListenUnix(path_);
   if (!fd) {
     Log(LogLevel::kWarning, "hot restart: no Unix socket at {}: {}", path_, std::strerror(errno));
@@ -300,6 +399,26 @@
     Log(LogLevel::kWarning, "hot restart: the new process has ended, this one serves on");
     lifecycle_.set_replaced(false);
   }
+  // The file of a new process that had been ready: its successors would ask there. Deferred, as the
+  // acceptor's own handler may be running.
+  loop_.RunDeferred([this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) {
+      ReplaceOtherSocket();
+    }
+  });
+}
+
+void OldProcess::ReplaceOtherSocket() {
+  const bool is_needed = acceptor_ && !channel_ && lifecycle_.stage() != LifecycleStage::kEnding;
+  if (is_needed && InodeOf(path_) != inode_) {
+    Listen();
+  }
+}
+
+void OldProcess::RevokeNewProcess() {
+  Log(LogLevel::kWarning, "hot restart: the new process does not answer");
+  channel_->stream().Write(std::string(hot_restart::kRevokedLine) + '\n');
+  OnNewProcessGone();
 }
 
 // Both processes share one budget: once replaced, this one opens no more than it reports.
@@ -313,6 +432,9 @@
   if (!channel_) {
     return;  // the write failed
   }
+  if (!channel_->CountReport()) {
+    return RevokeNewProcess();
+  }
   report_timer_ = loop_.RunAfter(kReportInterval, [this] { ReportDescriptorsHeld(); });
 }
 
--- a/src/gateway/hot_restart.h
+++ b/src/gateway/hot_restart.h
@@ -10,7 +10,8 @@
 //   4    | accepts no more, ends what is open      | serves
 //   5    | ends; its channel closes                | has all of the descriptor budget
 //
-// Where the new process vanishes, the old one accepts again.
+// Where the new process vanishes, or no longer answers once it was ready, the old one accepts again
+// and waits for another new process. One that finds itself revoked drains and ends.
 #ifndef PADDLESTILE_GATEWAY_HOT_RESTART_H_
 #define PADDLESTILE_GATEWAY_HOT_RESTART_H_
 
@@ -41,9 +42,10 @@
   std::string learned_state;    // as text; empty: none
 };
 
-// Asks the process at `path` to hand over. Blocks, half a second at most for each read. Returns an
-// empty state where `path` is empty, or no process listens there or gives a valid reply. Throws
-// std::runtime_error where another new process has asked before.
+// Asks the process at `path` to hand over. Blocks, three seconds at most until a reply begins:
+// where the process does not answer, the one that it took over from may replace it meanwhile.
+// Returns an empty state where `path` is empty, or no process listens there or gives a valid reply.
+// Throws std::runtime_error where another new process has asked before.
 HotRestartState RequestHotRestart(const std::string& path, const Address& listen);
 
 // The same over a channel that is connected to the running process. Nothing where there is no valid
@@ -55,15 +57,22 @@
  public:
   // `loop` and `budget` must outlive it.
   NewProcess(EventLoop& loop, HotRestartState state, DescriptorBudget& budget);
+  // `on_revoked` runs where the old process serves again because this one did not answer.
+  void set_on_revoked(std::function<void()> on_revoked) { on_revoked_ = std::move(on_revoked); }
   // To be called once this process can serve.
   void ReportReady();
 
  private:
   void OnData() override;
   void OnError() override;
+  void OnLine(const std::string& line);
 
   DescriptorBudget& budget_;
   Stream stream_;
+  std::function<void()> on_revoked_;
+  bool is_monitored_ = false;  // the old process wants answers
+  bool is_asked_ = false;      // since the last answer
+  bool is_revoked_ = false;
 };
 
 // The old process' side: waits at `path` for a new process. Without effect where the socket cannot
@@ -80,8 +89,13 @@
  private:
   class Acceptor;
   class Channel;
+  void Listen();
   void Accept();
   void OnNewProcessGone();
+  // The new process does not answer: it is told so, for when it does, and its place is taken back.
+  void RevokeNewProcess();
+  // Listens anew where the file at `path_` is no longer this process' socket.
+  void ReplaceOtherSocket();
   void ReportDescriptorsHeld();
 
   EventLoop& loop_;
@@ -94,6 +108,7 @@
   uint64_t inode_ = 0;                  // of the socket's file, which a newer process may replace
   std::shared_ptr<Channel> channel_;    // to the new process; null: none
   EventLoop::TimerId report_timer_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with this object
 };
 
 }  // namespace paddlestile
--- a/src/gateway/hot_restart_protocol.h
+++ b/src/gateway/hot_restart_protocol.h
@@ -4,11 +4,18 @@
 //   new process                          old process
 //   paddlestile 1 take 10.0.0.4:5000     paddlestile 1 listen 180 7012   with the listening socket
 //                                        7012 bytes of learned state, JSON
+//                                        monitors                        the old one wants answers
 //   ready                                holds 164                       repeated
+//   alive                                                                answers `holds`
+//                                        revoked                         in place of `holds`
 //                                        paddlestile 1 busy              in place of `listen`
 //
 // `holds`, and the first number of `listen`, say how many descriptors the old process keeps of the
 // budget that both share; the second one of `listen` is the size of the learned state in bytes.
+// `revoked`: the new process did not answer, the old one serves again, the new one ends.
+//
+// New processes of builds without `monitors` ignore it, and old ones of such builds do not send it:
+// nothing is answered then, and nothing revoked.
 #ifndef PADDLESTILE_GATEWAY_HOT_RESTART_PROTOCOL_H_
 #define PADDLESTILE_GATEWAY_HOT_RESTART_PROTOCOL_H_
 
@@ -25,6 +32,9 @@
 
 constexpr size_t kMaxLineBytes = 256;
 constexpr std::string_view kReadyLine = "ready";
+constexpr std::string_view kMonitorsLine = "monitors";
+constexpr std::string_view kAliveLine = "alive";
+constexpr std::string_view kRevokedLine = "revoked";
 
 // The line without its end.
 std::string RequestLine(const Address& listen);
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -117,7 +117,7 @@
     }
   }
 
- private:
+  // Ends the process once what is open has ended. Without effect where it drains already.
   void Drain() {
     if (std::exchange(draining_, true)) {
       return;
@@ -126,6 +126,7 @@
     served_.gateway.Drain([this] { loop_.Stop(); });
   }
 
+ private:
   // Keeps the present configuration where the new one is invalid. Also while draining: the endpoint
   // list goes on changing.
   void Reload(int remaining_retries) {
@@ -261,7 +262,10 @@
   const ServedGateway served{gateway, cluster_agent};
   Log(LogLevel::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()),
       known_endpoints);
-  const SignalHandler signal_handler(loop, served, signals);
+  SignalHandler signal_handler(loop, served, signals);
+  if (new_process) {
+    new_process->set_on_revoked([&] { signal_handler.Drain(); });
+  }
 
   while (!lifecycle.accepts() && !loop.stopped()) {
     loop.RunOnce(kReadyCheckInterval);
--- a/src/gateway/unix_socket.cpp
+++ b/src/gateway/unix_socket.cpp
@@ -5,6 +5,7 @@
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/time.h>
 #include <sys/un.h>
 #include <unistd.h>
 
@@ -18,6 +19,7 @@
 namespace {
 
 constexpr int kBacklog = 4;
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 constexpr size_t kMaxReceiveBytes = 16'384;  // at once
 
 struct UnixAddress {
@@ -71,6 +73,9 @@
   if (!fd) {
     return {};
   }
+  // A process that hangs accepts nothing: once its queue is full, this would block for good.
+  const timeval limit{0, kConnectTimeout.count()};
+  setsockopt(fd.get(), SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
   const auto address = MakeUnixAddress(path);
   if (!address || connect(fd.get(), address->get(), sizeof(address->address)) != 0) {
     return {};
@@ -125,6 +130,17 @@
   return sendmsg(fd, &message, MSG_NOSIGNAL) == static_cast<ssize_t>(line.size());
 }
 
+InputStatus WaitForInput(int fd, Duration timeout) {
+  pollfd readable{fd, POLLIN, 0};
+  const auto timeout_ms = std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
+  if (poll(&readable, 1, static_cast<int>(timeout_ms)) <= 0) {
+    return InputStatus::kNone;
+  }
+  char byte = 0;
+  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0 ? InputStatus::kReadable
+                                                         : InputStatus::kEnded;
+}
+
 bool ReceiveBytes(int fd, size_t max_bytes, Duration timeout, std::string& text,
                   FileDescriptor& passed) {
   pollfd readable{fd, POLLIN, 0};
--- a/src/gateway/unix_socket.h
+++ b/src/gateway/unix_socket.h
@@ -11,7 +11,8 @@
 
 namespace paddlestile {
 
-// Connects to the socket at `path`, blocking; no descriptor where no process listens there.
+// Connects to the socket at `path`, blocking half a second at most; no descriptor where no process
+// listens there or its queue is full.
 FileDescriptor ConnectUnix(const std::string& path);
 // Listens at `path`, non-blocking, in place of a file that is there, with access for the present
 // user alone. No descriptor, with errno set, where that fails.
@@ -26,6 +27,14 @@
 // Sends a line, and the descriptor `passed` with it unless that is -1; false where not all is sent.
 bool SendLine(int fd, const std::string& line, int passed);
 
+enum class InputStatus {
+  kReadable,  // bytes have come
+  kEnded,     // the peer has closed, and no bytes are left
+  kNone       // neither within the time
+};
+// Waits for input on a stream socket, without reading.
+InputStatus WaitForInput(int fd, Duration timeout);
+
 // Appends the next bytes, `max_bytes` at most, to `text`. A descriptor that comes with them
 // replaces `passed`. False where nothing comes within `timeout`.
 bool ReceiveBytes(int fd, size_t max_bytes, Duration timeout, std::string& text,
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -259,6 +259,68 @@
                std::runtime_error);
 }
 
+// A new process that hung after it was ready left nobody who served.
+TEST_F(HotRestartTest, OldProcessServesAgainWhereTheNewOneHangs) {
+  Child first, second, third;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Start(second, 6002);
+  ASSERT_TRUE(first.Says("the new process serves"));
+  second.Signal(SIGSTOP);
+  ASSERT_TRUE(first.Says("the new process does not answer")) << first.Text();
+  EXPECT_TRUE(Yes(6001));
+  Load load(address, 0, 4);
+  usleep(200'000);
+  // The one that hung ends once it goes on, and is not missed.
+  second.Signal(SIGCONT);
+  EXPECT_EQ(second.Wait(), 0) << second.Text();
+  EXPECT_NE(second.Text().find("the old process serves again"), std::string::npos);
+  // And another one can take over.
+  Start(third, 6003);
+  ASSERT_TRUE(third.Says("ready, reported to the old process")) << third.Text();
+  usleep(200'000);
+  first.Signal(SIGTERM);
+  EXPECT_EQ(first.Wait(), 0);
+  usleep(200'000);
+  ExpectWhole(load);
+  EXPECT_TRUE(Yes(6003));
+}
+
+// A third process asked the one that hung, had no reply and listened beside the first.
+TEST_F(HotRestartTest, ThirdProcessTakesOverFromTheFirstWhereTheSecondHangs) {
+  Child first, second, third;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Start(second, 6002);
+  ASSERT_TRUE(first.Says("the new process serves"));
+  ASSERT_TRUE(second.Says("ready, reported to the old process"));
+  usleep(50'000);  // it listens for others by then
+  second.Signal(SIGSTOP);
+  Start(third, 6003);
+  ASSERT_TRUE(third.Says("received the listening socket")) << third.Text();
+  ASSERT_TRUE(third.Says("ready, reported to the old process")) << third.Text();
+  Load load(address, 0, 4);
+  usleep(200'000);
+  ExpectWhole(load);
+  EXPECT_TRUE(Yes(6003));
+}
+
+// The file of a new process that died after it was ready stayed: the next one found nobody there
+// and listened beside the old one.
+TEST_F(HotRestartTest, AnotherProcessTakesOverAfterOneDiedThatWasReady) {
+  Child first, second, third;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Start(second, 6002);
+  ASSERT_TRUE(first.Says("the new process serves"));
+  ASSERT_TRUE(second.Says("ready, reported to the old process"));
+  usleep(50'000);  // it listens for others by then
+  second.Kill();
+  ASSERT_TRUE(first.Says("this one serves on"));
+  Start(third, 6003);
+  ASSERT_TRUE(third.Says("received the listening socket")) << third.Text();
+}
+
 // A process that ends before it could serve must not stop the old one.
 TEST_F(HotRestartTest, NewProcessEndedBeforeItServesChangesNothing) {
   Child first, second, third;
