Hot restart: a process that is revoked accepts nothing more

A client's request on a fresh connection ended without a response where a new process that had hung went on and drained. Cause: while it drained it still accepted from the queue that both processes share, as on SIGTERM, where the front has taken it out; here no front knows, and it ended with the connection open. Change: it counts itself as replaced, as the old process of a hot restart does, and drains then.

--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -264,7 +264,10 @@
       known_endpoints);
   SignalHandler signal_handler(loop, served, signals);
   if (new_process) {
-    new_process->set_on_revoked([&] { signal_handler.Drain(); });
+    new_process->set_on_revoked([&] {
+      lifecycle.set_replaced(true);  // by the old process, which accepts what comes from now on
+      signal_handler.Drain();
+    });
   }
 
   while (!lifecycle.accepts() && !loop.stopped()) {
--- a/tests/cluster/cluster_member_test.cpp
+++ b/tests/cluster/cluster_member_test.cpp
@@ -375,6 +375,36 @@
   EXPECT_EQ(voter.Submit("late", "{}").kind, ChangeResult::Kind::kDone);
 }
 
+// Whether the member asks for votes once it hears its leader no more.
+bool AsksForVotes(Follower& follower) {
+  bool asks = false;
+  for (int i = 0; i < 30; ++i) {
+    follower.now += Time(100'000);
+    MemberOutput output;
+    follower.member.OnTimeout(follower.now, output);
+    asks = asks || std::ranges::any_of(output.messages, [](const raft::OutgoingMessage& outgoing) {
+             return outgoing.message.type == raft::Message::Type::kRequestVote;
+           });
+  }
+  return asks;
+}
+
+// A voter that has missed a version numbers all later ones wrongly: as leader it would number them
+// for all. Only `lab world` noticed where it asked for votes.
+TEST(ClusterMemberContentMismatch, AVoterThatMissedAVersionAsksForNoVotes) {
+  VersionHistory leader;
+  const std::string first = DeltaEntry(leader, "c0", ExcludeHostDelta(0));
+  leader.Apply(1, first);
+  const std::string second = DeltaEntry(leader, "c1", ExcludeHostDelta(1));
+  const std::string formed = EncodeFormedEntry();
+  Follower complete(true), missed(true);
+  complete.Append({formed, first, second});
+  EXPECT_TRUE(AsksForVotes(complete));
+  missed.Append({formed, second});
+  ASSERT_TRUE(missed.member.history().numbering_mismatch());
+  EXPECT_FALSE(AsksForVotes(missed));
+}
+
 TEST(ClusterMemberContentMismatch, IsNotActedOnAndLoggedOnce) {
   for (const bool votes : {false, true}) {
     Follower follower(votes);
