--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -138,14 +138,17 @@
         << R"("Slo":400.0,"Deadline":1000.0}],"Allowed":{"SendCap":3,"ConnectTimeout":250.0}}})";
   }
   ~HotRestartTest() override { std::filesystem::remove_all(folder_); }
+  [[nodiscard]] std::map<std::string, std::string> Environment() const {
+    return {{"LB_NAME", "n1"},
+            {"LB_LISTEN", ToText(address)},
+            {"LB_DISCOVERY", discovery.text()},
+            {"LB_CONFIG", folder_ + "/config.json"},
+            {"TMPDIR", temporary_}};
+  }
   void Start(Child& child, uint16_t admin) {
-    child.Start({{"LB_NAME", "n1"},
-                 {"LB_LISTEN", ToText(address)},
-                 {"LB_DISCOVERY", discovery.text()},
-                 {"LB_CONFIG", folder_ + "/config.json"},
-                 {"LB_ADMIN", ToText({address.host, admin})},
-                 {"TMPDIR", temporary_}},
-                {});
+    std::map<std::string, std::string> environment = Environment();
+    environment["LB_ADMIN"] = ToText({address.host, admin});
+    child.Start(environment, {});
   }
   // The response to GET /admin/health.
   bool Yes(uint16_t admin) {
@@ -363,6 +366,30 @@
   ExpectWhole(load);
 }
 
+// Without an admin interface there is no hot restart: a process that is started while the one
+// before it drains ends with one line, and what that one has in hand goes on.
+TEST_F(HotRestartTest, WithoutAnAdminAddressNoneStartsBesideOneThatDrains) {
+  Child first, second, third;
+  first.Start(Environment(), {});
+  ASSERT_TRUE(first.Says("listens on"));
+  Peer client = Peer::To(address);
+  client.Say("GET /read HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget-Ms: 1000\r\n");  // the rest below
+  usleep(100'000);
+  first.Signal(SIGTERM);
+  ASSERT_TRUE(first.Says("draining"));
+  second.Start(Environment(), {});
+  EXPECT_EQ(second.Wait(), 1);
+  EXPECT_NE(second.Text().find("Address already in use"), std::string::npos) << second.Text();
+  client.Say("\r\n");
+  for (int i = 0; i < 500 && !client.Has("served"); ++i) {
+    usleep(2000);
+  }
+  EXPECT_TRUE(client.Has("served")) << client.Heard();
+  EXPECT_EQ(first.Wait(), 0);
+  third.Start(Environment(), {});
+  EXPECT_TRUE(third.Says("listens on")) << third.Text();
+}
+
 TEST_F(HotRestartTest, OtherFilesAtTheSocketPathAreHarmless) {
   const auto starts = [&](const std::string& what) {
     Child child;
