lab soak: experiments drawn from seeds, faults of all kinds in series

Clients go on using open connections to a gateway that is taken out (load.keeps_connections). Memory and descriptors are bounded.

--- a/src/cli/lab_commands.cpp
+++ b/src/cli/lab_commands.cpp
@@ -52,11 +52,11 @@
   CLI::App* const lab = app.add_subcommand("lab", "Play experiments on emulated hosts");
   lab->require_subcommand(1);
   // The order is that of the help text.
-  const std::vector<Subcommand> subcommands = {AddRunCommand(*lab),    AddListCommand(*lab),
-                                               AddReportCommand(*lab), AddFleetReportCommand(*lab),
-                                               AddBenchCommand(*lab),  AddGatewayCommand(*lab),
-                                               AddWorldCommand(*lab),  AddScaleCommand(*lab),
-                                               AddHollowCommand(*lab), AddCapacityCommand(*lab)};
+  const std::vector<Subcommand> subcommands = {
+      AddRunCommand(*lab),         AddListCommand(*lab),    AddReportCommand(*lab),
+      AddFleetReportCommand(*lab), AddBenchCommand(*lab),   AddGatewayCommand(*lab),
+      AddWorldCommand(*lab),       AddSoakCommand(*lab),    AddScaleCommand(*lab),
+      AddHollowCommand(*lab),      AddCapacityCommand(*lab)};
   return {lab, [subcommands] {
             return RunLabCommand(subcommands);
           }};
--- a/src/cli/lab_commands.h
+++ b/src/cli/lab_commands.h
@@ -25,6 +25,7 @@
 Subcommand AddBenchCommand(CLI::App& lab);
 Subcommand AddGatewayCommand(CLI::App& lab);
 Subcommand AddWorldCommand(CLI::App& lab);
+Subcommand AddSoakCommand(CLI::App& lab);
 Subcommand AddScaleCommand(CLI::App& lab);
 Subcommand AddHollowCommand(CLI::App& lab);
 Subcommand AddCapacityCommand(CLI::App& lab);
--- /dev/null
+++ b/src/cli/lab_soak_command.cpp
@@ -0,0 +1,53 @@
+// `paddlestile lab soak`.
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <memory>
+
+#include "cli/exit_codes.h"
+#include "cli/lab_commands.h"
+#include "lab/soak.h"
+
+namespace paddlestile::lab {
+namespace {
+
+constexpr uint64_t kMaxSeeds = 100'000;
+
+int Soak(const SoakOptions& options) {
+  const SoakCounts counts = PlaySoak(options, [](const Result& result) {
+    fmt::print("{}\n", SoakLine(result));
+    for (const std::string& log : result.logs) {
+      fmt::print("  {}", log);
+    }
+    std::fflush(stdout);
+  });
+  fmt::print("{} held, {} broken, {} without a verdict\n", counts.held, counts.broken,
+             counts.unjudged);
+  return counts.broken + counts.unjudged == 0 ? kExitDone : kExitFailed;
+}
+
+}  // namespace
+
+Subcommand AddSoakCommand(CLI::App& lab) {
+  const auto options = std::make_shared<SoakOptions>();
+  CLI::App* const soak = lab.add_subcommand(
+      "soak", "Play experiments drawn from seeds, faults of all kinds in series");
+  soak->add_option("--seed", options->first_seed, "of the first")->capture_default_str();
+  soak->add_option("--seeds", options->seeds, "how many, one after the other, some 20 s each")
+      ->check(CLI::Range(uint64_t{1}, kMaxSeeds))
+      ->capture_default_str();
+  soak->add_option("--logs", options->logs, "a folder to keep the gateways' logs in")
+      ->check(CLI::ExistingDirectory);
+  soak->add_option("--gateway", options->gateway,
+                   "the words that start a gateway, instead of this program");
+  soak->footer(
+      "A line a seed: verdict, what broke first, and the command that repeats it.\n\n"
+      "Exit codes: 0 all held, 1 one was broken or had no verdict, 2 wrong usage.\n\n"
+      "Examples:\n  paddlestile lab soak --seed 100 --seeds 50\n"
+      "  seq 100 149 | xargs -P 4 -I{} paddlestile lab soak --seed {} --seeds 1");
+  return {soak, [options] {
+            return Soak(*options);
+          }};
+}
+
+}  // namespace paddlestile::lab
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -56,6 +56,7 @@
                                           {"gateway-quiesce", FaultKind::kGatewayQuiesce},
                                           {"gateway-reload", FaultKind::kGatewayReload},
                                           {"gateway-upgrade", FaultKind::kGatewayUpgrade},
+                                          {"gateway-hup", FaultKind::kGatewayHup},
                                           {"gateway-hang", FaultKind::kGatewayHang},
                                           {"gateway-stop", FaultKind::kGatewayStop},
                                           {"gateway-disk", FaultKind::kGatewayDisk},
@@ -64,6 +65,9 @@
                                           {"link-flap", FaultKind::kLinkFlap},
                                           {"link-noise", FaultKind::kLinkNoise}};
 const TomlWords<Ways> kWays = {{"both", Ways::kBoth}, {"out", Ways::kOut}, {"in", Ways::kIn}};
+const TomlWords<UpgradeFate> kFates = {{"takes-over", UpgradeFate::kTakesOver},
+                                       {"killed", UpgradeFate::kKilled},
+                                       {"stopped", UpgradeFate::kStopped}};
 const TomlWords<DiskIs> kDisks = {{"kept", DiskIs::kKept}, {"old", DiskIs::kOld},
                                   {"none", DiskIs::kNone}, {"full", DiskIs::kFull},
                                   {"slow", DiskIs::kSlow}, {"sync-fails", DiskIs::kSyncFails}};
@@ -147,6 +151,13 @@
   return c;
 }
 
+void ReadOptionalMillis(TomlTable& t, const char* key, std::optional<Duration>& value) {
+  if (t.Get(key) != nullptr) {
+    value = Duration(0);
+    t.ReadMillis(key, *value);
+  }
+}
+
 Fault ReadFault(TomlTable& t) {
   Fault f;
   if (t.Get("kind") == nullptr) {
@@ -197,6 +208,11 @@
   t.ReadRange("delay_ms", f.delay_ms.low, f.delay_ms.high, 0, 60'000);
   t.Read<size_t>("bytes_per_s", f.bytes_per_s, 1, 1'000'000'000);
   t.Read("disk", f.disk, kDisks);
+  ReadOptionalMillis(t, "second_term_ms", f.second_term_after);
+  ReadOptionalMillis(t, "hup_ms", f.hup_after);
+  t.Read("kill_at_earliest", f.kill_at_earliest);
+  t.Read("fate", f.fate, kFates);
+  t.ReadMillis("fate_after_ms", f.fate_after);
   const int ways = (f.hosts > 0 ? 1 : 0) + (f.count > 0 ? 1 : 0) + (f.names.empty() ? 0 : 1);
   if (OnHosts(f.kind) && ways != 1) {
     t.Fault("hosts", ways == 0 ? "no host named" : "named twice over",
@@ -241,6 +257,7 @@
   t.Read("leave_share", load.leave_share, 0, 1);
   t.Read("trickle_share", load.trickle_share, 0, 1);
   t.Read("once_share", load.once_share, 0, 1);
+  t.Read("keeps_connections", load.keeps_connections);
   t.ReadEach("bad", [&](TomlTable& b) {
     BadClients bad;
     bad.to = Duration(std::llround(kLengthMost * 1e6));
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -86,9 +86,10 @@
   size_t idle_connections = 0;       // opened at the start and kept without a request
   int retries = 0;                   // of a client whose try was refused or failed
   Span retry_wait_ms{50, 100};
-  double leave_share = 0;    // of the requests whose client leaves before the answer
-  double trickle_share = 0;  // of the requests that come in three pieces, 20 ms apart
-  double once_share = 0;     // of the requests after which the client closes
+  double leave_share = 0;          // of the requests whose client leaves before the answer
+  double trickle_share = 0;        // of the requests that come in three pieces, 20 ms apart
+  double once_share = 0;           // of the requests after which the client closes
+  bool keeps_connections = false;  // clients go on with open ones to a gateway that is taken out
   std::vector<BadClients> bad;
 };
 
@@ -121,6 +122,7 @@
   kGatewayQuiesce,
   kGatewayReload,
   kGatewayUpgrade,
+  kGatewayHup,
   kGatewayStop,
   kGatewayDisk,
   // On links among gateways.
@@ -159,6 +161,13 @@
   kBadReport
 };
 
+// What becomes of the new process of an upgrade.
+enum class UpgradeFate {
+  kTakesOver,
+  kKilled,
+  kStopped  // for the fault's duration; then it goes on and is told to end
+};
+
 struct Fault {
   FaultKind kind = FaultKind::kSlow;
   std::string name;  // as the file has it
@@ -171,7 +180,7 @@
   double share = 1;   // kErrors, kResets, kTurnedAway, kSpoilt, kHalfDead: of the requests
   Duration down{0};   // kRestart, kGatewayTerm, kGatewayKill: until it is back
   Duration leave{0};  // kDrain: until the process ends; 0: it stays
-  Duration stop{300'000}, every{2'000'000};  // kStall
+  Duration stop{300'000}, every{2'000'000};  // kStall; kGatewayHup: `count` of them, one `every`
   Duration lag{0};  // kListLag; kRestart, kDrain, kKill: until the list tells
   TamperOutgoing spoil = TamperOutgoing::kAny;
   size_t gateway = 0;
@@ -182,7 +191,13 @@
   Span delay_ms{0, 0};          // kLinkSlow
   size_t bytes_per_s = 0;       // kLinkSlow; 0: no bound
   DiskIs disk = DiskIs::kKept;  // kGatewayKill, kGatewayDisk
-  std::string cls;              // kGatewayReload: the class that the new settings bring
+  // kGatewayTerm: a second SIGTERM, and SIGHUP, so long after the first SIGTERM; SIGKILL at the
+  // earliest that the platform sends it, with nothing excused.
+  std::optional<Duration> second_term_after, hup_after;
+  bool kill_at_earliest = false;
+  UpgradeFate fate = UpgradeFate::kTakesOver;  // kGatewayUpgrade
+  Duration fate_after{0};                      // from the start of the new process
+  std::string cls;  // kGatewayReload: the class that the new settings bring
 };
 
 struct WindowMust {
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -78,6 +78,7 @@
   void TryOnce(const std::shared_ptr<Asking>& asking);
   void Send(std::shared_ptr<Trying> trying);
   void End(const std::shared_ptr<Trying>& trying, int status, Duration come_back);
+  [[nodiscard]] static bool HasQuietConnection(const Target& target);
   [[nodiscard]] size_t PickGateway(double part, int further) const;
   [[nodiscard]] std::string HeadOf(const Trying& trying) const;
   Connection* Open(size_t gateway);
--- a/tests/lab/experiment_test.cpp
+++ b/tests/lab/experiment_test.cpp
@@ -49,6 +49,11 @@
   EXPECT_NE(with("kind = \"slow\"\nnames = [\"h-3\"]\n").find("no host 'h-3'"), std::string::npos);
   EXPECT_NE(with("kind = \"kill\"\ncount = 3\n").find("3 of 2 hosts"), std::string::npos);
   EXPECT_NE(with("kind = \"gateway-kill\"\ngateway = 1\n").find("no gateway 1"), std::string::npos);
+  EXPECT_NE(with("kind = \"gateway-upgrade\"\nfate = \"dies\"\n").find("faults[0].fate: 'dies'"),
+            std::string::npos);
+  EXPECT_NE(with("kind = \"gateway-term\"\nhup_ms = \"x\"\n").find("faults[0].hup_ms: "),
+            std::string::npos);
+  EXPECT_EQ(with("kind = \"gateway-term\"\nhup_ms = 5\nsecond_term_ms = 9\n"), "");
   EXPECT_NE(with("kind = \"slow\"\nhosts = 1.0\nzone = \"z\"\n").find("no host in 'z'"),
             std::string::npos);
 }
--- /dev/null
+++ b/tests/lab/soak_test.cpp
@@ -0,0 +1,86 @@
+// What the soak draws from its seeds. The plays themselves are a stage of CI.
+#include "lab/soak.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
+
+namespace paddlestile::lab {
+namespace {
+
+constexpr uint64_t kSeeds = 100;
+
+std::string Describe(const Experiment& experiment) {
+  std::string text;
+  for (const Fault& fault : experiment.faults) {
+    text += fault.name + " " + std::to_string(fault.at.count()) + " " +
+            std::to_string(fault.gateway) + " " + std::to_string(fault.lasts.count()) + ";";
+  }
+  return text;
+}
+
+// In how many of the first seeds some fault is as asked.
+size_t SeedsWith(const std::function<bool(const Fault&)>& is_wanted) {
+  size_t seeds = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    seeds += std::ranges::any_of(DrawSoakExperiment(seed).faults, is_wanted) ? 1 : 0;
+  }
+  return seeds;
+}
+
+TEST(SoakExperiment, IsTheSameForTheSameSeed) {
+  EXPECT_EQ(Describe(DrawSoakExperiment(7)), Describe(DrawSoakExperiment(7)));
+  EXPECT_NE(Describe(DrawSoakExperiment(7)), Describe(DrawSoakExperiment(8)));
+}
+
+// A soak that no longer draws a fault finds nothing there.
+TEST(SoakExperiment, DrawsEachKindOfFault) {
+  std::set<std::string> names;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    for (const Fault& fault : DrawSoakExperiment(seed).faults) {
+      names.insert(fault.name);
+    }
+  }
+  EXPECT_EQ(names, (std::set<std::string>{"gateway-hup", "gateway-kill", "gateway-stop",
+                                          "gateway-term", "gateway-upgrade", "link-cut",
+                                          "link-flap", "link-noise", "link-slow", "list-silent"}));
+  constexpr size_t kOften = kSeeds / 10;
+  EXPECT_GT(SeedsWith([](const Fault& fault) { return fault.kill_at_earliest; }), kOften);
+  EXPECT_GT(SeedsWith([](const Fault& fault) { return fault.second_term_after.has_value(); }),
+            kOften);
+  EXPECT_GT(SeedsWith([](const Fault& fault) { return fault.hup_after.has_value(); }), kOften);
+  EXPECT_GT(SeedsWith([](const Fault& fault) { return fault.fate == UpgradeFate::kKilled; }),
+            kOften);
+  EXPECT_GT(SeedsWith([](const Fault& fault) { return fault.fate == UpgradeFate::kStopped; }),
+            kOften);
+  EXPECT_GT(SeedsWith([](const Fault& fault) { return fault.disk != DiskIs::kKept; }), 0U);
+}
+
+TEST(SoakExperiment, HasCrowdsAndClustersAndClientsThatKeepTheirConnections) {
+  size_t crowds = 0, clusters = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const Experiment experiment = DrawSoakExperiment(seed);
+    EXPECT_TRUE(experiment.load.keeps_connections);
+    EXPECT_TRUE(experiment.must.descriptors_most && experiment.must.rss_mb_most);
+    crowds += experiment.load.idle_connections > experiment.gateway.sockets ? 1 : 0;
+    clusters += experiment.bank.on ? 1 : 0;
+  }
+  EXPECT_GT(crowds, kSeeds / 10);
+  EXPECT_GT(clusters, kSeeds / 4);
+}
+
+TEST(SoakLine, NamesTheSeedTheVerdictAndTheCommandThatRepeatsIt) {
+  Result result;
+  result.seed = 12;
+  EXPECT_EQ(SoakLine(result), "seed 12: held | paddlestile lab soak --seed 12 --seeds 1");
+  result.verdict = Verdict::kBroken;
+  result.broken = {"rule: lost", "another"};
+  EXPECT_EQ(SoakLine(result),
+            "seed 12: broken, rule: lost (2 in all) | paddlestile lab soak --seed 12 --seeds 1");
+}
+
+}  // namespace
+}  // namespace paddlestile::lab
