A connection is not closed before its first request could come, also where all are new

Cause: to accept one more connection, or to open one upstream, the oldest unused connection was closed where none was older than 200 ms or idle: a new one, with its request on the way. Evidence: the lost requests' connections, which the lab names now with their age; DownstreamFewDescriptorsTest.BurstOfNewConnectionsWaitsForDescriptors, seen to fail before. Change: such a connection is left. The next one waits in the kernel's queue, an attempt upstream is not made and the request refused or retried: neither is lost.

--- a/src/gateway/downstream_connections.cpp
+++ b/src/gateway/downstream_connections.cpp
@@ -11,8 +11,9 @@
 
 using std::chrono::milliseconds;
 
-// An unused connection's first request may be this far behind its connect. Without this, each new
-// connection of a burst was closed for the next one.
+// An unused connection's first request may be this far behind its connect. A new connection waits
+// in the kernel's queue meanwhile, and an attempt upstream is not made: both can wait or be
+// refused, while a request that is on its way to a connection would be lost with it.
 constexpr Duration kUnusedGrace = milliseconds(200);
 // Of all descriptors, for connections in use or idle. Clients limit how many they keep open to us:
 // at that limit they send nothing more, while the gateway idles.
@@ -84,8 +85,7 @@
 
 bool DownstreamConnections::CloseOneIdle() {
   const Time now = loop_.Now();
-  return CloseOneOf(unused_, now - kUnusedGrace) || CloseOneOf(idle_, now) ||
-         CloseOneOf(unused_, now);
+  return CloseOneOf(unused_, now - kUnusedGrace) || CloseOneOf(idle_, now);
 }
 
 void DownstreamConnections::CloseIdleBeyondShare() {
--- a/src/gateway/downstream_connections.h
+++ b/src/gateway/downstream_connections.h
@@ -39,8 +39,8 @@
   void MarkUnused(DownstreamConnection& connection);  // no byte has come yet
   void MarkIdle(DownstreamConnection& connection);    // between two requests
   void MarkActive(DownstreamConnection& connection);  // a request has begun
-  // Closes the oldest connection that is unused for some time, else the longest idle one, else the
-  // oldest unused one; false where there is none.
+  // Closes the oldest connection that is unused for some time, else the longest idle one; false
+  // where there is none.
   bool CloseOneIdle();
   // Closes idle connections while more than their share of the descriptors is kept open.
   void CloseIdleBeyondShare();
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -43,7 +43,10 @@
 class Load::Connection final : public Stream::Listener {
  public:
   Connection(Load& load, size_t gateway, Socket socket)
-      : load_(load), gateway_(gateway), stream_(load.loop_, std::move(socket), this, true) {
+      : load_(load),
+        gateway_(gateway),
+        stream_(load.loop_, std::move(socket), this, true),
+        opened_at_(load.Now()) {
     stream_.set_max_unread_bytes(kAnswerMost);
   }
   bool Start() { return stream_.Start(); }
@@ -146,6 +149,7 @@
   std::shared_ptr<Trying> trying_;
   EventLoop::TimerId timer_, leave_timer_;
   size_t last_ = SIZE_MAX;  // the try that was answered last
+  Time opened_at_;
   int asked_ = 0;
   bool connected_ = false, trickling_ = false, answered_ = false;
 };
@@ -205,7 +209,10 @@
   }
   load_.ledger_.Broken(load_.Now(), trying->n,
                        killed ? Ledger::Ended::kGatewayKilled : Ledger::Ended::kByGateway,
-                       fmt::format("its connection ended without a whole answer: {}", how));
+                       fmt::format("its connection ended without a whole answer: {}, gateway {}, "
+                                   "request {} on it, opened {:.3f} s before",
+                                   how, gateway_, asked_,
+                                   static_cast<double>((load_.Now() - opened_at_).count()) / 1e6));
   load_.End(trying, 0, Duration(0));
 }
 
--- a/tests/gateway/downstream_test.cpp
+++ b/tests/gateway/downstream_test.cpp
@@ -547,6 +547,27 @@
   EXPECT_TRUE(kept[0].Ended());
 }
 
+// Nor where all are new: each was closed for the next, with its first request on the way.
+TEST_F(DownstreamFewDescriptorsTest, BurstOfNewConnectionsWaitsForDescriptors) {
+  constexpr size_t kBurst = 45;  // more than the 33 that clients may have at a time
+  std::vector<Peer> burst;
+  for (size_t i = 0; i < kBurst; ++i) {
+    burst.push_back(Dial());
+  }
+  RunFor(loop, Ms(20));
+  for (size_t i = 0; i < kBurst; ++i) {
+    EXPECT_FALSE(burst[i].Ended()) << i;
+    burst[i].Say(Get("id" + std::to_string(i)));
+  }
+  size_t responded = 0;
+  EXPECT_TRUE(RunUntil(loop, [&] {
+    while (responded < requests.size()) {
+      requests[responded++]->Respond({.status = 502});
+    }
+    return responded == kBurst;
+  })) << responded;
+}
+
 // Each request on a new connection that is kept for good: clients open a third of the descriptors
 // at most and would have none left for requests.
 TEST_F(DownstreamFewDescriptorsTest, LongestIdleConnectionsCloseFirst) {
