Hot restart: a new process that is told to end hands back to the old one

Cause: it accepted from the queue that both share while it drained, and closed connections whose first request was on the way after 450 ms; on SIGTERM the front stops connections by then, but no front knows of this one. The old process accepted again only once the new one had ended. Change: on SIGTERM it closes its channel to the old process, which serves again at once, and accepts nothing more itself. An old process that is told to end says so ('ending'): then the new one drains by itself, as before; so it does beside an old process of a build without these lines.

--- a/src/gateway/hot_restart.cpp
+++ b/src/gateway/hot_restart.cpp
@@ -181,6 +181,17 @@
   stream_.Write(std::string(hot_restart::kReadyLine) + '\n');
 }
 
+bool NewProcess::HandBack() {
+  // Old processes of builds that do not monitor do not say that they are ending.
+  if (stream_.closed() || !is_monitored_ || old_is_ending_) {
+    return false;
+  }
+  Log(LogLevel::kInfo, "hot restart: handed back to the old process");
+  stream_.Close();
+  budget_.set_held_by_other_process(0);
+  return true;
+}
+
 void NewProcess::OnLine(const std::string& line) {
   if (const auto descriptors_held = hot_restart::ParseHoldsLine(line)) {
     budget_.set_held_by_other_process(*descriptors_held);
@@ -190,6 +201,8 @@
     is_asked_ = true;
   } else if (line == hot_restart::kRevokedLine) {
     is_revoked_ = true;
+  } else if (line == hot_restart::kEndingLine) {
+    old_is_ending_ = true;
   }
 }
 
@@ -366,6 +379,12 @@
   }
 }
 
+void OldProcess::ReportEnding() {
+  if (channel_) {
+    channel_->stream().Write(std::string(hot_restart::kEndingLine) + '\n');
+  }
+}
+
 void OldProcess::Accept() {
   while (true) {
     FileDescriptor fd(accept4(acceptor_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
--- a/src/gateway/hot_restart.h
+++ b/src/gateway/hot_restart.h
@@ -61,6 +61,9 @@
   void set_on_revoked(std::function<void()> on_revoked) { on_revoked_ = std::move(on_revoked); }
   // To be called once this process can serve.
   void ReportReady();
+  // To be called when this process, which serves, is told to end: the old one serves again, if it
+  // is there and is not ending too. False where it does not.
+  bool HandBack();
 
  private:
   void OnData() override;
@@ -73,6 +76,7 @@
   bool is_monitored_ = false;  // the old process wants answers
   bool is_asked_ = false;      // since the last answer
   bool is_revoked_ = false;
+  bool old_is_ending_ = false;
 };
 
 // The old process' side: waits at `path` for a new process. Without effect where the socket cannot
@@ -83,6 +87,8 @@
   OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle, const Downstream& downstream,
              DescriptorBudget& budget, std::function<std::string()> export_learned_state);
   ~OldProcess();
+  // To be called when this process is told to end: a new one does not hand back to it then.
+  void ReportEnding();
   OldProcess(const OldProcess&) = delete;
   OldProcess& operator=(const OldProcess&) = delete;
 
--- a/src/gateway/hot_restart_protocol.h
+++ b/src/gateway/hot_restart_protocol.h
@@ -8,11 +8,14 @@
 //   ready                                holds 164                       repeated
 //   alive                                                                answers `holds`
 //                                        revoked                         in place of `holds`
+//                                        ending                          it was told to end
 //                                        paddlestile 1 busy              in place of `listen`
 //
 // `holds`, and the first number of `listen`, say how many descriptors the old process keeps of the
 // budget that both share; the second one of `listen` is the size of the learned state in bytes.
-// `revoked`: the new process did not answer, the old one serves again, the new one ends.
+// `revoked`: the new process did not answer, the old one serves again, the new one ends. A new
+// process that is told to end closes the channel, and the old one serves again, unless it is
+// ending too.
 //
 // New processes of builds without `monitors` ignore it, and old ones of such builds do not send it:
 // nothing is answered then, and nothing revoked.
@@ -35,6 +38,7 @@
 constexpr std::string_view kMonitorsLine = "monitors";
 constexpr std::string_view kAliveLine = "alive";
 constexpr std::string_view kRevokedLine = "revoked";
+constexpr std::string_view kEndingLine = "ending";
 
 // The line without its end.
 std::string RequestLine(const Address& listen);
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <exception>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <stdexcept>
@@ -117,12 +118,20 @@
     }
   }
 
+  // `before_drain` runs when the process is told to end, before it drains.
+  void set_before_drain(std::function<void()> before_drain) {
+    before_drain_ = std::move(before_drain);
+  }
+
   // Ends the process once what is open has ended. Without effect where it drains already.
   void Drain() {
     if (std::exchange(draining_, true)) {
       return;
     }
     Log(LogLevel::kInfo, "draining");
+    if (before_drain_) {
+      before_drain_();
+    }
     served_.gateway.Drain([this] { loop_.Stop(); });
   }
 
@@ -170,6 +179,7 @@
   EventLoop::TimerId reload_timer_;
   FileDescriptor fd_;
   bool draining_ = false;
+  std::function<void()> before_drain_;
 };
 
 // By the LB_* variables; no more sockets than the system grants.
@@ -284,6 +294,15 @@
     old_process.emplace(loop, hot_restart_path, lifecycle, gateway.downstream(), gateway.budget(),
                         [&] { return gateway.ExportLearnedState(); });
   }
+  signal_handler.set_before_drain([&] {
+    // What comes from now on waits in the queue for the old process.
+    if (new_process && !lifecycle.replaced() && new_process->HandBack()) {
+      lifecycle.set_replaced(true);
+    }
+    if (old_process) {
+      old_process->ReportEnding();
+    }
+  });
   const CounterLogger counter_logger(loop, served, options.counters_every);
   loop.Run();
   LogCounters(served);
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -343,6 +343,62 @@
   EXPECT_TRUE(first.Says("the new process serves"));
 }
 
+// It went on accepting while it drained, and closed connections whose first request was on the way.
+TEST_F(HotRestartTest, NewProcessToldToEndHandsBackToTheOldOne) {
+  Child first, second, third;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Load load(address, 0, 8);
+  Start(second, 6002);
+  ASSERT_TRUE(first.Says("the new process serves"));
+  usleep(200'000);
+  second.Signal(SIGTERM);
+  // Requests that come a while behind their connections.
+  for (int i = 0; i < 150; ++i) {
+    Peer client = Peer::To(address);
+    usleep(4000);
+    client.Say("GET /read HTTP/1.1\r\nX-Call-Id: late-" + std::to_string(i) +
+               "\r\nX-Budget-Ms: 1000\r\n\r\n");
+    for (int k = 0; k < 1000 && !client.Has("served") && !client.Ended(); ++k) {
+      usleep(500);
+    }
+    EXPECT_TRUE(client.Has("served")) << i << " was told: " << client.Heard();
+  }
+  ASSERT_TRUE(first.Says("this one serves on"));
+  EXPECT_TRUE(Yes(6001));
+  EXPECT_EQ(second.Wait(), 0) << second.Text();
+  Start(third, 6003);
+  ASSERT_TRUE(third.Says("ready, reported to the old process")) << third.Text();
+  usleep(200'000);
+  ExpectWhole(load);
+}
+
+// Where both are told to end, the new one goes on accepting until the front has taken it out.
+TEST_F(HotRestartTest, NewProcessToldToEndAfterTheOldOneDrainsByItself) {
+  Child first, second;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Start(second, 6002);
+  ASSERT_TRUE(first.Says("the new process serves"));
+  usleep(100'000);
+  Peer open = Peer::To(address);  // keeps the second draining
+  open.Say("GET /read HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget-Ms: 1000\r\n");
+  usleep(50'000);
+  first.Signal(SIGTERM);
+  usleep(100'000);
+  second.Signal(SIGTERM);
+  ASSERT_TRUE(second.Says("draining"));
+  Peer late = Peer::To(address);
+  late.Say("GET /read HTTP/1.1\r\nX-Call-Id: 2\r\nX-Budget-Ms: 1000\r\n\r\n");
+  for (int i = 0; i < 500 && !late.Has("served"); ++i) {
+    usleep(2000);
+  }
+  EXPECT_TRUE(late.Has("served")) << late.Heard();
+  open.Say("\r\n");
+  EXPECT_EQ(first.Wait(), 0);
+  EXPECT_EQ(second.Wait(), 0);
+}
+
 // A new process that died just as the old one wrote to it took the old one with it.
 TEST_F(HotRestartTest, NewProcessThatDiesDuringAWriteLeavesTheOldOne) {
   Child first;
