--- a/src/gateway/hot_restart.cpp
+++ b/src/gateway/hot_restart.cpp
@@ -27,6 +27,8 @@
 
 constexpr Duration kReadTimeout = milliseconds(500);
 constexpr Duration kReportInterval = milliseconds(50);  // of the descriptors held
+// Of an old process that goes on: one that hangs is not handed back to.
+constexpr Duration kMaxReportAge = milliseconds(500);
 // Reports without an answer before a new process that was ready is taken to hang. Counted in
 // reports, not in time: a machine that stands still is no fault of the new process.
 constexpr int kMaxUnansweredReports = 40;
@@ -168,7 +170,9 @@
 // ---- The new process ------------------------------------------------------------------------
 
 NewProcess::NewProcess(EventLoop& loop, HotRestartState state, DescriptorBudget& budget)
-    : budget_(budget), stream_(loop, Socket(std::move(state.channel), nullptr), this, false) {
+    : loop_(loop),
+      budget_(budget),
+      stream_(loop, Socket(std::move(state.channel), nullptr), this, false) {
   stream_.set_max_unread_bytes(hot_restart::kMaxLineBytes);
   budget_.set_held_by_other_process(state.descriptors_held);
   if (!stream_.Start()) {
@@ -183,7 +187,8 @@
 
 bool NewProcess::HandBack() {
   // Old processes of builds that do not monitor do not say that they are ending.
-  if (stream_.closed() || !is_monitored_ || old_is_ending_) {
+  if (stream_.closed() || !is_monitored_ || old_is_ending_ ||
+      loop_.Now() - reported_at_ > kMaxReportAge) {
     return false;
   }
   Log(LogLevel::kInfo, "hot restart: handed back to the old process");
@@ -195,6 +200,7 @@
 void NewProcess::OnLine(const std::string& line) {
   if (const auto descriptors_held = hot_restart::ParseHoldsLine(line)) {
     budget_.set_held_by_other_process(*descriptors_held);
+    reported_at_ = loop_.Now();
     is_asked_ = true;
   } else if (line == hot_restart::kMonitorsLine) {
     is_monitored_ = true;
--- a/src/gateway/hot_restart.h
+++ b/src/gateway/hot_restart.h
@@ -62,7 +62,7 @@
   // To be called once this process can serve.
   void ReportReady();
   // To be called when this process, which serves, is told to end: the old one serves again, if it
-  // is there and is not ending too. False where it does not.
+  // has reported of late and is not ending too. False where it does not.
   bool HandBack();
 
  private:
@@ -70,9 +70,11 @@
   void OnError() override;
   void OnLine(const std::string& line);
 
+  EventLoop& loop_;
   DescriptorBudget& budget_;
   Stream stream_;
   std::function<void()> on_revoked_;
+  Time reported_at_;           // when the old process last told what it holds
   bool is_monitored_ = false;  // the old process wants answers
   bool is_asked_ = false;      // since the last answer
   bool is_revoked_ = false;
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -235,6 +235,35 @@
                                         std::move(file));
 }
 
+// Waits until the process can serve. False where it was told to end meanwhile.
+bool WaitUntilReady(EventLoop& loop, const Lifecycle& lifecycle) {
+  while (!lifecycle.accepts() && !loop.stopped()) {
+    loop.RunOnce(kReadyCheckInterval);
+  }
+  return !loop.stopped() && lifecycle.stage() != LifecycleStage::kEnding;
+}
+
+// Ends the process where the old one has revoked it.
+void DrainWhenRevoked(NewProcess& new_process, Lifecycle& lifecycle,
+                      SignalHandler& signal_handler) {
+  new_process.set_on_revoked([&] {
+    lifecycle.set_replaced(true);  // by the old process, which accepts what comes from now on
+    signal_handler.Drain();
+  });
+}
+
+// Has the other processes of a hot restart know that this one was told to end.
+void ReportEndOfProcess(Lifecycle& lifecycle, std::optional<NewProcess>& new_process,
+                        std::optional<OldProcess>& old_process) {
+  // What comes from now on waits in the queue for the old process.
+  if (new_process && !lifecycle.replaced() && new_process->HandBack()) {
+    lifecycle.set_replaced(true);
+  }
+  if (old_process) {
+    old_process->ReportEnding();
+  }
+}
+
 void RunGateway(const ServeOptions& options, const sigset_t& signals) {
   EventLoop loop;
   GatewayConfig config = ReadConfigFromEnvironment(loop);
@@ -274,17 +303,10 @@
       known_endpoints);
   SignalHandler signal_handler(loop, served, signals);
   if (new_process) {
-    new_process->set_on_revoked([&] {
-      lifecycle.set_replaced(true);  // by the old process, which accepts what comes from now on
-      signal_handler.Drain();
-    });
-  }
-
-  while (!lifecycle.accepts() && !loop.stopped()) {
-    loop.RunOnce(kReadyCheckInterval);
+    DrainWhenRevoked(*new_process, lifecycle, signal_handler);
   }
   // Told to end meanwhile, it leaves the old process as it was.
-  const bool serves = !loop.stopped() && lifecycle.stage() != LifecycleStage::kEnding;
+  const bool serves = WaitUntilReady(loop, lifecycle);
   if (new_process && serves) {
     new_process->ReportReady();
   }
@@ -294,15 +316,7 @@
     old_process.emplace(loop, hot_restart_path, lifecycle, gateway.downstream(), gateway.budget(),
                         [&] { return gateway.ExportLearnedState(); });
   }
-  signal_handler.set_before_drain([&] {
-    // What comes from now on waits in the queue for the old process.
-    if (new_process && !lifecycle.replaced() && new_process->HandBack()) {
-      lifecycle.set_replaced(true);
-    }
-    if (old_process) {
-      old_process->ReportEnding();
-    }
-  });
+  signal_handler.set_before_drain([&] { ReportEndOfProcess(lifecycle, new_process, old_process); });
   const CounterLogger counter_logger(loop, served, options.counters_every);
   loop.Run();
   LogCounters(served);
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -804,7 +804,8 @@
     double cpu = 0;
     uint64_t rss = 0, descriptors = 0;
     for (GatewayState& g : gateways_) {
-      if (g.process && !g.process->Ended() && !g.expected_to_end) {
+      // One that is not up may still be this program, with the lab's own descriptors.
+      if (g.process && g.up && !g.process->Ended() && !g.expected_to_end) {
         g.used = g.process->Measure();
       }
       cpu += g.cpu_before + g.used.cpu_us;
