--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -338,7 +338,9 @@
       continue;
     }
     ++counts_.lost;
-    Break(Rule::kLost, now, IdOf(n), "no answer in its time");
+    Break(Rule::kLost, now, IdOf(n),
+          fmt::format("no answer in its time, gateway {}, handed at {:.3f} s", t.gateway,
+                      static_cast<double>(t.handed.count()) / 1e6));
   }
 }
 
