--- a/src/gateway/cluster_agent.cpp
+++ b/src/gateway/cluster_agent.cpp
@@ -301,10 +301,12 @@
   }
   LogConnectivity(effective);
   const cluster::VersionContent* const applied = applier_.applied_content();
-  // A member that catches up without a lease keeps what it had: to apply each superseded version
-  // would delay its requests for nothing.
-  const bool keeps_applied_content =
-      applied != nullptr && !holds_lease && member_->raft_node().HasEntriesToApply();
+  // A member that catches up without a lease keeps what it had: superseded versions would exclude
+  // fewer hosts than the latest that it knew, and delay its requests for nothing. It may not know
+  // yet that there is more to apply, as after its storage failed: then it is behind what it had.
+  const bool catches_up =
+      member_->raft_node().HasEntriesToApply() || effective.latest_version < applied_version_;
+  const bool keeps_applied_content = applied != nullptr && !holds_lease && catches_up;
   const bool is_unchanged = applied != nullptr && effective_config_ &&
                             effective_config_->kind == effective.kind &&
                             keeps_applied_content_ == keeps_applied_content &&
@@ -315,6 +317,9 @@
   if (is_unchanged) {
     return;
   }
+  if (!keeps_applied_content) {
+    applied_version_ = effective.latest_version;
+  }
   // A gateway that drains when isolated must not send anything to a host that a version which it
   // has not seen may exclude.
   const bool exclude_all_hosts =
--- a/src/gateway/cluster_agent.h
+++ b/src/gateway/cluster_agent.h
@@ -147,6 +147,7 @@
 
   std::optional<cluster::EffectiveConfig> effective_config_;  // as last acted on
   bool keeps_applied_content_ = false;  // isolated and catching up: acts on what it had
+  uint64_t applied_version_ = 0;        // the latest version of what it acts on
   bool drained_ = false;                // drained by this agent
   EventLoop::TimerId member_timer_, ownership_timer_, lease_timer_;
 
--- a/tests/gateway/cluster_agent_test.cpp
+++ b/tests/gateway/cluster_agent_test.cpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -338,6 +339,50 @@
   EXPECT_TRUE(WaitUntil([&] { return StatusOf(1)["version_on"] == 10; }));
 }
 
+// A member whose disk fails begins anew with nothing: until it had caught up it sent to hosts that
+// the version which it had acted on excludes.
+TEST_F(ClusterAgentTest, MemberThatLosesItsStorageExcludesHostsWhileItCatchesUp) {
+  Port host;
+  std::string text = kPlatformFile;
+  text.replace(text.find("\"members\":[]"), 12,
+               R"("members":[{"id":"h","host_port":")" + host.text() + R"(","phase":"active"}])");
+  std::ofstream(folder_ + "/c.json") << text;
+  // The second member's disk fails on command.
+  WriteOperatorFile(3, "lab_disk = \"" + folder_ + "/disk\"\n");
+  fs::rename(folder_ + "/bank.toml", folder_ + "/failing.toml");
+  WriteOperatorFile(3);
+  ASSERT_EQ(RunClusterCommand("init --name g0").code, 0);
+  StartMember(0);
+  members_[1].Start(EnvironmentOf(1), {"serve", "--operator", folder_ + "/failing.toml"});
+  StartMember(2);
+  ASSERT_TRUE(WaitUntil([&] { return StatusOf(0).value("voters", json::array()).size() == 3; }));
+  ASSERT_EQ(SubmitChange(R"({"barred":["h"]})").code, 0);
+  ASSERT_TRUE(WaitUntil([&] { return StatusOf(1)["version_on"] == 1; }));
+  std::vector<Peer> connections, clients;
+  const auto requests_at_host = [&] {
+    while (Peer sent = host.TryTake()) {
+      connections.push_back(std::move(sent));
+    }
+    return std::ranges::count_if(connections, [](Peer& sent) { return sent.Has("GET /read"); });
+  };
+  std::ofstream(folder_ + "/disk") << "sync-fails";
+  std::thread change([&] { SubmitChange(R"({"barred":["h"],"drain":["x"]})"); });
+  for (int i = 0; i < 500; ++i) {
+    clients.push_back(Peer::To(ParseAddress(AddressOf(1, 5000))));
+    clients.back().Say("GET /read HTTP/1.1\r\nX-Call-Id: c" + std::to_string(i) +
+                       "\r\nX-Budget-Ms: 300\r\n\r\n");
+    if (clients.size() > 50) {
+      clients.erase(clients.begin());
+    }
+    usleep(2'000);
+    requests_at_host();
+  }
+  change.join();
+  EXPECT_TRUE(members_[1].Says("restarts as a non-voting member"));
+  EXPECT_EQ(requests_at_host(), 0);
+  EXPECT_TRUE(WaitUntil([&] { return StatusOf(1)["version_on"] == 2; }));
+}
+
 // A log that is corrupt before its end is kept aside; its member follows until an operator replaces
 // it.
 TEST_F(ClusterAgentTest, MemberWithACorruptLogDoesNotVote) {
