Hot restart: a new process makes its socket before it reports that it is ready

What callers saw: nothing in service. A process started after a hung one had been revoked and had ended found no process at the path and listened beside the old one. Cause: the hung one was stopped between its report and ListenUnix. The old one took its place back and had no reason to listen anew; when the hung one woke it put its own socket in that place, and removed it as it ended. Change: it listens first and reports then.

--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -307,15 +307,16 @@
   }
   // Told to end meanwhile, it leaves the old process as it was.
   const bool serves = WaitUntilReady(loop, lifecycle);
-  if (new_process && serves) {
-    new_process->ReportReady();
-  }
-  // From now on a newer process can take over from this one.
+  // From now on a newer process can take over from this one. Before it reports that it is ready: an
+  // old process that takes its place back replaces the socket made here.
   std::optional<OldProcess> old_process;
   if (admin_address && serves) {
     old_process.emplace(loop, hot_restart_path, lifecycle, gateway.downstream(), gateway.budget(),
                         [&] { return gateway.ExportLearnedState(); });
   }
+  if (new_process && serves) {
+    new_process->ReportReady();
+  }
   signal_handler.set_before_drain([&] { ReportEndOfProcess(lifecycle, new_process, old_process); });
   const CounterLogger counter_logger(loop, served, options.counters_every);
   loop.Run();
