The soak's classes have names of its own

Cause: Deployments.NoneIsKnownToTheProgram failed: 'status' is a class of a site, and stood in src. Change: soak-read and soak-write.

--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -74,14 +74,14 @@
     e_.zones = {hosts.zone};
     e_.kinds = {hosts.kind};
     ClassSpec safe, keyed;
-    safe.name = "status";
+    safe.name = "soak-read";
     safe.rules.latency_objective = Duration(250'000);
     safe.rules.deadline = kDeadline;
     safe.share = 0.7;
     safe.work_ms = {5, 15};
     safe.wait_ms = {5, 40};
     keyed = safe;
-    keyed.name = "order";
+    keyed.name = "soak-write";
     keyed.share = 0.3;
     keyed.rules.idempotency = Idempotency::kKeyed;
     keyed.rules.deduplication_window = Duration(3'000'000);
