--- /dev/null
+++ b/src/gateway/hot_restart_old_process.cpp
@@ -0,0 +1,250 @@
+#include "gateway/hot_restart_old_process.h"
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "gateway/hot_restart_protocol.h"
+#include "gateway/unix_socket.h"
+
+namespace paddlestile {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kReportInterval = milliseconds(50);  // of the descriptors held
+// Reports without an answer before a new process that was ready is taken to hang. Counted in
+// reports, not in time: a machine that stands still is no fault of the new process.
+constexpr int kMaxUnansweredReports = 40;
+// What the old process may still open: upstream connections for requests in progress.
+constexpr size_t kSpareDescriptors = 16;
+// Of a process that ends, outside of its budget.
+constexpr size_t kUnbudgetedDescriptors = 24;
+
+}  // namespace
+
+class OldProcess::Acceptor final : public EventLoop::Handler {
+ public:
+  Acceptor(OldProcess& owner, FileDescriptor fd) : owner_(owner), fd_(std::move(fd)) {
+    watched_ = owner_.loop_.Watch(fd_.get(), this, token_);
+  }
+  Acceptor(const Acceptor&) = delete;
+  Acceptor& operator=(const Acceptor&) = delete;
+  virtual ~Acceptor() {
+    if (watched_) {
+      owner_.loop_.Unwatch(fd_.get(), token_);
+    }
+  }
+  [[nodiscard]] int fd() const { return fd_.get(); }
+  void OnEvents(uint32_t) override { owner_.Accept(); }
+
+ private:
+  OldProcess& owner_;
+  FileDescriptor fd_;
+  uint64_t token_ = 0;
+  bool watched_ = false;
+};
+
+// The connection of a new process.
+class OldProcess::Channel final : public Stream::Listener {
+ public:
+  Channel(OldProcess& owner, FileDescriptor fd)
+      : owner_(owner),
+        fd_(fd.get()),
+        stream_(owner.loop_, Socket(std::move(fd), nullptr), this, false) {
+    stream_.set_max_unread_bytes(hot_restart::kMaxLineBytes);
+  }
+  bool Start() { return stream_.Start(); }
+  [[nodiscard]] Stream& stream() { return stream_; }
+  // One more report goes to the new process. False where it is taken to hang: it answered before,
+  // was ready, and has left too many without an answer.
+  bool CountReport() {
+    ++unanswered_reports_;
+    return !answers_ || !owner_.lifecycle_.replaced() ||
+           unanswered_reports_ <= kMaxUnansweredReports;
+  }
+
+ private:
+  void OnData() override {
+    const bool valid = hot_restart::ConsumeLines(stream_.input(),
+                                                 [this](const std::string& line) { OnLine(line); });
+    if (!valid || stream_.ended()) {
+      owner_.OnNewProcessGone();
+    }
+  }
+  void OnError() override { owner_.OnNewProcessGone(); }
+
+  void OnLine(const std::string& line) {
+    if (stream_.closed()) {
+      return;
+    }
+    if (line == hot_restart::kReadyLine && handed_over_) {
+      return OnReady();
+    }
+    if (line == hot_restart::kAliveLine && handed_over_) {
+      answers_ = true;
+      unanswered_reports_ = 0;
+      return;
+    }
+    const bool is_request = line == hot_restart::RequestLine(owner_.downstream_.address());
+    if (!is_request || handed_over_ || owner_.downstream_.listening_socket() < 0) {
+      Log(LogLevel::kWarning, "hot restart: a malformed request, not followed");
+      return owner_.OnNewProcessGone();
+    }
+    HandOver();
+  }
+
+  void OnReady() {
+    Log(LogLevel::kInfo, "hot restart: the new process serves, this one ends what is open");
+    unanswered_reports_ = 0;
+    owner_.lifecycle_.set_replaced(true);
+    owner_.ReportDescriptorsHeld();
+  }
+
+  void HandOver() {
+    const size_t descriptors_held =
+        owner_.budget_.used() + kSpareDescriptors + kUnbudgetedDescriptors;
+    const std::string learned_state = owner_.export_learned_state_();
+    handed_over_ =
+        SendLine(fd_, hot_restart::ListenLine(descriptors_held, learned_state.size()) + '\n',
+                 owner_.downstream_.listening_socket());
+    if (!handed_over_) {
+      return owner_.OnNewProcessGone();
+    }
+    stream_.Write(learned_state + std::string(hot_restart::kMonitorsLine) + '\n');
+    if (stream_.closed()) {
+      return;
+    }
+    ++GlobalCounters().hot_restarts;
+    Log(LogLevel::kInfo, "hot restart: a new process has the listening socket");
+    owner_.ReportDescriptorsHeld();
+  }
+
+  OldProcess& owner_;
+  int fd_;
+  Stream stream_;
+  bool handed_over_ = false;  // the listening socket was sent
+  bool answers_ = false;      // the new process answers reports
+  int unanswered_reports_ = 0;
+};
+
+OldProcess::OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle,
+                       const Downstream& downstream, DescriptorBudget& budget,
+                       std::function<std::string()> export_learned_state)
+    : loop_(loop),
+      path_(std::move(path)),
+      lifecycle_(lifecycle),
+      downstream_(downstream),
+      budget_(budget),
+      export_learned_state_(std::move(export_learned_state)) {
+  if (!path_.empty()) {
+    Listen();
+  }
+}
+
+void OldProcess::Listen() {
+  FileDescriptor fd = ListenUnix(path_);
+  if (!fd) {
+    Log(LogLevel::kWarning, "hot restart: no Unix socket at {}: {}", path_, std::strerror(errno));
+    return;
+  }
+  acceptor_ = std::make_unique<Acceptor>(*this, std::move(fd));
+  inode_ = InodeOf(path_);
+}
+
+OldProcess::~OldProcess() {
+  loop_.CancelTimer(report_timer_);
+  if (channel_) {
+    channel_->stream().Close();
+  }
+  // The file may be a newer process' by now.
+  if (acceptor_ && InodeOf(path_) == inode_) {
+    unlink(path_.c_str());
+  }
+}
+
+void OldProcess::ReportEnding() {
+  if (channel_) {
+    channel_->stream().Write(std::string(hot_restart::kEndingLine) + '\n');
+  }
+}
+
+void OldProcess::Accept() {
+  while (true) {
+    FileDescriptor fd(accept4(acceptor_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd) {
+      return;
+    }
+    if (!IsPeerOfSameUser(fd.get())) {
+      continue;
+    }
+    if (channel_) {
+      SendLine(fd.get(), hot_restart::BusyLine() + '\n', -1);
+      continue;
+    }
+    channel_ = std::make_shared<Channel>(*this, std::move(fd));
+    if (!channel_->Start()) {
+      OnNewProcessGone();
+    }
+  }
+}
+
+void OldProcess::OnNewProcessGone() {
+  if (!channel_) {
+    return;
+  }
+  loop_.CancelTimer(report_timer_);
+  budget_.set_held_by_other_process(0);
+  channel_->stream().Close();
+  // A handler of the channel may be running: its memory is freed after that has returned.
+  loop_.RunDeferred([kept = std::exchange(channel_, nullptr)] {});
+  if (lifecycle_.replaced() && lifecycle_.stage() != LifecycleStage::kEnding) {
+    Log(LogLevel::kWarning, "hot restart: the new process has ended, this one serves on");
+    lifecycle_.set_replaced(false);
+  }
+  // The file of a new process that had been ready: its successors would ask there. Deferred, as the
+  // acceptor's own handler may be running.
+  loop_.RunDeferred([this, alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) {
+      ReplaceOtherSocket();
+    }
+  });
+}
+
+void OldProcess::ReplaceOtherSocket() {
+  const bool is_needed = acceptor_ && !channel_ && lifecycle_.stage() != LifecycleStage::kEnding;
+  if (is_needed && InodeOf(path_) != inode_) {
+    Listen();
+  }
+}
+
+void OldProcess::RevokeNewProcess() {
+  Log(LogLevel::kWarning, "hot restart: the new process does not answer");
+  channel_->stream().Write(std::string(hot_restart::kRevokedLine) + '\n');
+  OnNewProcessGone();
+}
+
+// Both processes share one budget: once replaced, this one opens no more than it reports.
+void OldProcess::ReportDescriptorsHeld() {
+  loop_.CancelTimer(report_timer_);
+  const size_t allowed = std::min(budget_.used() + kSpareDescriptors, budget_.limit());
+  if (lifecycle_.replaced()) {
+    budget_.set_held_by_other_process(budget_.limit() - allowed);
+  }
+  channel_->stream().Write(hot_restart::HoldsLine(allowed + kUnbudgetedDescriptors) + '\n');
+  if (!channel_) {
+    return;  // the write failed
+  }
+  if (!channel_->CountReport()) {
+    return RevokeNewProcess();
+  }
+  report_timer_ = loop_.RunAfter(kReportInterval, [this] { ReportDescriptorsHeld(); });
+}
+
+}  // namespace paddlestile
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -25,6 +25,8 @@
 #include "gateway/cluster_agent.h"
 #include "gateway/gateway.h"
 #include "gateway/hot_restart.h"
+#include "gateway/hot_restart_new_process.h"
+#include "gateway/hot_restart_old_process.h"
 #include "gateway/lifecycle.h"
 
 namespace paddlestile {
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "gateway/child_process.h"
+#include "gateway/hot_restart_new_process.h"
 #include "gateway/hot_restart_protocol.h"
 #include "gateway/test_peers.h"
 
