A signal that comes as a gateway starts waits until it is handled

Cause: the signals were blocked in Serve, after the libraries' initializers. They are blocked in .preinit_array now; commands that do not serve put the inherited mask back. Test AreBlockedBeforeAnyLibraryIsInitialized: the old program prints 'probe: not blocked'.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <cstdlib>
@@ -18,6 +19,7 @@
 #include "cli/exit_codes.h"
 #include "cli/lab_commands.h"
 #include "cli/migrate_command.h"
+#include "cli/startup_signals.h"
 #include "cli/subcommand.h"
 #include "gateway/serve.h"
 
@@ -132,10 +134,13 @@
     return kExitWrongUsage;
   }
   ApplyLogOptions(log_options);
-  if (const auto exit_code = RunParsed(subcommands)) {
-    return *exit_code;
+  const bool serves = std::ranges::none_of(
+      subcommands, [](const Subcommand& subcommand) { return subcommand.app->parsed(); });
+  if (serves) {
+    return RunServe(serve_options);
   }
-  return RunServe(serve_options);
+  RestoreInheritedSignalMask();
+  return RunParsed(subcommands).value_or(kExitDone);
 }
 
 }  // namespace
