Event loop: a round of 250 ms or more is logged with where its time went

The line has the round's length, the thread's processor time in it, and of tasks, events and timers the count, sum and longest. No decision changes.

--- a/src/event/event_loop.cpp
+++ b/src/event/event_loop.cpp
@@ -98,6 +98,7 @@
     auto node = timers_.extract(timers_.begin());
     node.mapped()();
     RunDeferredTasks();
+    round_time_.EndStep(RoundStep::kTimer, Now());
   }
 }
 
@@ -146,15 +147,19 @@
   constexpr auto kMaxEvents = static_cast<int>(events.size());
   int count = epoll_wait(epoll_.get(), events.data(), kMaxEvents, wait_ms);
   const Time started_at = Now();
+  round_time_.Start(started_at);
   RunUrgent();
   RunAfterRoundTasks();
+  round_time_.EndStep(RoundStep::kTasks, Now());
   for (int polls = 1;; ++polls) {
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = events[static_cast<size_t>(i)];
       if (event.data.u64 != kUrgentToken) {
         RunEvent(event.data.u64, event.events);
       }
-      if (Now() - urgent_polled_at_ > kUrgentInterval) {
+      const Time now = Now();
+      round_time_.EndStep(RoundStep::kEvent, now);
+      if (now - urgent_polled_at_ > kUrgentInterval) {
         RunUrgent();
       }
     }
@@ -165,9 +170,11 @@
   }
   // After the sockets: bytes that had come by the time of a limit still count.
   RunTimers();
-  if (Now() - started_at > kLagThreshold) {
+  const Time ended_at = Now();
+  if (ended_at - started_at > kLagThreshold) {
     ++GlobalCounters().loop_lagged;
   }
+  round_time_.LogIfLong(ended_at);
 }
 
 void EventLoop::Run() {
--- a/src/event/event_loop.h
+++ b/src/event/event_loop.h
@@ -12,6 +12,7 @@
 #include "base/clock.h"
 #include "base/file_descriptor.h"
 #include "base/time.h"
+#include "event/round_time.h"
 
 namespace paddlestile {
 
@@ -78,6 +79,7 @@
   Clock clock_;
   FileDescriptor epoll_, urgent_epoll_;  // the first watches the second
   Time urgent_polled_at_{0};
+  RoundTime round_time_;
   std::vector<Slot> slots_;  // a token is generation (high 32 bits) and index of a slot
   std::vector<uint32_t> free_slots_;
   std::map<std::pair<Time, uint64_t>, std::function<void()>> timers_;
