--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -24,7 +24,7 @@
 
 Process::Process(const std::vector<std::string>& words,
                  const std::vector<std::pair<std::string, std::string>>& env,
-                 const std::string& log_path) {
+                 const std::string& log_path, Signals signals) {
   // All memory is taken before the fork.
   std::vector<std::string> variables;
   variables.reserve(env.size());
@@ -62,9 +62,14 @@
     if (getppid() != parent) {
       _exit(127);
     }
-    sigset_t none;
-    sigemptyset(&none);
-    sigprocmask(SIG_SETMASK, &none, nullptr);
+    sigset_t blocked;
+    sigemptyset(&blocked);
+    if (signals == Signals::kBlocked) {
+      for (const int signal : {SIGTERM, SIGINT, SIGUSR1, SIGHUP}) {
+        sigaddset(&blocked, signal);
+      }
+    }
+    sigprocmask(SIG_SETMASK, &blocked, nullptr);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
     execve(args[0], args.data(), vars.data());
@@ -91,6 +96,29 @@
   }
 }
 
+void Process::Stop() const {
+  if (ended_) {
+    return;
+  }
+  kill(pid_, SIGSTOP);
+  siginfo_t info{};
+  // Left waitable, so that Ended sees its end.
+  while (waitid(P_PID, static_cast<id_t>(pid_), &info, WSTOPPED | WEXITED | WNOWAIT) != 0 &&
+         errno == EINTR) {
+  }
+}
+
+void Process::Kill() {
+  if (Ended()) {
+    return;
+  }
+  killed_ = true;
+  kill(pid_, SIGKILL);
+  siginfo_t info{};
+  while (waitid(P_PID, static_cast<id_t>(pid_), &info, WEXITED | WNOWAIT) != 0 && errno == EINTR) {
+  }
+}
+
 std::optional<int> Process::Ended() {
   int status = 0;
   rusage used{};
--- a/src/lab/process.h
+++ b/src/lab/process.h
@@ -15,15 +15,27 @@
 
 class Process {
  public:
+  // The signals that a gateway handles, as it starts.
+  enum class Signals {
+    kUnblocked,
+    kBlocked  // none that comes before the program's first instruction can end it
+  };
   // Runs the words with these variables added to the environment; both its outputs go to a file.
   // Throws std::system_error. It dies with this process, whatever becomes of this one.
   Process(const std::vector<std::string>& words,
-          const std::vector<std::pair<std::string, std::string>>& env, const std::string& log_path);
+          const std::vector<std::pair<std::string, std::string>>& env, const std::string& log_path,
+          Signals signals = Signals::kUnblocked);
   ~Process();  // killed, if it still runs
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
 
   void Signal(int signal) const;
+  // Stops it, and returns once it stands; without effect where it has ended.
+  void Stop() const;
+  // Kills it, and returns once its descriptors are closed.
+  void Kill();
+  // Whether Kill was called before it had ended.
+  [[nodiscard]] bool killed() const { return killed_; }
   // How it ended: its exit code, or 128 and the signal; nothing while it runs.
   std::optional<int> Ended();
 
@@ -43,6 +55,7 @@
   static Usage Measure(const std::string& proc);
   pid_t pid_ = -1;
   std::optional<int> ended_;
+  bool killed_ = false;
   double spent_us_ = 0;
 };
 
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -298,7 +298,7 @@
       env.emplace_back("LB_ADMIN", ToText(g.admin));
       env.emplace_back("TMPDIR", folder_.path());
     }
-    return std::make_unique<Process>(words, env, g.log_path);
+    return std::make_unique<Process>(words, env, g.log_path, Process::Signals::kBlocked);
   }
 
   bool AwaitGateways() {
--- a/tests/lab/faulty_gateway.cpp
+++ b/tests/lab/faulty_gateway.cpp
@@ -277,6 +277,10 @@
   }
   signal(SIGPIPE, SIG_IGN);
   signal(SIGTERM, [](int) { _exit(0); });
+  // The lab starts a gateway with its signals blocked.
+  sigset_t none;
+  sigemptyset(&none);
+  sigprocmask(SIG_SETMASK, &none, nullptr);
   EventLoop loop;
   GatewayConfig config =
       ReadGatewayConfig([](const char* name) { return std::getenv(name); },
