lab: the judge excuses connections of killed processes and lateness by stops, nothing more

Seen: where the new process of a hot restart was killed or stopped, every loss on that gateway counted as "gateway killed" for 2.5 s, from a kill until /_health said yes the same, and a request of a stopped gateway was never asked after. Cause: SetKilled and Stops excused by gateway and time. Now: the lab stops the process, reads its sockets from the kernel's tables and excuses only what it had accepted; a stop makes the time of a request stand still while a stopped process holds its connection, or while that is seen in the queue, 2.5 s at most: late is excused, missing is not, and clients wait. A kept connection closed under a request is a crossing for 50 ms, not for ever. A refusal by a gateway that is up is a breach, so is a new process that ended before its fate, and SIGKILL's code where the lab did not send it.

--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace paddlestile::lab {
 namespace {
@@ -36,6 +37,24 @@
   return "";
 }
 
+std::string_view NameOf(Excuse excuse) {
+  switch (excuse) {
+    case Excuse::kProcessKilled:
+      return "process killed";
+    case Excuse::kProcessStopped:
+      return "late by a stop";
+    case Excuse::kQueued:
+      return "late in the queue";
+    case Excuse::kGatewayDown:
+      return "gateway down";
+    case Excuse::kCrossed:
+      return "crossed a close";
+    case Excuse::kNoConnection:
+      return "no connection left";
+  }
+  return "";
+}
+
 std::string MakeAnswerBody(std::string_view id, uint64_t receipt, size_t size) {
   std::string body = fmt::format("id={} receipt={}\n", id, receipt);
   // A pattern that moves with the receipt, so that a part of another body never fits.
@@ -89,6 +108,9 @@
     return Extra(now, n, fmt::format("a second answer, {}", status));
   }
   t.over = true;
+  if (now > t.deadline && t.delay && t.delay->by > Duration(0)) {
+    ++counts_.excused[static_cast<size_t>(t.delay->excuse)];
+  }
   AskState& a = asks_[t.ask];
   a.last_status = status;
   bool ran = false;
@@ -134,23 +156,12 @@
   }
 }
 
-void Ledger::Broken(Time now, size_t n, Ended how, std::string_view why) {
+void Ledger::Broken(Time now, size_t n, std::string_view why) {
   TryState& t = tries_[n];
-  if (t.over) {
+  if (std::exchange(t.over, true)) {
     return;
   }
-  t.over = true;
   asks_[t.ask].last_status = 0;
-  switch (how) {
-    case Ended::kClientLeft:
-      ++counts_.left;
-      return;
-    case Ended::kGatewayKilled:
-      ++counts_.killed;
-      return;
-    case Ended::kByGateway:
-      break;
-  }
   if (!t.taken) {
     return;
   }
@@ -158,6 +169,37 @@
   Break(Rule::kLost, now, IdOf(n), std::string(why));
 }
 
+void Ledger::Refused(Time now, size_t n, std::string_view why) {
+  tries_[n].taken = true;
+  Broken(now, n, why);
+}
+
+void Ledger::ClientLeft(size_t n) {
+  TryState& t = tries_[n];
+  if (std::exchange(t.over, true)) {
+    return;
+  }
+  asks_[t.ask].last_status = 0;
+  ++counts_.left;
+}
+
+void Ledger::Excused(size_t n, Excuse excuse) {
+  TryState& t = tries_[n];
+  if (std::exchange(t.over, true)) {
+    return;
+  }
+  asks_[t.ask].last_status = 0;
+  ++counts_.excused[static_cast<size_t>(excuse)];
+}
+
+Duration Ledger::DelayOf(size_t n) {
+  TryState& t = tries_[n];
+  if (!t.delay) {
+    t.delay = delay_of_ ? delay_of_(n).value_or(Delay{}) : Delay{};
+  }
+  return t.delay->by;
+}
+
 void Ledger::Over(Time now, size_t ask) {
   (void)now;
   AskState& a = asks_[ask];
@@ -321,27 +363,39 @@
     ++counts_.twice_unlawful;
     Break(Rule::kTwice, s.at, IdOf(receipts_[s.second].n), "while an earlier copy was still out");
   }
-  while (!due_.empty() && now > due_.front().first + 2 * rules_.slack + lag) {
+  const Duration allowed = 2 * rules_.slack + lag;
+  while (!due_.empty() && now > due_.front().first + allowed) {
     const auto [deadline, n] = due_.front();
     due_.pop_front();
-    TryState& t = tries_[n];
+    const TryState& t = tries_[n];
     if (t.over || !t.taken) {
       continue;
     }
-    t.over = t.lost = true;
-    asks_[t.ask].last_status = 0;
-    const auto stopped = [&t](const Stop& s) {
-      return s.gateway == t.gateway && t.handed <= s.to && t.deadline >= s.from;
-    };
-    if (std::ranges::any_of(stops_, stopped)) {
-      ++counts_.killed;
+    if (const Duration delay = DelayOf(n); delay > Duration(0)) {
+      delayed_.emplace(deadline + delay, n);
       continue;
     }
-    ++counts_.lost;
-    Break(Rule::kLost, now, IdOf(n),
-          fmt::format("no answer in its time, gateway {}, handed at {:.3f} s", t.gateway,
-                      static_cast<double>(t.handed.count()) / 1e6));
+    Unanswered(now, n);
+  }
+  while (!delayed_.empty() && now > delayed_.begin()->first + allowed) {
+    const size_t n = delayed_.begin()->second;
+    delayed_.erase(delayed_.begin());
+    if (!tries_[n].over) {
+      Unanswered(now, n);
+    }
   }
 }
 
+void Ledger::Unanswered(Time now, size_t n) {
+  TryState& t = tries_[n];
+  t.over = t.lost = true;
+  asks_[t.ask].last_status = 0;
+  ++counts_.lost;
+  const double delay_ms = static_cast<double>(DelayOf(n).count()) / 1000;
+  Break(Rule::kLost, now, IdOf(n),
+        fmt::format("no answer in its time, gateway {}, handed at {:.3f} s{}", t.gateway,
+                    static_cast<double>(t.handed.count()) / 1e6,
+                    delay_ms > 0 ? fmt::format(", nor {:.0f} ms later", delay_ms) : ""));
+}
+
 }  // namespace paddlestile::lab
--- a/src/lab/ledger.h
+++ b/src/lab/ledger.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -40,6 +41,18 @@
 inline constexpr size_t kRules = 8;
 std::string_view NameOf(Rule rule);
 
+// Why something that went wrong with a try is the script's doing, and not the gateway's.
+enum class Excuse {
+  kProcessKilled,   // its connection was held by a process that was killed
+  kProcessStopped,  // answered late, by the time at most that the process was stopped
+  kQueued,          // answered late, by the time at most that its connection was not accepted
+  kGatewayDown,     // refused while the gateway was ended and not back
+  kCrossed,         // a kept connection was closed just as it was written; the client sent it again
+  kNoConnection     // the lab itself had none left
+};
+inline constexpr size_t kExcuses = 6;
+std::string_view NameOf(Excuse excuse);
+
 struct Breach {
   Rule rule = Rule::kLost;
   Time at{0};
@@ -71,13 +84,19 @@
   void Taken(size_t n) { tries_[n].taken = true; }
   // A whole answer has come. `body` is looked at for 200.
   void Answered(Time now, size_t n, int status, std::string_view body);
-  // Its connection ended without a whole answer. `whose`: kLost counts; the others are excused.
-  enum class Ended {
-    kByGateway,
-    kGatewayKilled,
-    kClientLeft
-  };
-  void Broken(Time now, size_t n, Ended how, std::string_view why);
+  // Its connection ended without a whole answer, by the gateway.
+  void Broken(Time now, size_t n, std::string_view why);
+  // A gateway that should serve refused its connection.
+  void Refused(Time now, size_t n, std::string_view why);
+  // Its client left before the answer.
+  void ClientLeft(size_t n);
+  // It ends without an answer by the script's doing.
+  void Excused(size_t n, Excuse excuse);
+  // The client sends it again on another connection.
+  void SentAgain(Excuse excuse) { ++counts_.excused[static_cast<size_t>(excuse)]; }
+  // How much later than its deadline its answer may come. Asked for at the deadline, once: later
+  // calls give the same. See set_delay_of.
+  Duration DelayOf(size_t n);
   // No try of it will follow.
   void Over(Time now, size_t ask);
   // More came on a connection than was asked for.
@@ -104,8 +123,15 @@
   void Told(Time now, size_t gateway, size_t host);
   // A gateway that starts anew knows nothing.
   void Forgets(size_t gateway);
-  // The script stops a gateway: what it has in hand is as with one that was killed.
-  void Stops(Time from, Time to, size_t gateway) { stops_.push_back({gateway, from, to}); }
+  // What the script delays a try by.
+  struct Delay {
+    Duration by{0};
+    Excuse excuse = Excuse::kProcessStopped;
+  };
+  // Called once for a try that has no answer at its deadline; nullopt: nothing delays it.
+  void set_delay_of(std::function<std::optional<Delay>(size_t n)> delay_of) {
+    delay_of_ = std::move(delay_of);
+  }
 
   // Told of each receipt of a client's try: the try, the host, and the how manieth it is of those
   // that may run.
@@ -114,6 +140,7 @@
   }
   [[nodiscard]] size_t GatewayOf(size_t n) const { return tries_[n].gateway; }
   [[nodiscard]] Time HandedAt(size_t n) const { return tries_[n].handed; }
+  [[nodiscard]] Time DeadlineOf(size_t n) const { return tries_[n].deadline; }
 
   // ---- The account --------------------------------------------------------------------------
   // Looks at what is due: answers that never came, copies still out. `lag`: what the lab itself was
@@ -122,7 +149,8 @@
 
   struct Counts {
     uint64_t asked = 0, served = 0, late = 0, refused = 0, failed = 0, lost = 0, answered_twice = 0;
-    uint64_t tries = 0, left = 0, killed = 0;
+    uint64_t tries = 0, left = 0;
+    std::array<uint64_t, kExcuses> excused{};
     double worth_asked = 0, worth_served = 0;
     uint64_t receipts = 0, twice_unlawful = 0, late_sends = 0, fell_over = 0;
     // Keys whose effect came about twice over all of a client's tries, whoever's doing it was.
@@ -142,6 +170,8 @@
   };
   [[nodiscard]] const std::vector<Window>& windows() const { return windows_; }
   [[nodiscard]] size_t open() const { return open_; }
+  // What the lab itself was late of late.
+  [[nodiscard]] Duration lag() const { return lag_; }
 
  private:
   struct AskState {
@@ -154,6 +184,7 @@
     size_t ask = 0, gateway = 0;
     Time deadline{0}, handed{0};
     bool taken = false, over = false, lost = false;
+    std::optional<Delay> delay = std::nullopt;  // once asked for
     int receipts = 0;
     uint64_t last_receipt = 0;  // number + 1
   };
@@ -165,6 +196,8 @@
     uint64_t before = 0;  // the one before of the same try, number + 1
   };
   void Break(Rule rule, Time at, std::string id, std::string what);
+  // A try that nobody answered in its time.
+  void Unanswered(Time now, size_t n);
   Window& WindowOf(Time asked);
   void CountKey(const Receipt& receipt);
 
@@ -181,11 +214,8 @@
   std::deque<Suspect> suspects_;                    // copies received while an earlier one was out
   std::map<std::pair<size_t, size_t>, Time> told_;  // by gateway and host
   std::unordered_map<uint64_t, Time> keys_;         // when each key's effect last came about
-  struct Stop {
-    size_t gateway = 0;
-    Time from{0}, to{0};
-  };
-  std::vector<Stop> stops_;
+  std::multimap<Time, size_t> delayed_;  // tries without an answer at their deadline, by when due
+  std::function<std::optional<Delay>(size_t)> delay_of_;
   std::function<void(Time, size_t, size_t, size_t)> receipt_;
   Duration lag_{0};
   Counts counts_;
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -20,8 +20,14 @@
 constexpr Duration kBadOwedLong{6'000'000};  // us; the same where it has much to send
 constexpr size_t kAnswerMost = 1 << 20;
 constexpr int kConnectsMost = 4;
+// From the writing of a request until the end of its connection, where both were on the way.
+constexpr Duration kMaxCrossing{50'000};
 constexpr size_t kHugeBody = 60'000'000;
 
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 std::string Pattern(size_t size) {
   return std::string(size, 'b');
 }
@@ -45,6 +51,7 @@
   Connection(Load& load, size_t gateway, Socket socket)
       : load_(load),
         gateway_(gateway),
+        client_(LocalAddress(socket.get())),
         stream_(load.loop_, std::move(socket), this, true),
         opened_at_(load.Now()) {
     stream_.set_max_unread_bytes(kAnswerMost);
@@ -52,12 +59,17 @@
   bool Start() { return stream_.Start(); }
   [[nodiscard]] bool closed() const { return stream_.closed(); }
   [[nodiscard]] size_t gateway() const { return gateway_; }
-  [[nodiscard]] bool idle() const { return trying_ == nullptr; }
+  [[nodiscard]] const Address& client() const { return client_; }
+  [[nodiscard]] bool killed() const { return killed_; }
+  void set_killed() { killed_ = true; }
+  // Whether a try waits on it.
+  [[nodiscard]] bool Has(size_t n) const { return trying_ != nullptr && trying_->n == n; }
   [[nodiscard]] bool Quiet() const { return stream_.IsIdle(); }
 
   void Ask(std::shared_ptr<Trying> trying) {
     trying_ = std::move(trying);
-    answered_ = false;
+    is_delayed_ = false;
+    asked_at_ = load_.Now();
     ++asked_;
     const Arrival& a = trying_->asking->arrival;
     std::string text = load_.HeadOf(*trying_) + Pattern(a.facts.body_bytes);
@@ -132,11 +144,20 @@
     load_.End(trying, status, come_back);
   }
   void OutOfTime() {
-    // The ledger has looked at the deadline itself; here the client only stops waiting.
+    // The ledger has looked at the deadline itself; here the client only stops waiting. Where the
+    // script delays the answer it waits as much longer, so that a lost one is told from a late one.
+    const Duration delay = load_.ledger_.DelayOf(trying_->n);
+    if (delay > Duration(0) && !std::exchange(is_delayed_, true)) {
+      timer_ = load_.loop_.RunAfter(trying_->deadline + delay + kSpare - load_.Now(), [this] {
+        timer_ = {};
+        OutOfTime();
+      });
+      return;
+    }
     Done(0, Duration(0), false);
   }
   void Leave() {
-    load_.ledger_.Broken(load_.Now(), trying_->n, Ledger::Ended::kClientLeft, "");
+    load_.ledger_.ClientLeft(trying_->n);
     trying_->asking->arrival.retry_waits.clear();
     Done(0, Duration(0), false);
   }
@@ -144,14 +165,17 @@
 
   Load& load_;
   size_t gateway_;
+  Address client_;
   Stream stream_;
   HttpParser parser_{HttpParser::Kind::kResponse, kAnswerMost};
   std::shared_ptr<Trying> trying_;
   EventLoop::TimerId timer_, leave_timer_;
   size_t last_ = SIZE_MAX;  // the try that was answered last
-  Time opened_at_;
+  Time opened_at_, asked_at_{0};
   int asked_ = 0;
-  bool connected_ = false, trickling_ = false, answered_ = false;
+  bool connected_ = false, trickling_ = false;
+  bool is_delayed_ = false;  // the client waits beyond its time
+  bool killed_ = false;      // the process that held it was
 };
 
 void Load::Connection::OnData() {
@@ -196,23 +220,27 @@
   if (trying == nullptr) {
     return;
   }
-  const bool killed = load_.targets_[gateway_].killed;
-  // Not accepted, or closed between requests just as this one was written: once more, elsewhere.
-  const bool crossed = reused && !answer_begun && trying->connects < kConnectsMost;
-  if (!connected || (crossed && !killed && load_.ledger_.ReceiptsOf(trying->n) == 0)) {
-    if (trying->connects < kConnectsMost) {
-      return load_.Send(trying);
-    }
-    ++load_.counts_.no_gateway;
-    load_.ledger_.Broken(load_.Now(), trying->n, Ledger::Ended::kGatewayKilled, "");
+  if (!connected) {
+    return trying->connects < kConnectsMost ? load_.Send(trying) : load_.RefusedEverywhere(trying);
+  }
+  if (killed_) {
+    load_.ledger_.Excused(trying->n, Excuse::kProcessKilled);
     return load_.End(trying, 0, Duration(0));
   }
-  load_.ledger_.Broken(load_.Now(), trying->n,
-                       killed ? Ledger::Ended::kGatewayKilled : Ledger::Ended::kByGateway,
-                       fmt::format("its connection ended without a whole answer: {}, gateway {}, "
-                                   "request {} on it, opened {:.3f} s before",
-                                   how, gateway_, asked_,
-                                   static_cast<double>((load_.Now() - opened_at_).count()) / 1e6));
+  // Closed between requests just as this one was written: once more, elsewhere.
+  const Duration since_asked = load_.Now() - asked_at_;
+  const bool crossed = reused && !answer_begun && trying->connects < kConnectsMost &&
+                       since_asked <= kMaxCrossing + load_.ledger_.lag() &&
+                       load_.ledger_.ReceiptsOf(trying->n) == 0;
+  if (crossed) {
+    load_.ledger_.SentAgain(Excuse::kCrossed);
+    return load_.Send(trying);
+  }
+  load_.ledger_.Broken(
+      load_.Now(), trying->n,
+      fmt::format("its connection ended without a whole answer: {}, gateway {}, "
+                  "request {} on it, {:.3f} s before, opened {:.3f} s before",
+                  how, gateway_, asked_, Seconds(since_asked), Seconds(load_.Now() - opened_at_)));
   load_.End(trying, 0, Duration(0));
 }
 
@@ -373,7 +401,7 @@
            const std::vector<Address>& targets)
     : loop_(loop), e_(experiment), ledger_(ledger), arrivals_(experiment, seed), seed_(seed) {
   for (const Address& address : targets) {
-    targets_.push_back({address, true, false, {}});
+    targets_.push_back({.address = address, .idle = {}});
   }
 }
 
@@ -405,8 +433,31 @@
       std::ranges::count(connections_, gateway, [](const auto& c) { return c->gateway(); }));
 }
 
-void Load::SetKilled(size_t gateway, bool killed) {
-  targets_[gateway].killed = killed;
+void Load::SetDown(size_t gateway, bool down) {
+  targets_[gateway].down = down;
+}
+
+void Load::ConnectionsKilled(size_t gateway, const std::vector<Address>& clients) {
+  for (const auto& connection : connections_) {
+    if (connection->gateway() == gateway &&
+        std::ranges::find(clients, connection->client()) != clients.end()) {
+      connection->set_killed();
+    }
+  }
+}
+
+void Load::ConnectionsKilled(size_t gateway) {
+  for (const auto& connection : connections_) {
+    if (connection->gateway() == gateway) {
+      connection->set_killed();
+    }
+  }
+}
+
+std::optional<Address> Load::ClientOf(size_t n) const {
+  const auto at = std::ranges::find_if(connections_,
+                                       [n](const auto& connection) { return connection->Has(n); });
+  return at == connections_.end() ? std::nullopt : std::optional((*at)->client());
 }
 
 void Load::Arrive() {
@@ -429,8 +480,8 @@
 }
 
 bool Load::HasQuietConnection(const Target& target) {
-  return !target.killed && std::ranges::any_of(target.idle, [](Connection* connection) {
-    return !connection->closed() && connection->Quiet();
+  return std::ranges::any_of(target.idle, [](Connection* connection) {
+    return !connection->closed() && !connection->killed() && connection->Quiet();
   });
 }
 
@@ -459,7 +510,7 @@
   trying->n = ledger_.Try(now, asking->ask, trying->gateway, deadline);
   if (gateway == SIZE_MAX) {
     ++counts_.no_gateway;
-    ledger_.Broken(now, trying->n, Ledger::Ended::kGatewayKilled, "");
+    ledger_.Excused(trying->n, Excuse::kGatewayDown);
     return End(trying, 0, Duration(0));
   }
   Send(std::move(trying));
@@ -484,7 +535,7 @@
   }
   if (connection == nullptr) {
     ++counts_.beyond;
-    ledger_.Broken(Now(), trying->n, Ledger::Ended::kGatewayKilled, "");
+    ledger_.Excused(trying->n, Excuse::kNoConnection);
     return End(trying, 0, Duration(0));
   }
   std::erase(target.idle, connection);
@@ -530,6 +581,18 @@
   });
 }
 
+void Load::RefusedEverywhere(const std::shared_ptr<Trying>& trying) {
+  ++counts_.no_gateway;
+  if (targets_[trying->gateway].down) {
+    ledger_.Excused(trying->n, Excuse::kGatewayDown);
+  } else {
+    ledger_.Refused(
+        Now(), trying->n,
+        fmt::format("gateway {} refused its connections though it was up", trying->gateway));
+  }
+  End(trying, 0, Duration(0));
+}
+
 Load::Connection* Load::Open(size_t gateway) {
   if (connections_.size() >= e_.load.connections_most) {
     return nullptr;
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,8 +33,14 @@
   void Begin(Time zero);
   // The front before the gateways: takes one in, or out (it has died or drains).
   void SetIn(size_t gateway, bool in);
-  // What breaks on this gateway from now on is its killing's doing, not its own.
-  void SetKilled(size_t gateway, bool killed);
+  // The script has ended the gateway's process, and the next one is not up yet: it may refuse.
+  void SetDown(size_t gateway, bool down);
+  // The process that held these connections of clients was killed: they end by that. Without
+  // `clients`: all that are open to the gateway now.
+  void ConnectionsKilled(size_t gateway, const std::vector<Address>& clients);
+  void ConnectionsKilled(size_t gateway);
+  // The client's end of the connection on which a try waits; none where it waits on none.
+  [[nodiscard]] std::optional<Address> ClientOf(size_t n) const;
 
   // Connections open to a gateway.
   [[nodiscard]] size_t OpenTo(size_t gateway) const;
@@ -57,7 +64,7 @@
   class BadConnection;
   struct Target {
     Address address;
-    bool in = true, killed = false;
+    bool in = true, down = false;
     std::vector<Connection*> idle;
   };
   // A request with all its tries.
@@ -78,6 +85,7 @@
   void TryOnce(const std::shared_ptr<Asking>& asking);
   void Send(std::shared_ptr<Trying> trying);
   void End(const std::shared_ptr<Trying>& trying, int status, Duration come_back);
+  void RefusedEverywhere(const std::shared_ptr<Trying>& trying);
   [[nodiscard]] static bool HasQuietConnection(const Target& target);
   [[nodiscard]] size_t PickGateway(double part, int further) const;
   [[nodiscard]] std::string HeadOf(const Trying& trying) const;
--- a/src/lab/result.cpp
+++ b/src/lab/result.cpp
@@ -135,6 +135,14 @@
 
 namespace {
 
+json ExcusedToJson(const Ledger::Counts& counts) {
+  json excused = json::object();
+  for (size_t i = 0; i < kExcuses; ++i) {
+    excused[std::string(NameOf(static_cast<Excuse>(i)))] = counts.excused[i];
+  }
+  return excused;
+}
+
 json WindowsToJson(const std::vector<WindowResult>& all) {
   json windows = json::array();
   for (const WindowResult& w : all) {
@@ -199,7 +207,7 @@
         {"answered_twice", c.answered_twice},
         {"tries", c.tries},
         {"left", c.left},
-        {"with_a_killed_gateway", c.killed}}},
+        {"excused", ExcusedToJson(c)}}},
       {"receipts",
        {{"total", c.receipts},
         {"twice_unlawful", c.twice_unlawful},
@@ -357,6 +365,17 @@
   }
 }
 
+std::string DescribeExcused(const Ledger::Counts& counts) {
+  std::string text;
+  for (size_t i = 0; i < kExcuses; ++i) {
+    if (counts.excused[i] > 0) {
+      text += fmt::format("{}{} {}", text.empty() ? "" : ", ", counts.excused[i],
+                          NameOf(static_cast<Excuse>(i)));
+    }
+  }
+  return text.empty() ? "none" : text;
+}
+
 std::string Summary(const Result& r) {
   const Ledger::Counts& c = r.counts;
   std::string out = fmt::format(
@@ -366,6 +385,7 @@
       "  requests: {} asked, {} served ({} late), {} refused, {} failed, {} lost, {} answered "
       "twice\n",
       c.asked, c.served, c.late, c.refused, c.failed, c.lost, c.answered_twice);
+  out += fmt::format("  excused: {}\n", DescribeExcused(c));
   out += fmt::format("  worth: {:.3f} of what was asked for, {:.3f} in the worst 10 s\n",
                      r.worth_share(), r.worst_10s);
   out += fmt::format("  latency: p50 {:.1f} ms, p99 {:.1f} ms, p99.9 {:.1f} ms\n",
--- a/src/lab/result.h
+++ b/src/lab/result.h
@@ -47,6 +47,8 @@
   Verdict verdict = Verdict::kHeld;
   std::vector<std::string> broken;  // what did not hold, the rules first
   std::vector<std::string> late;    // why this is no verdict: the lab itself was late
+  // What did not hold in earlier attempts at this verdict, in which the lab was late (lab soak).
+  std::vector<std::string> broken_without_verdict;
   Ledger::Counts counts;
   BankResult bank;
   ScaleFigures scale;
@@ -81,6 +83,9 @@
 // Reads what ToJson wrote, as far as a report needs it; throws std::runtime_error with one line.
 Result ResultFromJson(const std::string& path);
 
+// What was excused, by reason, as "3 process killed, 1 crossed a close"; "none".
+std::string DescribeExcused(const Ledger::Counts& counts);
+
 // A few lines for people.
 std::string Summary(const Result& result);
 
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -13,6 +13,7 @@
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "event/event_loop.h"
@@ -25,7 +26,10 @@
 #include "lab/listener.h"
 #include "lab/load.h"
 #include "lab/process.h"
+#include "lab/process_sockets.h"
+#include "lab/processor_time.h"
 #include "lab/signal_watch.h"
+#include "lab/stopped_processes.h"
 
 namespace paddlestile::lab {
 namespace {
@@ -162,6 +166,7 @@
       }
     }
     load_ = std::make_unique<Load>(loop_, e_, ledger_, seed_ ^ 0x10ad, targets);
+    ledger_.set_delay_of([this](size_t n) { return DelayOf(n); });
     if (options_.straight) {
       result_.faults.clear();
     }
@@ -179,6 +184,7 @@
     loop_.RunAfter(kLagEvery, [this] { MeasureLag(); });
     Every(kSampleEvery, [this] { Sample(); });
     Every(kLookEvery, [this] { Look(); });
+    Every(kProcessorSampleInterval, [this] { WatchProcesses(); });
     if (!options_.straight) {
       Every(kHealthEvery, [this] { AskHealth(); });
     }
@@ -358,7 +364,7 @@
       at.health.reset();
       if (good && !std::exchange(at.up, true) && load_) {
         // The front takes it in again.
-        load_->SetKilled(i, false);
+        load_->SetDown(i, false);
         load_->SetIn(i, true);
       }
     });
@@ -423,8 +429,11 @@
         directory_.Move();
         for (size_t i = 0; i < gateways_.size(); ++i) {
           WriteConfig(i);
-          if (gateways_[i].process) {
-            gateways_[i].process->Signal(SIGHUP);
+          // Both of a hot restart, as only one of them will be left.
+          for (const auto* const process : {&gateways_[i].process, &gateways_[i].next}) {
+            if (*process) {
+              (*process)->Signal(SIGHUP);
+            }
           }
         }
         return;
@@ -485,17 +494,16 @@
     if (fault.kind == FaultKind::kGatewayHang || fault.kind == FaultKind::kGatewayStop) {
       const bool planned = fault.kind == FaultKind::kGatewayStop;
       if (planned) {
-        // What it has in hand is lost to it alone; the front notices and takes it out.
-        ledger_.Stops(Now(), Now() + fault.lasts, i);
-        load_->SetKilled(i, true);
+        // What it has in hand may be as much later; the front notices and takes it out.
+        const size_t stop = StopServing(i, fault.lasts);
         if (fault.lasts > kFrontNotices) {
           loop_.RunAfter(kFrontNotices, [this, i] { load_->SetIn(i, !gateways_[i].stopped); });
         }
         if (bank_) {
           bank_->Down(i, true);
         }
-        loop_.RunAfter(fault.lasts, [this, i] {
-          load_->SetKilled(i, false);
+        loop_.RunAfter(fault.lasts, [this, i, stop] {
+          stopped_.Continue(stop, Now());
           load_->SetIn(i, true);
           if (bank_) {
             bank_->Down(i, false);
@@ -507,17 +515,20 @@
       loop_.RunAfter(fault.lasts, [this, i] {
         gateways_[i].stopped = false;
         gateways_[i].health.reset();
-        if (gateways_[i].process) {
-          gateways_[i].process->Signal(SIGCONT);
+        // It may have become the old process of a hot restart meanwhile.
+        for (const auto* const process : {&gateways_[i].process, &gateways_[i].before}) {
+          if (*process) {
+            (*process)->Signal(SIGCONT);
+          }
         }
       });
       return;
     }
     g.used = g.process->Measure();
     g.expected_to_end = true;
+    load_->SetDown(i, true);
     if (fault.kind == FaultKind::kGatewayKill) {
-      load_->SetKilled(i, true);
-      g.process->Signal(SIGKILL);
+      KillServing(i);
       if (bank_) {
         bank_->Down(i, true);
       }
@@ -540,6 +551,31 @@
     });
   }
 
+  // Stops the process that serves, for so long, and notes what that must cost. The number of the
+  // stop.
+  size_t StopServing(size_t i, Duration lasts) {
+    GatewayState& g = gateways_[i];
+    g.process->Stop();
+    if (!g.next && !g.before) {
+      return stopped_.StopGateway(i, Now(), Now() + lasts);
+    }
+    return stopped_.StopOneOfTwo(i, Now(), Now() + lasts,
+                                 AcceptedConnections(g.process->pid(), g.address), lasts);
+  }
+  // Kills the process that serves. What it had accepted ends by that; where it is the only one of
+  // its gateway, also what nobody had accepted.
+  void KillServing(size_t i) {
+    GatewayState& g = gateways_[i];
+    if (g.next || g.before) {
+      g.process->Stop();
+      load_->ConnectionsKilled(i, AcceptedConnections(g.process->pid(), g.address));
+      g.process->Kill();
+      return;
+    }
+    g.process->Kill();
+    load_->ConnectionsKilled(i);
+  }
+
   // Sends a signal to the present process of a gateway, unless another one has started by then.
   void SignalAfter(Duration after, size_t i, int signal) {
     loop_.RunAfter(after, [this, i, signal, start = gateways_[i].start] {
@@ -557,7 +593,12 @@
       SignalAfter(*fault.hup_after, i, SIGHUP);
     }
     if (fault.kill_at_earliest) {
-      SignalAfter(Longest() + kKillAllowance, i, SIGKILL);
+      loop_.RunAfter(Longest() + kKillAllowance, [this, i, start = gateways_[i].start] {
+        GatewayState& g = gateways_[i];
+        if (!finishing_ && g.process && g.start == start) {
+          g.process->Kill();
+        }
+      });
     }
   }
   void PlayHups(const Fault& fault) {
@@ -660,69 +701,68 @@
       now.before = std::exchange(now.process, std::move(now.next));
       now.start = ++starts_;
       now.before->Signal(SIGTERM);
-      AwaitEndOfOld(i, loop_.Now() + Longest() + seconds(1));
+      AwaitEnd(i, &GatewayState::before, "old", loop_.Now() + Longest() + seconds(1));
     });
   }
-  // The new process of an upgrade is killed or stopped, whatever it has reached. What it has in
-  // hand is lost to its killing alone; one that is stopped may hold what comes, until the old
-  // process serves again.
+  // The new process of an upgrade is killed or stopped, whatever it has reached. What it had
+  // accepted is lost to its killing alone; what it holds while it is stopped may be later, and what
+  // waits in the queue until the old process serves again. The old process is judged throughout.
   void PlayFate(const Fault& fault) {
     const size_t i = fault.gateway;
     GatewayState& g = gateways_[i];
-    if (finishing_ || !g.next || g.next->Ended()) {
+    if (finishing_ || !g.next) {
       return;
     }
-    const bool stopped = fault.fate == UpgradeFate::kStopped;
-    load_->SetKilled(i, true);
-    loop_.RunAfter(kRevokedWithin, [this, i] { load_->SetKilled(i, false); });
-    g.health.reset();
-    if (!stopped) {
-      g.next->Signal(SIGKILL);
-      return AwaitEndOfNext(i, loop_.Now() + seconds(1));
+    if (const auto code = g.next->Ended()) {
+      Broken(i, fmt::format("gateway {}: the new process ended with {} by itself", i, *code));
+      return loop_.Stop();
     }
-    ledger_.Stops(Now(), Now() + kRevokedWithin, i);
-    g.next->Signal(SIGSTOP);
-    loop_.RunAfter(std::max(fault.lasts, kRevokedWithin), [this, i] {
+    g.health.reset();
+    g.next->Stop();
+    std::vector<Address> accepted = AcceptedConnections(g.next->pid(), g.address);
+    if (fault.fate == UpgradeFate::kKilled) {
+      load_->ConnectionsKilled(i, accepted);
+      g.next->Kill();
+      return AwaitEnd(i, &GatewayState::next, "new", loop_.Now() + seconds(1));
+    }
+    const Duration lasts = std::max(fault.lasts, kRevokedWithin);
+    const size_t stop =
+        stopped_.StopOneOfTwo(i, Now(), Now() + lasts, std::move(accepted), kRevokedWithin);
+    loop_.RunAfter(lasts, [this, i, stop] {
+      stopped_.Continue(stop, Now());
       GatewayState& now = gateways_[i];
       if (finishing_ || !now.next) {
         return;
       }
       now.next->Signal(SIGCONT);
       now.next->Signal(SIGTERM);
-      AwaitEndOfNext(i, loop_.Now() + Longest() + seconds(1));
+      AwaitEnd(i, &GatewayState::next, "new", loop_.Now() + Longest() + seconds(1));
     });
   }
-  void AwaitEndOfNext(size_t i, Time until) {
-    GatewayState& g = gateways_[i];
-    if (finishing_ || !g.next) {
+  // One of the two processes of a hot restart has to end by `until`, with 0 unless the lab killed
+  // it.
+  void AwaitEnd(size_t i, std::unique_ptr<Process> GatewayState::*which, std::string_view role,
+                Time until) {
+    std::unique_ptr<Process>& process = gateways_[i].*which;
+    if (finishing_ || !process) {
       return;
     }
-    const auto code = g.next->Ended();
+    const auto code = process->Ended();
     if (!code && loop_.Now() <= until) {
-      loop_.RunAfter(kOperateAgain, [this, i, until] { AwaitEndOfNext(i, until); });
+      loop_.RunAfter(kOperateAgain,
+                     [this, i, which, role, until] { AwaitEnd(i, which, role, until); });
       return;
     }
-    if (!code || (*code != 0 && *code != 128 + SIGKILL)) {
-      Broken(i, fmt::format("gateway {}: the new process {}", i,
-                            code ? fmt::format("ended with {}", *code) : "did not end"));
+    if (!code) {
+      Broken(i, fmt::format("gateway {}: the {} process did not end", i, role));
+    } else if (!IsEndAsItShould(*process, *code)) {
+      Broken(i, fmt::format("gateway {}: the {} process ended with {}", i, role, *code));
     }
-    g.next.reset();
+    process.reset();
   }
-  void AwaitEndOfOld(size_t i, Time until) {
-    GatewayState& g = gateways_[i];
-    if (finishing_ || !g.before) {
-      return;
-    }
-    const auto code = g.before->Ended();
-    if (!code && loop_.Now() <= until) {
-      loop_.RunAfter(kOperateAgain, [this, i, until] { AwaitEndOfOld(i, until); });
-      return;
-    }
-    if (code.value_or(1) != 0) {
-      Broken(i, fmt::format("gateway {}: the old process {}", i,
-                            code ? fmt::format("ended with {}", *code) : "did not end"));
-    }
-    g.before.reset();
+  // After SIGTERM a process leaves with 0; killed by the lab, with what SIGKILL gives.
+  static bool IsEndAsItShould(const Process& process, int code) {
+    return code == 0 || (process.killed() && code == 128 + SIGKILL);
   }
 
   void Restart(size_t i, Time until) {
@@ -740,10 +780,10 @@
     StartGateway(i);
   }
 
-  // After SIGTERM it leaves with 0; killed, with what SIGKILL gives.
   void CheckEnd(size_t i) {
-    const int code = gateways_[i].process->Ended().value_or(0);
-    if (code != 0 && code != 128 + SIGKILL) {
+    Process& process = *gateways_[i].process;
+    const int code = process.Ended().value_or(0);
+    if (!IsEndAsItShould(process, code)) {
       Broken(i, fmt::format("gateway {} ended with {}", i, code));
     }
   }
@@ -773,6 +813,35 @@
     loop_.RunAfter(kLagEvery, [this] { MeasureLag(); });
   }
 
+  // Looks at the queues of gateways whose new process is stopped, and at what each process has of
+  // the processors; a first breach is told beside that.
+  void WatchProcesses() {
+    for (size_t i = 0; i < gateways_.size(); ++i) {
+      const GatewayState& g = gateways_[i];
+      if (stopped_.WatchesQueue(i, Now())) {
+        stopped_.Queued(i, Now(), QueuedConnections(g.address));
+      }
+      SampleProcessor(fmt::format("gateway {}", i), g.process.get());
+      SampleProcessor(fmt::format("gateway {}, new process", i), g.next.get());
+      SampleProcessor(fmt::format("gateway {}, old process", i), g.before.get());
+    }
+    if (ledger_.broken() && processors_at_breach_.empty()) {
+      processors_at_breach_ = processor_time_.Describe();
+    }
+  }
+  void SampleProcessor(const std::string& name, const Process* process) {
+    if (process != nullptr) {
+      processor_time_.Sample(Now(), name, process->pid());
+    }
+  }
+  // What the script's stops delay a try by.
+  [[nodiscard]] std::optional<Ledger::Delay> DelayOf(size_t n) const {
+    const auto client = load_->ClientOf(n);
+    return client ? stopped_.DelayOf(ledger_.GatewayOf(n), *client, ledger_.HandedAt(n),
+                                     ledger_.DeadlineOf(n))
+                  : std::nullopt;
+  }
+
   void Look() {
     if (finishing_) {
       return;
@@ -902,6 +971,9 @@
     if (r.broken.empty() && ledger_.broken()) {
       AddLogs();
     }
+    if (!processors_at_breach_.empty()) {
+      r.logs.push_back("at the first breach:\n" + processors_at_breach_);
+    }
     Judge(e_, ledger_.breaches(), r);
     return std::move(r);
   }
@@ -985,6 +1057,9 @@
   std::deque<GatewayState> gateways_;
   std::unique_ptr<BankLab> bank_;
   std::unique_ptr<Load> load_;
+  StoppedProcesses stopped_;
+  ProcessorTime processor_time_;
+  std::string processors_at_breach_;
   std::mt19937_64 random_;  // of the gateways that a fault befalls
   Result result_;
   Time zero_{0};
--- /dev/null
+++ b/src/lab/stopped_processes.cpp
@@ -0,0 +1,97 @@
+#include "lab/stopped_processes.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace paddlestile::lab {
+namespace {
+
+// Between two looks at the queue: a connection may be accepted so long after it was last seen
+// there.
+constexpr Duration kQueueLookInterval{50'000};
+
+// The time for an answer stands still from `from` to `to`: by how much it ends later.
+Duration PauseOf(Time handed, Time deadline, Time from, Time to) {
+  return from >= deadline ? Duration(0) : std::max(Duration(0), to - std::max(from, handed));
+}
+
+}  // namespace
+
+size_t StoppedProcesses::StopGateway(size_t gateway, Time from, Time to) {
+  stops_.push_back({.gateway = gateway, .from = from, .to = to});
+  return stops_.size() - 1;
+}
+
+size_t StoppedProcesses::StopOneOfTwo(size_t gateway, Time from, Time to,
+                                      std::vector<Address> accepted, Duration queue_bound) {
+  stops_.push_back({.gateway = gateway,
+                    .from = from,
+                    .to = to,
+                    .is_one_of_two = true,
+                    .accepted = std::move(accepted),
+                    .queue_bound = queue_bound});
+  return stops_.size() - 1;
+}
+
+void StoppedProcesses::Continue(size_t stop, Time now) {
+  stops_[stop].to = now;
+}
+
+bool StoppedProcesses::WatchesQueue(const Stop& stop, size_t gateway, Time now) {
+  return stop.is_one_of_two && stop.gateway == gateway && stop.from <= now &&
+         now <= std::min(stop.to, stop.from + stop.queue_bound);
+}
+
+bool StoppedProcesses::WatchesQueue(size_t gateway, Time now) const {
+  return std::ranges::any_of(stops_,
+                             [&](const Stop& stop) { return WatchesQueue(stop, gateway, now); });
+}
+
+void StoppedProcesses::Queued(size_t gateway, Time now, const std::vector<Address>& clients) {
+  for (Stop& stop : stops_) {
+    if (!WatchesQueue(stop, gateway, now)) {
+      continue;
+    }
+    for (const Address& client : clients) {
+      const auto seen = std::ranges::find(stop.queued, client, &QueuedConnection::client);
+      if (seen == stop.queued.end()) {
+        stop.queued.push_back({client, now, now});
+      } else {
+        seen->last_seen = now;
+      }
+    }
+  }
+}
+
+std::optional<Ledger::Delay> StoppedProcesses::DelayBy(const Stop& stop, const Address& client,
+                                                       Time handed, Time deadline) {
+  const bool is_held =
+      !stop.is_one_of_two || std::ranges::find(stop.accepted, client) != stop.accepted.end();
+  if (is_held) {
+    return Ledger::Delay{PauseOf(handed, deadline, stop.from, stop.to), Excuse::kProcessStopped};
+  }
+  const auto queued = std::ranges::find(stop.queued, client, &QueuedConnection::client);
+  if (queued == stop.queued.end()) {
+    return std::nullopt;
+  }
+  const Time until = queued->last_seen + kQueueLookInterval;
+  return Ledger::Delay{PauseOf(handed, deadline, stop.from, until), Excuse::kQueued};
+}
+
+std::optional<Ledger::Delay> StoppedProcesses::DelayOf(size_t gateway, const Address& client,
+                                                       Time handed, Time deadline) const {
+  std::optional<Ledger::Delay> sum;
+  for (const Stop& stop : stops_) {
+    if (stop.gateway != gateway) {
+      continue;
+    }
+    const auto delay = DelayBy(stop, client, handed, deadline);
+    if (!delay || delay->by == Duration(0)) {
+      continue;
+    }
+    sum = Ledger::Delay{delay->by + (sum ? sum->by : Duration(0)), delay->excuse};
+  }
+  return sum;
+}
+
+}  // namespace paddlestile::lab
--- a/tests/lab/ledger_test.cpp
+++ b/tests/lab/ledger_test.cpp
@@ -61,6 +61,37 @@
   EXPECT_EQ(a.Count(Rule::kLost), 1u);
 }
 
+// A stop of its process makes an answer late, and never excuses that none comes.
+TEST(Ledger, ADelayedAnswerIsExcusedAndALostOneIsNot) {
+  Account a(Rules(Idempotency::kSafe));
+  a.set_delay_of([](size_t) { return Ledger::Delay{Ms(700), Excuse::kProcessStopped}; });
+  const size_t late = a.Begin(Ms(0));
+  a.Begin(Ms(0));
+  a.Advance(Ms(1790), Ms(0));
+  EXPECT_EQ(a.Count(Rule::kLost), 0u);
+  a.Answered(Ms(1795), late, 503, "");
+  EXPECT_EQ(a.counts().excused[static_cast<size_t>(Excuse::kProcessStopped)], 1u);
+  a.Advance(Ms(1850), Ms(0));
+  EXPECT_EQ(a.Count(Rule::kLost), 1u);
+  EXPECT_EQ(a.counts().excused[static_cast<size_t>(Excuse::kProcessStopped)], 1u);
+}
+
+TEST(Ledger, AnAnswerInItsTimeNeedsNoExcuse) {
+  Account a(Rules(Idempotency::kSafe));
+  a.set_delay_of([](size_t) { return Ledger::Delay{Ms(700), Excuse::kQueued}; });
+  a.Answered(Ms(900), a.Begin(Ms(0)), 503, "");
+  EXPECT_EQ(a.counts().excused[static_cast<size_t>(Excuse::kQueued)], 0u);
+}
+
+TEST(Ledger, ARefusalOfAGatewayThatIsUpCounts) {
+  Account a(Rules(Idempotency::kSafe));
+  const size_t down = a.Try(Ms(0), a.Ask(Ms(0), {}), 0, Ms(1000));
+  a.Excused(down, Excuse::kGatewayDown);
+  EXPECT_EQ(a.Count(Rule::kLost), 0u);
+  a.Refused(Ms(0), a.Try(Ms(0), a.Ask(Ms(0), {}), 0, Ms(1000)), "refused");
+  EXPECT_EQ(a.Count(Rule::kLost), 1u);
+}
+
 TEST(Ledger, AKeyGoesOutAgainWithinItsWindowAndGroupOnly) {
   for (const int second : {900, 1100}) {
     Account a(Rules(Idempotency::kKeyed));
