--- a/src/cli/lab_soak_command.cpp
+++ b/src/cli/lab_soak_command.cpp
@@ -3,6 +3,7 @@
 
 #include <cstdio>
 #include <memory>
+#include <string>
 
 #include "cli/exit_codes.h"
 #include "cli/lab_commands.h"
@@ -13,9 +14,16 @@
 
 constexpr uint64_t kMaxSeeds = 100'000;
 
-int Soak(const SoakOptions& options) {
-  const SoakCounts counts = PlaySoak(options, [](const Result& result) {
-    fmt::print("{}\n", SoakLine(result));
+struct SoakCommandOptions {
+  SoakOptions soak;
+  std::string mix = "base";
+};
+
+int Soak(SoakCommandOptions& command) {
+  SoakOptions& options = command.soak;
+  options.mix = command.mix == "wide" ? SoakMix::kWide : SoakMix::kBase;
+  const SoakCounts counts = PlaySoak(options, [&options](const Result& result) {
+    fmt::print("{}\n", SoakLine(result, options.mix));
     for (const std::string& log : result.logs) {
       fmt::print("  {}", log);
     }
@@ -29,13 +37,20 @@
 }  // namespace
 
 Subcommand AddSoakCommand(CLI::App& lab) {
-  const auto options = std::make_shared<SoakOptions>();
+  const auto command = std::make_shared<SoakCommandOptions>();
+  SoakOptions* const options = &command->soak;
   CLI::App* const soak = lab.add_subcommand(
       "soak", "Play experiments drawn from seeds, faults of all kinds in series");
   soak->add_option("--seed", options->first_seed, "of the first")->capture_default_str();
   soak->add_option("--seeds", options->seeds, "how many, one after the other, some 20 s each")
       ->check(CLI::Range(uint64_t{1}, kMaxSeeds))
       ->capture_default_str();
+  soak->add_option(
+          "--mix", command->mix,
+          "wide: also long requests, bad clients, lists and settings that go wrong, and hot "
+          "restarts in a cluster, some 30 s each")
+      ->check(CLI::IsMember({"base", "wide"}))
+      ->capture_default_str();
   soak->add_option("--logs", options->logs, "a folder to keep the gateways' logs in")
       ->check(CLI::ExistingDirectory);
   soak->add_option("--gateway", options->gateway,
@@ -45,8 +60,8 @@
       "Exit codes: 0 all held, 1 one was broken or had no verdict, 2 wrong usage.\n\n"
       "Examples:\n  paddlestile lab soak --seed 100 --seeds 50\n"
       "  seq 100 149 | xargs -P 4 -I{} paddlestile lab soak --seed {} --seeds 1");
-  return {soak, [options] {
-            return Soak(*options);
+  return {soak, [command] {
+            return Soak(*command);
           }};
 }
 
--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <random>
+#include <utility>
 
 #include "lab/runner.h"
 
@@ -20,35 +21,48 @@
 constexpr Duration kFirstFault{1'000'000};
 constexpr Duration kLastFaultBeforeEnd{4'000'000};
 constexpr Duration kDeadline{1'500'000};
-// From SIGTERM until the process has ended in any case.
-constexpr Duration kTermTakes = kDeadline + Duration(1'000'000);
-// From the start of a new process until the old one has ended.
-constexpr Duration kUpgradeTakes = Duration(3'000'000) + kTermTakes;
-constexpr Duration kStoppedFor{3'500'000};   // a new process; the old one serves again before
-constexpr Duration kBackUpTakes{1'500'000};  // after a start, until the front has taken it in
+constexpr Duration kTermMargin{1'000'000};     // beyond the longest deadline, until a process ended
+constexpr Duration kUpgradeMargin{3'000'000};  // beyond that, from the start of a new process
+constexpr Duration kStoppedFor{3'500'000};     // a new process; the old one serves again before
+constexpr Duration kBackUpTakes{1'500'000};    // after a start, until the front has taken it in
 
-constexpr size_t kSockets = 512;          // budget of a gateway
-constexpr size_t kCrowdSockets = 160;     // the same where a crowd is to fill it
-constexpr size_t kCrowd = 400;            // idle clients
-constexpr double kDescriptorMargin = 64;  // beyond the budget: files, pipes, timers
+constexpr size_t kSockets = 512;       // budget of a gateway
+constexpr size_t kCrowdSockets = 160;  // the same where a crowd is to fill it
+constexpr size_t kCrowd = 400;         // idle clients
+// The wide mix.
+constexpr Duration kWideLength{26'000'000};
+constexpr Duration kLongDeadline{6'000'000};  // longer than a new process that hangs goes unnoticed
+constexpr Span kLongWaitMs{3500, 5200};
+constexpr double kLongShare = 0.04;
+constexpr double kBadPerSecond = 2;         // clients of each kind
+constexpr Duration kDrainTakes{6'000'000};  // an operator's, until it is in again
+constexpr Duration kReloadAt{300'000};      // before any other fault
+constexpr double kDescriptorMargin = 64;    // beyond the budget: files, pipes, timers
 constexpr double kMaxResidentMegabytes = 160;
 
 class SoakScript {
  public:
-  explicit SoakScript(uint64_t seed) : random_(seed * 0x9e37'79b9'7f4a'7c15ULL + 1) {
+  SoakScript(uint64_t seed, SoakMix mix)
+      : random_(seed * 0x9e37'79b9'7f4a'7c15ULL + 1), is_wide_(mix == SoakMix::kWide) {
     e_.name = "soak";
     e_.about = "Faults in series, drawn from the seed.";
     e_.seed = seed;
+    const bool has_cluster = seed % kClusterEvery == 0;
     AddHostsAndClasses();
     AddLoad();
-    const bool has_cluster = seed % kClusterEvery == 0;
-    e_.length = has_cluster ? kClusterLength : kLength;
+    if (is_wide_) {
+      AddWideLoad(has_cluster);
+    }
+    e_.length = is_wide_ ? kWideLength : has_cluster ? kClusterLength : kLength;
     if (has_cluster) {
       AddCluster();
     } else {
       AddGateways(seed % kCrowdEvery == 0);
     }
     AddListFault();
+    if (is_wide_) {
+      AddWideFaults();
+    }
     e_.must.rss_mb_most = kMaxResidentMegabytes;
     e_.must.descriptors_most = static_cast<double>(e_.gateway.sockets) + kDescriptorMargin;
   }
@@ -106,6 +120,92 @@
   }
   [[nodiscard]] bool IsTime(Duration at) const { return at <= e_.length - kLastFaultBeforeEnd; }
 
+  // From SIGTERM until a process has ended in any case.
+  [[nodiscard]] Duration TermTakes() const {
+    Duration longest{0};
+    for (const ClassSpec& cls : e_.classes) {
+      longest = std::max(longest, cls.rules.deadline);
+    }
+    return longest + kTermMargin;
+  }
+
+  // ---- What the wide mix has beside ----
+  // No long requests in a cluster: an operator's drain has to be over before they are.
+  void AddWideLoad(bool has_cluster) {
+    if (!has_cluster) {
+      ClassSpec slow = e_.classes.front();
+      slow.name = "soak-long";
+      slow.rules.latency_objective = kLongDeadline;
+      slow.rules.deadline = kLongDeadline;
+      slow.share = kLongShare;
+      slow.wait_ms = kLongWaitMs;
+      e_.classes.push_back(slow);
+    }
+    for (int kind = 0; kind <= static_cast<int>(BadKind::kTrickle); ++kind) {
+      if (static_cast<BadKind>(kind) == BadKind::kHugeLength) {
+        continue;  // its megabytes are the lab's own lateness
+      }
+      e_.load.bad.push_back(
+          {static_cast<BadKind>(kind), kBadPerSecond, kFirstFault, kWideLength - kDeadline});
+    }
+  }
+  void AddWideFaults() {
+    AddReload();
+    AddHostFaults();
+    struct ListFault {
+      FaultKind kind;
+      const char* name;
+    };
+    constexpr std::array<ListFault, 4> kListFaults = {
+        {{FaultKind::kListMalformed, "list-malformed"},
+         {FaultKind::kListOld, "list-old"},
+         {FaultKind::kListLag, "list-lag"},
+         {FaultKind::kListMoved, "list-moved"}}};
+    const ListFault& chosen = kListFaults[Pick(kListFaults.size())];
+    Fault& fault = Add(chosen.kind, chosen.name, kFirstFault + DrawMillis(7000, 15000), 0);
+    fault.lasts = DrawMillis(500, 2000);
+    fault.lag = DrawMillis(200, 1500);
+  }
+  // New settings bring a class.
+  void AddReload() {
+    ClassSpec late = e_.classes.front();
+    late.name = "soak-late";
+    late.share = 0.1;
+    late.listed = false;
+    late.from = kReloadAt + kReloadPause + kReloadWithin;
+    e_.classes.push_back(late);
+    Fault& fault = Add(FaultKind::kGatewayReload, "gateway-reload", kReloadAt, 0);
+    fault.cls = late.name;
+  }
+  void AddHostFaults() {
+    Fault& drain = Add(FaultKind::kDrain, "drain", kFirstFault + DrawMillis(0, 8000), 0);
+    drain.count = 1;
+    drain.leave = DrawMillis(2000, 4000);
+    Fault& restart = Add(FaultKind::kRestart, "restart", kFirstFault + DrawMillis(9000, 16000), 0);
+    restart.count = 1;
+    restart.down = DrawMillis(500, 2000);
+  }
+  Duration AddOperatorsDrain(Duration at, size_t gateway) {
+    Add(FaultKind::kGatewayQuiesce, "gateway-quiesce", at, gateway).lasts = kDrainTakes;
+    return kDrainTakes + kBackUpTakes;
+  }
+  Duration AddFullDisk(Duration at, size_t gateway) {
+    Fault& fault = Add(FaultKind::kGatewayDisk, "gateway-disk", at, gateway);
+    fault.disk = DiskIs::kFull;
+    fault.lasts = DrawMillis(500, 2000);
+    return fault.lasts;
+  }
+  Duration AddWideMemberFault(Duration at, size_t gateway) {
+    switch (Pick(3)) {
+      case 0:
+        return AddOperatorsDrain(at, gateway);
+      case 1:
+        return AddFullDisk(at, gateway);
+      default:
+        return AddUpgrade(at, gateway);
+    }
+  }
+
   // ---- Gateways that share nothing ----
   void AddGateways(bool with_crowd) {
     e_.gateway.count = 2 + Pick(2);
@@ -144,7 +244,7 @@
     if (Chance(0.4)) {
       fault.hup_after = DrawMillis(0, 500);
     }
-    return kTermTakes + fault.down + kBackUpTakes;
+    return TermTakes() + fault.down + kBackUpTakes;
   }
   Duration AddHups(Duration at, size_t gateway) {
     Fault& fault = Add(FaultKind::kGatewayHup, "gateway-hup", at, gateway);
@@ -171,7 +271,8 @@
     fault.fate = kFates[Pick(kFates.size())];
     fault.fate_after = DrawMillis(0, 1500);
     fault.lasts = fault.fate == UpgradeFate::kStopped ? kStoppedFor : Duration(0);
-    return fault.fate == UpgradeFate::kStopped ? kStoppedFor + kUpgradeTakes : kUpgradeTakes;
+    const Duration takes = kUpgradeMargin + TermTakes();
+    return fault.fate == UpgradeFate::kStopped ? kStoppedFor + takes : takes;
   }
 
   // ---- Gateways that agree ----
@@ -184,7 +285,11 @@
     Duration at = kFirstFault + DrawMillis(500, 1500);
     while (IsTime(at)) {
       const size_t gateway = Pick(e_.gateway.count);
-      at += Chance(0.6) ? AddLinkFault(at, gateway) : AddMemberFault(at, gateway, disk_replaced);
+      if (is_wide_ && Chance(0.4)) {
+        at += AddWideMemberFault(at, gateway);
+      } else {
+        at += Chance(0.6) ? AddLinkFault(at, gateway) : AddMemberFault(at, gateway, disk_replaced);
+      }
       at += DrawMillis(300, 1500);
     }
   }
@@ -233,6 +338,7 @@
   }
 
   std::mt19937_64 random_;
+  bool is_wide_;
   Experiment e_;
 };
 
@@ -240,20 +346,22 @@
   RunOptions run;
   run.gateway = options.gateway;
   run.logs = options.logs;
-  Result result;
-  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
-    result = RunExperiment(DrawSoakExperiment(seed), run);
-    if (result.verdict != Verdict::kVoid) {
-      break;
+  std::vector<std::string> broken_without_verdict;
+  for (int attempt = 1;; ++attempt) {
+    Result result = RunExperiment(DrawSoakExperiment(seed, options.mix), run);
+    if (result.verdict != Verdict::kVoid || attempt == kMaxAttempts) {
+      result.broken_without_verdict = std::move(broken_without_verdict);
+      return result;
     }
+    broken_without_verdict.insert(broken_without_verdict.end(), result.broken.begin(),
+                                  result.broken.end());
   }
-  return result;
 }
 
 }  // namespace
 
-Experiment DrawSoakExperiment(uint64_t seed) {
-  return SoakScript(seed).Take();
+Experiment DrawSoakExperiment(uint64_t seed, SoakMix mix) {
+  return SoakScript(seed, mix).Take();
 }
 
 SoakCounts PlaySoak(const SoakOptions& options, const std::function<void(const Result&)>& report) {
@@ -276,14 +384,21 @@
   return counts;
 }
 
-std::string SoakLine(const Result& result) {
+std::string SoakLine(const Result& result, SoakMix mix) {
   std::string line = fmt::format("seed {}: {}", result.seed, NameOf(result.verdict));
   if (!result.broken.empty()) {
     line += fmt::format(", {} ({} in all)", result.broken.front(), result.broken.size());
   } else if (!result.late.empty()) {
     line += ", " + result.late.front();
   }
-  return line + fmt::format(" | paddlestile lab soak --seed {} --seeds 1", result.seed);
+  if (!result.broken_without_verdict.empty()) {
+    line +=
+        fmt::format("; before, without a verdict: {} ({} in all)",
+                    result.broken_without_verdict.front(), result.broken_without_verdict.size());
+  }
+  return line + fmt::format("; excused: {} | paddlestile lab soak{} --seed {} --seeds 1",
+                            DescribeExcused(result.counts),
+                            mix == SoakMix::kWide ? " --mix wide" : "", result.seed);
 }
 
 }  // namespace paddlestile::lab
--- a/src/lab/soak.h
+++ b/src/lab/soak.h
@@ -13,7 +13,16 @@
 
 namespace paddlestile::lab {
 
+enum class SoakMix {
+  kBase,
+  // Beside that: long requests, so that a process that is replaced has some in hand for seconds;
+  // hosts that drain and restart; lists that are malformed, old, late or moved; settings that
+  // change; bad clients; in a cluster hot restarts, drains and full disks.
+  kWide
+};
+
 struct SoakOptions {
+  SoakMix mix = SoakMix::kBase;
   uint64_t first_seed = 1;
   uint64_t seeds = 1;                // one after the other
   std::vector<std::string> gateway;  // the words that start one; empty: this program
@@ -27,14 +36,14 @@
 
 // The experiment of a seed, whatever the machine. Every third seed has a cluster, every fourth of
 // the others a crowd of idle clients that fills the descriptors.
-Experiment DrawSoakExperiment(uint64_t seed);
+Experiment DrawSoakExperiment(uint64_t seed, SoakMix mix = SoakMix::kBase);
 
 // Plays the seeds and reports each result once. One without a verdict is played again, three times
 // at most. Throws as RunExperiment does.
 SoakCounts PlaySoak(const SoakOptions& options, const std::function<void(const Result&)>& report);
 
 // A line: the seed, the verdict, what broke first, and the command that repeats it.
-std::string SoakLine(const Result& result);
+std::string SoakLine(const Result& result, SoakMix mix = SoakMix::kBase);
 
 }  // namespace paddlestile::lab
 
--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -59,6 +59,28 @@
   EXPECT_GT(SeedsWith([](const Fault& fault) { return fault.disk != DiskIs::kKept; }), 0U);
 }
 
+// What the soak did not draw although the gateway does it.
+TEST(SoakExperiment, WideMixDrawsWhatTheBaseLacks) {
+  std::set<std::string> names, in_clusters;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const Experiment experiment = DrawSoakExperiment(seed, SoakMix::kWide);
+    EXPECT_FALSE(experiment.load.bad.empty());
+    for (const Fault& fault : experiment.faults) {
+      names.insert(fault.name);
+      if (experiment.bank.on) {
+        in_clusters.insert(fault.name);
+      }
+    }
+  }
+  for (const char* const name : {"gateway-reload", "list-malformed", "list-old", "list-lag",
+                                 "list-moved", "drain", "restart"}) {
+    EXPECT_TRUE(names.contains(name)) << name;
+  }
+  for (const char* const name : {"gateway-upgrade", "gateway-quiesce", "gateway-disk"}) {
+    EXPECT_TRUE(in_clusters.contains(name)) << name;
+  }
+}
+
 TEST(SoakExperiment, HasCrowdsAndClustersAndClientsThatKeepTheirConnections) {
   size_t crowds = 0, clusters = 0;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -75,11 +97,25 @@
 TEST(SoakLine, NamesTheSeedTheVerdictAndTheCommandThatRepeatsIt) {
   Result result;
   result.seed = 12;
-  EXPECT_EQ(SoakLine(result), "seed 12: held | paddlestile lab soak --seed 12 --seeds 1");
+  EXPECT_EQ(SoakLine(result),
+            "seed 12: held; excused: none | paddlestile lab soak --seed 12 --seeds 1");
   result.verdict = Verdict::kBroken;
   result.broken = {"rule: lost", "another"};
+  EXPECT_EQ(
+      SoakLine(result),
+      "seed 12: broken, rule: lost (2 in all); excused: none | paddlestile lab soak --seed 12 "
+      "--seeds 1");
+}
+
+// A play with hundreds excused does not read like one with none, nor a break that was played again.
+TEST(SoakLine, CountsWhatWasExcusedAndTellsWhatBrokeWithoutAVerdict) {
+  Result result;
+  result.seed = 3;
+  result.counts.excused[static_cast<size_t>(Excuse::kProcessKilled)] = 400;
+  result.broken_without_verdict = {"rule: lost", "another"};
   EXPECT_EQ(SoakLine(result),
-            "seed 12: broken, rule: lost (2 in all) | paddlestile lab soak --seed 12 --seeds 1");
+            "seed 3: held; before, without a verdict: rule: lost (2 in all); excused: 400 process "
+            "killed | paddlestile lab soak --seed 3 --seeds 1");
 }
 
 }  // namespace
