--- a/src/cli/lab_world_command.cpp
+++ b/src/cli/lab_world_command.cpp
@@ -62,6 +62,13 @@
   world.add_option("--faults", options.worlds.world.faults, "in each schedule")
       ->check(CLI::Range(0, 1000))
       ->capture_default_str();
+  world
+      .add_option("--seconds", options.worlds.world.seconds,
+                  "with faults, of each schedule; then all is mended")
+      ->check(CLI::Range(2.0, 600.0))
+      ->capture_default_str();
+  world.add_flag("--long-outages", options.worlds.world.long_outages,
+                 "cuts and outages of 6 to 60 s; with --seconds 60 or more");
   world.add_option("--mischief", options.mischief, "members that break a term on purpose")
       ->check(CLI::IsMember(MischiefNames()))
       ->capture_default_str();
--- a/src/lab/cluster_simulation.cpp
+++ b/src/lab/cluster_simulation.cpp
@@ -38,7 +38,8 @@
 // A copy of a disk that is older than this is found out, where those it was linked to live on.
 constexpr Duration kOldDisk{600'000};  // us
 constexpr size_t kApplyMost = 20'000;  // us; for one entry, where they are applied one by one
-constexpr Duration kHeal{8'000'000};   // us; within this all is level once everything is mended
+constexpr double kLongOutageMinUs = 6e6, kLongOutageMaxUs = 60e6;
+constexpr Duration kHeal{8'000'000};  // us; within this all is level once everything is mended
 
 double Ms(Duration d) {
   return static_cast<double>(d.count()) / 1000;
@@ -219,6 +220,7 @@
   };
   struct Try {
     std::string id;
+    uint64_t turn = 0;           // grows with each submission, and each that is put off
     std::string rules;           // whole, or
     std::optional<Parts> parts;  // a delta of these
     std::optional<uint64_t> expect;
@@ -663,12 +665,21 @@
       m.Submit(now, wish, ticket, out);
     });
     // An answer that is lost with the gateway that was asked.
-    At(now_ + 4000 * kMs, [this, ticket] { Submit(ticket); });
+    SubmitLater(ticket, 4000 * kMs);
   }
   void Again(uint64_t ticket) {
     tries_[ticket].again = true;
-    At(now_ + Duration(static_cast<int64_t>(Draw(50e3, 300e3))),
-       [this, ticket] { Submit(ticket); });
+    SubmitLater(ticket, Duration(static_cast<int64_t>(Draw(50e3, 300e3))));
+  }
+  // In a long outage not beside a later turn: the submissions of one change would multiply without
+  // bound.
+  void SubmitLater(uint64_t ticket, Duration after) {
+    const uint64_t turn = ++tries_[ticket].turn;
+    At(now_ + after, [this, ticket, turn] {
+      if (!o_.long_outages || tries_[ticket].turn == turn) {
+        Submit(ticket);
+      }
+    });
   }
   void Answered(uint64_t ticket, const ChangeResult& answer) {
     if (ticket >= tries_.size()) {
@@ -722,7 +733,7 @@
   // ---- Faults -----------------------------------------------------------------------------------
   void Fault() {
     const size_t n = nodes_.size(), i = Pick(n), j = (i + 1 + Pick(n - 1)) % n;
-    const Duration lasts(static_cast<int64_t>(Chance(0.3) ? Draw(5e3, 100e3) : Draw(100e3, 3e6)));
+    const Duration lasts = DrawOutage();
     const uint64_t kind = Pick(12);
     Node& node = nodes_[i];
     switch (kind) {
@@ -796,6 +807,13 @@
         return ExchangeVoters(i, j);
     }
   }
+  // How long a cut or an outage lasts.
+  Duration DrawOutage() {
+    if (o_.long_outages) {
+      return Duration(static_cast<int64_t>(Draw(kLongOutageMinUs, kLongOutageMaxUs)));
+    }
+    return Duration(static_cast<int64_t>(Chance(0.3) ? Draw(5e3, 100e3) : Draw(100e3, 3e6)));
+  }
   // Member `i` dies and comes back with another disk: an empty one, or an older state of its own.
   void ReplaceDisk(size_t i, Duration lasts) {
     Node& node = nodes_[i];
@@ -1216,6 +1234,9 @@
     std::string mischief = options.world.mischief == Mischief::kNone
                                ? ""
                                : fmt::format(" --mischief {}", NameOf(options.world.mischief));
+    if (options.world.long_outages) {
+      mischief += fmt::format(" --long-outages --seconds {}", options.world.seconds);
+    }
     if (options.changes != WorldChanges::kMixed) {
       mischief += fmt::format(" --changes {}", NameOf(options.changes));
     }
--- a/src/lab/cluster_simulation.h
+++ b/src/lab/cluster_simulation.h
@@ -36,7 +36,9 @@
   double seconds = 8;     // with faults; then all is mended
   size_t faults = 6;      //
   bool old_disks = true;  // older copies of a disk come back
-  bool deltas = false;    // changes go as deltas, of random parts and sizes
+  // Cuts and outages last 6 to 60 s, beyond every wait of the deciders; set `seconds` accordingly.
+  bool long_outages = false;
+  bool deltas = false;  // changes go as deltas, of random parts and sizes
   Mischief mischief = Mischief::kNone;
   bool trace = false;
 };
