--- a/src/cli/startup_signals.cpp
+++ b/src/cli/startup_signals.cpp
@@ -21,7 +21,7 @@
 
 // Run by the dynamic linker before the initializers of any library.
 [[gnu::section(".preinit_array"),
-  gnu::used]] void (*const block_gateway_signals)(int, char**, char**) = &BlockGatewaySignals;
+  gnu::used]] void (*const kBlockGatewaySignals)(int, char**, char**) = &BlockGatewaySignals;
 
 }  // namespace
 
