--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -17,11 +17,10 @@
 #include <utility>
 
 #include "event/event_loop.h"
-#include "event/stream.h"
-#include "http/http_parser.h"
 #include "lab/cluster_experiment.h"
 #include "lab/directory.h"
 #include "lab/fleet.h"
+#include "lab/health_call.h"
 #include "lab/ledger.h"
 #include "lab/listener.h"
 #include "lab/load.h"
@@ -61,50 +60,6 @@
   return static_cast<double>(d.count()) / 1e6;
 }
 
-// One short call on a connection of its own.
-class HealthCall final : public Stream::Listener {
- public:
-  HealthCall(EventLoop& loop, const Address& to, std::function<void(bool)> done,
-             std::string_view call = "GET /_health")
-      : loop_(loop), done_(std::move(done)) {
-    bool refused = false;
-    auto socket = Connect(to, nullptr, refused);
-    if (socket) {
-      stream_ = std::make_unique<Stream>(loop, std::move(*socket), this, true);
-    }
-    if (stream_ && stream_->Start()) {
-      stream_->Write(std::string(call) + " HTTP/1.1\r\nHost: lab\r\nConnection: close\r\n\r\n");
-    } else {
-      Later(false);
-    }
-  }
-  void OnData() override {
-    if (parser_.Feed(stream_->input()) == ParseProgress::kDone) {
-      return Later(parser_.message().status == 200);
-    }
-    if (stream_->ended()) {
-      Later(false);
-    }
-  }
-  void OnError() override { Later(false); }
-
- private:
-  void Later(bool good) {
-    if (std::exchange(told_, true)) {
-      return;
-    }
-    if (stream_) {
-      stream_->Close();
-    }
-    loop_.RunDeferred([done = done_, good] { done(good); });
-  }
-  EventLoop& loop_;
-  std::function<void(bool)> done_;
-  std::unique_ptr<Stream> stream_;
-  HttpParser parser_{HttpParser::Kind::kResponse};
-  bool told_ = false;
-};
-
 struct GatewayState {
   Address address;
   std::string config_path, log_path;
