lab: whose a connection is comes from the child's own descriptors, not from all of the machine's

Cause: the judge read /proc/net/tcp at each stop, and each 50 ms while a queue is watched. Now it copies the descriptors of its child processes (pidfd_getfd) and asks them; what none of a gateway's processes holds is in the queue.

--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -433,6 +433,16 @@
       std::ranges::count(connections_, gateway, [](const auto& c) { return c->gateway(); }));
 }
 
+std::vector<Address> Load::ClientsOf(size_t gateway) const {
+  std::vector<Address> clients;
+  for (const auto& connection : connections_) {
+    if (connection->gateway() == gateway) {
+      clients.push_back(connection->client());
+    }
+  }
+  return clients;
+}
+
 void Load::SetDown(size_t gateway, bool down) {
   targets_[gateway].down = down;
 }
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -42,6 +42,8 @@
   // The client's end of the connection on which a try waits; none where it waits on none.
   [[nodiscard]] std::optional<Address> ClientOf(size_t n) const;
 
+  // The clients' ends of the connections open to a gateway.
+  [[nodiscard]] std::vector<Address> ClientsOf(size_t gateway) const;
   // Connections open to a gateway.
   [[nodiscard]] size_t OpenTo(size_t gateway) const;
 
--- a/src/lab/process_sockets.h
+++ b/src/lab/process_sockets.h
@@ -1,4 +1,5 @@
-// Which connections of clients a process has accepted, by the kernel's tables under /proc.
+// Which connections of clients a child process has accepted, by copies of its own descriptors: the
+// cost goes with what it has open, not with all sockets of the machine.
 #ifndef PADDLESTILE_LAB_PROCESS_SOCKETS_H_
 #define PADDLESTILE_LAB_PROCESS_SOCKETS_H_
 
@@ -14,9 +15,6 @@
 // is stopped; empty where it has ended.
 std::vector<Address> AcceptedConnections(pid_t pid, const Address& listen);
 
-// The clients' ends of the connections to `listen` that no process has accepted yet.
-std::vector<Address> QueuedConnections(const Address& listen);
-
 }  // namespace paddlestile::lab
 
 #endif  // PADDLESTILE_LAB_PROCESS_SOCKETS_H_
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -774,7 +774,7 @@
     for (size_t i = 0; i < gateways_.size(); ++i) {
       const GatewayState& g = gateways_[i];
       if (stopped_.WatchesQueue(i, Now())) {
-        stopped_.Queued(i, Now(), QueuedConnections(g.address));
+        stopped_.Queued(i, Now(), QueuedConnections(i));
       }
       SampleProcessor(fmt::format("gateway {}", i), g.process.get());
       SampleProcessor(fmt::format("gateway {}, new process", i), g.next.get());
@@ -784,6 +784,21 @@
       processors_at_breach_ = processor_time_.Describe();
     }
   }
+  // The clients' ends of the connections to a gateway that none of its processes has accepted.
+  [[nodiscard]] std::vector<Address> QueuedConnections(size_t i) const {
+    const GatewayState& g = gateways_[i];
+    std::vector<Address> queued = load_->ClientsOf(i);
+    for (const Process* const process : {g.process.get(), g.next.get(), g.before.get()}) {
+      if (process == nullptr) {
+        continue;
+      }
+      const std::vector<Address> accepted = AcceptedConnections(process->pid(), g.address);
+      std::erase_if(queued, [&](const Address& client) {
+        return std::ranges::find(accepted, client) != accepted.end();
+      });
+    }
+    return queued;
+  }
   void SampleProcessor(const std::string& name, const Process* process) {
     if (process != nullptr) {
       processor_time_.Sample(Now(), name, process->pid());
--- a/tests/lab/process_sockets_test.cpp
+++ b/tests/lab/process_sockets_test.cpp
@@ -1,12 +1,11 @@
-// Whose a connection is, by the kernel's tables.
+// Whose a connection is.
 #include "lab/process_sockets.h"
 
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <chrono>
-#include <thread>
+#include <vector>
 
 #include "event/event_loop.h"
 #include "event/socket.h"
@@ -18,11 +17,7 @@
 constexpr size_t kPlace = 39'000;  // apart from those of other tests
 constexpr pid_t kNoProcess = 0;
 
-bool Has(const std::vector<Address>& clients, const Address& client) {
-  return std::ranges::find(clients, client) != clients.end();
-}
-
-TEST(ProcessSockets, TellQueuedConnectionsFromAcceptedOnes) {
+TEST(ProcessSockets, HoldAcceptedConnectionsAndNotQueuedOnes) {
   EventLoop loop;
   std::vector<FileDescriptor> accepted;
   const Address address = OwnAddress(kPlace);
@@ -32,18 +27,17 @@
   const auto first = Connect(address, nullptr, refused);
   ASSERT_TRUE(first);
   const Address first_client = LocalAddress(first->get());
-  EXPECT_TRUE(Has(QueuedConnections(address), first_client));
-  EXPECT_FALSE(Has(AcceptedConnections(getpid(), address), first_client));
+  EXPECT_TRUE(AcceptedConnections(getpid(), address).empty());
   for (int i = 0; i < 100 && accepted.empty(); ++i) {
     loop.RunOnce(std::chrono::milliseconds(10));
   }
   ASSERT_EQ(accepted.size(), 1u);
   const auto second = Connect(address, nullptr, refused);
   ASSERT_TRUE(second);
-  EXPECT_TRUE(Has(AcceptedConnections(getpid(), address), first_client));
-  EXPECT_FALSE(Has(QueuedConnections(address), first_client));
-  EXPECT_TRUE(Has(QueuedConnections(address), LocalAddress(second->get())));
+  EXPECT_EQ(AcceptedConnections(getpid(), address), std::vector<Address>{first_client});
   EXPECT_TRUE(AcceptedConnections(kNoProcess, address).empty());
+  accepted.clear();
+  EXPECT_TRUE(AcceptedConnections(getpid(), address).empty());
 }
 
 }  // namespace
