The log names who cut off a response after its first byte, and which limit

The log could not tell a pause limit, a deadline, a cancelled attempt, a closed client and a reset of the host apart.

Change: one line for each, "response cut: CAUSE, request ID at HOST, bytes, times", on both sides of the gateway. The lines "body cut: ..." stay as they are. Nothing else changes.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -10,6 +10,11 @@
 // A point in time, counted from an arbitrary origin by a monotonic clock.
 using Time = std::chrono::microseconds;
 
+// For logs and figures.
+constexpr double ToMilliseconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000;
+}
+
 }  // namespace paddlestile
 
 #endif  // PADDLESTILE_BASE_TIME_H_
--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -80,6 +80,7 @@
 }
 
 void DownstreamConnection::OnError() {
+  LogCutResponse(ResponseCut::kClientReset);
   owner_.Close(*this);
 }
 
@@ -92,6 +93,7 @@
     return;
   }
   if (stream_.ended() || (state_ == State::kWaiting && stream_.hung_up())) {
+    LogCutResponse(ResponseCut::kClientLeft);
     owner_.Close(*this);
   }
 }
@@ -348,7 +350,10 @@
 }
 
 void DownstreamConnection::StartWriteTimer() {
-  SetTimer(kWriteTimeout, [this] { owner_.Close(*this); });
+  SetTimer(kWriteTimeout, [this] {
+    LogCutResponse(ResponseCut::kClientTooSlow);
+    owner_.Close(*this);
+  });
 }
 
 // ---- Responses ------------------------------------------------------------------------------
@@ -365,6 +370,8 @@
 }
 
 void DownstreamConnection::SendResponse(const Response& response) {
+  answered_request_id_ = request_ ? request_->id() : std::string();
+  response_started_at_ = loop_.Now();
   request_ = nullptr;
   if (!PADDLESTILE_CHECK(state_ == State::kWaiting || state_ == State::kUploading)) {
     return;
@@ -392,6 +399,14 @@
   }
 }
 
+void DownstreamConnection::LogCutResponse(ResponseCut cut) const {
+  if (state_ != State::kWriting || (!response_writer_ && stream_.flushed())) {
+    return;
+  }
+  Log(LogLevel::kInfo, "response cut: {}, request {}, begun {:.0f} ms ago", ToText(cut),
+      answered_request_id_, ToMilliseconds(loop_.Now() - response_started_at_));
+}
+
 // A response that streams is written, or the upstream side broke off: then the reset shows the
 // client that it is incomplete.
 void DownstreamConnection::OnResponseBodyFinished(bool complete) {
--- a/src/gateway/downstream_connection.h
+++ b/src/gateway/downstream_connection.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "base/time.h"
@@ -13,6 +14,7 @@
 #include "event/socket.h"
 #include "event/stream.h"
 #include "gateway/request_listener.h"
+#include "gateway/response_cut.h"
 #include "gateway/upload_progress.h"
 #include "http/http_parser.h"
 #include "http/proxied_request.h"
@@ -112,6 +114,8 @@
   void RejectMalformed(int status, std::string_view reason);
   void SendResponse(const Response& response);
   void OnResponseBodyFinished(bool complete);
+  // Logs who cut off a response that is being written; else without effect.
+  void LogCutResponse(ResponseCut cut) const;
   void StartNextRequest();
   void Linger();
 
@@ -131,7 +135,9 @@
   UploadProgress upload_;                        // of the present request's body
   Time opened_at_{0};
   std::shared_ptr<ProxiedRequest> request_;  // with the listener, not responded to; else null
-  EventLoop::TimerId timer_;                 // the time limit of the present state
+  std::string answered_request_id_;          // of the present response; empty: not known
+  Time response_started_at_{0};
+  EventLoop::TimerId timer_;  // the time limit of the present state
   Registration registration_;
 };
 
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -11,10 +11,6 @@
 // A probe times out after so many connect timeouts: one to connect, one for the response.
 constexpr int kProbeConnectTimeouts = 2;
 
-double Milliseconds(Duration duration) {
-  return static_cast<double>(duration.count()) / 1000;
-}
-
 }  // namespace
 
 Upstream::Upstream(EventLoop& loop, DescriptorBudget& budget, Options options, Listener* listener)
@@ -73,6 +69,7 @@
     if (transaction->response_started) {
       return;  // it belongs to the client
     }
+    connection->LogCutResponse(ResponseCut::kLoadBalancer);
     return OnTransactionFinished(*connection, Outcome::kCancelled, std::nullopt, nullptr);
   }
 }
@@ -96,6 +93,7 @@
     OnTransactionFinished(*connection, Outcome::kNotSent, std::nullopt, nullptr);
   }
   for (UpstreamConnection* const connection : started) {
+    connection->LogCutResponse(ResponseCut::kClientLeft);
     OnTransactionFinished(*connection, Outcome::kCancelled, std::nullopt, nullptr);
   }
 }
@@ -168,7 +166,7 @@
   if (IsLogEnabled(LogLevel::kDebug)) {
     Log(LogLevel::kDebug, "attempt {} of {} at {}: outcome {} after {:.1f} ms", transaction.attempt,
         transaction.request->id(), transaction.endpoint, static_cast<int>(outcome),
-        Milliseconds(elapsed));
+        ToMilliseconds(elapsed));
   }
   listener_->OnAttemptFinished(transaction.request, transaction.attempt, transaction.endpoint,
                                outcome, elapsed, std::move(report), std::move(response));
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -101,11 +101,26 @@
 }
 
 // Any endpoint may send malformed responses, which say little of this one.
-void UpstreamConnection::FinishMalformed() {
+void UpstreamConnection::FinishMalformed(ResponseCut cut) {
+  LogCutResponse(cut);
   ++GlobalCounters().upstream_malformed;
   Finish(request_written_ ? Outcome::kInvalidResponse : Outcome::kConnectFailed);
 }
 
+void UpstreamConnection::LogCutResponse(ResponseCut cut) {
+  const bool is_probe = transaction_ && transaction_->is_probe();
+  if (!first_byte_received_ || is_probe) {
+    return;
+  }
+  const Time now = loop_.Now();
+  Log(LogLevel::kInfo,
+      "response cut: {}, request {} at {}, {} bytes passed on and {} buffered, the first {:.0f} ms "
+      "ago, the last {:.0f} ms ago",
+      ToText(cut), transaction_ ? transaction_->request->id() : streamed_request_id_,
+      host_.endpoint, passed_on_bytes_, stream_.input().size(),
+      ToMilliseconds(now - first_byte_at_), ToMilliseconds(now - last_byte_at_));
+}
+
 void UpstreamConnection::ReturnToPool() {
   stream_.set_max_unread_bytes(kMaxUnreadBytes);
   stream_.set_min_read_bytes(kMinReadBytes);
@@ -218,6 +233,7 @@
 
 void UpstreamConnection::OnData() {
   if (response_body_) {
+    last_byte_at_ = loop_.Now();
     StartDownloadPauseTimer();
     return response_body_->OnDataAvailable();
   }
@@ -233,10 +249,13 @@
 }
 
 void UpstreamConnection::RecordFirstByte() {
+  last_byte_at_ = loop_.Now();
   if (first_byte_received_ || stream_.input().empty()) {
     return;
   }
   first_byte_received_ = true;
+  first_byte_at_ = last_byte_at_;
+  passed_on_bytes_ = 0;
   if (pool_state_.idle_before_use) {
     pool_.RecordReuse(*pool_state_.idle_before_use, false);
   }
@@ -245,7 +264,7 @@
 void UpstreamConnection::ReadResponse() {
   const ParseProgress progress = parser_.Feed(stream_.input());
   if (progress == ParseProgress::kMalformed) {
-    return FinishMalformed();
+    return FinishMalformed(ResponseCut::kHostMalformed);
   }
   CommitStreamedResponse();
   if (progress == ParseProgress::kDone) {
@@ -330,16 +349,19 @@
   request_writer_.reset();  // the endpoint may respond before it has read all
   const auto body = response_body_;
   auto transaction = std::move(transaction_);
+  streamed_request_id_ = transaction->request->id();
   ++GlobalCounters().responses_streamed;
   owner_.OnStreamedResponse(std::move(transaction), outcome, std::move(report),
                             std::move(response));
   if (!body->has_writer()) {
-    body->Cancel();  // the request was over
+    LogCutResponse(ResponseCut::kRequestOver);
+    body->Cancel();
   }
 }
 
 ParseProgress UpstreamConnection::ReadBodyPiece(Buffer& piece) {
   const ParseProgress progress = parser_.TakeBody(stream_.input(), piece, stream_.ended());
+  passed_on_bytes_ += piece.size();
   if (progress == ParseProgress::kNeedMore) {
     ResumeReadingAfterRound();
   } else {
@@ -354,6 +376,7 @@
   if (progress == ParseProgress::kMalformed) {
     ++GlobalCounters().bodies_truncated;
     Log(LogLevel::kInfo, "body cut: {} broke off within an answer", host_.endpoint);
+    LogCutResponse(stream_.ended() ? ResponseCut::kHostClosed : ResponseCut::kHostMalformed);
   }
   response_complete_ = progress == ParseProgress::kDone && parser_.message().keep_alive &&
                        request_written_ && stream_.input().empty();
@@ -414,6 +437,7 @@
   if (response_body_) {
     ++GlobalCounters().bodies_truncated;
     Log(LogLevel::kInfo, "body cut: {} broke off within an answer", host_.endpoint);
+    LogCutResponse(ResponseCut::kHostClosed);
     return pool_.Close(*this);
   }
   if (!transaction_) {
@@ -428,6 +452,7 @@
       return owner_.OnConnectionUnusable(*this);
     }
   }
+  LogCutResponse(ResponseCut::kHostClosed);
   if (request_written_) {
     return Finish(Outcome::kReset);
   }
@@ -447,6 +472,7 @@
 
 void UpstreamConnection::OnDeadline() {
   if (request_written_) {
+    LogCutResponse(ResponseCut::kDeadline);
     return Finish(Outcome::kTimeout);
   }
   // Nothing was sent: a fault of the endpoint is shown only by a connect that had its full time, or
@@ -485,6 +511,7 @@
     }
     ++GlobalCounters().bodies_truncated;
     Log(LogLevel::kInfo, "body cut: {} says nothing more within an answer", host_.endpoint);
+    LogCutResponse(ResponseCut::kHostPaused);
     pool_.Close(*this);
   });
 }
@@ -495,7 +522,7 @@
   if (!transaction_->is_probe() && transaction_->request->request_class().is_streamed) {
     return;
   }
-  StartPauseTimer(kResponsePauseLimit, [this] { FinishMalformed(); });
+  StartPauseTimer(kResponsePauseLimit, [this] { FinishMalformed(ResponseCut::kHostPaused); });
 }
 
 void UpstreamConnection::CancelTimers() {
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -17,6 +17,7 @@
 #include "event/event_loop.h"
 #include "event/socket.h"
 #include "event/stream.h"
+#include "gateway/response_cut.h"
 #include "http/http_parser.h"
 #include "http/proxied_request.h"
 #include "http/streaming_body.h"
@@ -122,6 +123,8 @@
   // Whether another request may follow: nothing is half-written or unread, and the endpoint is
   // still listed with the same address.
   [[nodiscard]] bool IsReusable() const;
+  // Logs who cut the response off; without effect where none has begun, and for probes.
+  void LogCutResponse(ResponseCut cut);
   // Null where there is none.
   [[nodiscard]] const UpstreamTransaction* transaction() const { return transaction_.get(); }
   // Whether the last byte of the request is with the kernel.
@@ -168,7 +171,7 @@
   void CancelTimers();
 
   void Finish(Outcome outcome);
-  void FinishMalformed();
+  void FinishMalformed(ResponseCut cut);
   void ReturnToPool();
 
   EventLoop& loop_;  // may outlive pool and owner, as tasks that were put off may
@@ -183,6 +186,9 @@
   bool request_written_ = false;
   bool response_complete_ = false;  // in step with its request: another may follow
   bool first_byte_received_ = false;
+  Time first_byte_at_{0}, last_byte_at_{0};       // of the present response
+  size_t passed_on_bytes_ = 0;                    // of a body that streams
+  std::string streamed_request_id_;               // of a response that streams
   std::unique_ptr<BodyWriter> request_writer_;    // of a request that streams; else null
   std::shared_ptr<StreamingBody> response_body_;  // of a response that streams; else null
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with this, for tasks
