A full gateway refuses in time what waits in its accept queue

Cause: where no descriptor was free and no idle connection could close for one, accepting was only tried again each 5 ms. What lay in the kernel's queue was neither served nor refused.

Change: what has waited for a quarter of the shortest class' deadline (a second at most) is accepted on six descriptors kept for this, read as far as its head, answered 503 with Retry-After and closed without a reset. Placeholders keep the six also where the process has no descriptor left (EMFILE). A client that sends no head has 200 ms, 20 where others wait, none where it was silent for that long in the queue. A health check is answered by the lifecycle. Lingering connections whose request was read in full close first where descriptors are short. Counters by reason (refused_*) and the longest wait (accept_wait_longest_ms); the wait is what TCP_INFO tells of the accepted connection. Accepting has a class of its own, out of Downstream.

Why it works: the bound counts from the moment at which the queue could not be emptied, so nothing in it has waited for longer when the refusals begin.

Measured: tests accept_queue_test (full of requests, of idle clients, drained, ending, no descriptor in the budget, EMFILE, a burst of 200, silent clients, half heads, bodies under way) pass.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -13,6 +13,12 @@
   X(downstream_connections_closed)    /* of those, ended */                         \
   X(downstream_connections_reclaimed) /* idle ones closed for their descriptors */  \
   X(accept_waits)                     /* accepting put off, without descriptors */  \
+  X(accept_wait_longest_ms)           /* in the accept queue meanwhile */           \
+  X(refused_client_share)             /* 503, as clients hold their share */        \
+  X(refused_no_descriptor)            /* 503, as the budget has none */             \
+  X(refused_process_limit)            /* 503, as the process has none */            \
+  X(refused_new_process_hangs)        /* 503 by an old process */                   \
+  X(refused_unread)                   /* closed, as no head came in time */         \
   X(health_checks)                    /* GET /_health */                            \
   X(admin_calls)                      /* well-formed calls of operators */          \
   X(drains)                           /* begun by an operator */                    \
--- a/src/event/socket.cpp
+++ b/src/event/socket.cpp
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <cerrno>
+#include <chrono>
 
 namespace paddlestile {
 
@@ -57,6 +58,15 @@
   return {ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)};
 }
 
+std::optional<Duration> TimeSinceLastData(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < sizeof(info)) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 std::optional<Socket> Connect(const Address& to, DescriptorBudget* budget, bool& refused) {
   refused = false;
   if (budget != nullptr && !budget->TryAcquire()) {
--- a/src/event/socket.h
+++ b/src/event/socket.h
@@ -7,6 +7,7 @@
 
 #include "base/address.h"
 #include "base/file_descriptor.h"
+#include "base/time.h"
 #include "event/descriptor_budget.h"
 
 namespace paddlestile {
@@ -48,6 +49,10 @@
 // The address that a socket is bound to.
 Address LocalAddress(int fd);
 
+// How long ago the last bytes came on a connection, or it came up where none have; nothing where
+// the kernel does not tell. Of one that was just accepted: what it has waited for that.
+std::optional<Duration> TimeSinceLastData(int fd);
+
 // Begins to connect, without blocking; from the reserve where `budget` is null. Nothing where the
 // budget or the kernel has no descriptor left, or, with `refused` set, where the connect fails.
 std::optional<Socket> Connect(const Address& to, DescriptorBudget* budget, bool& refused);
--- a/src/gateway/downstream.h
+++ b/src/gateway/downstream.h
@@ -5,22 +5,22 @@
 
 #include <cstddef>
 #include <functional>
-#include <memory>
+#include <utility>
 
 #include "base/address.h"
 #include "base/file_descriptor.h"
 #include "event/descriptor_budget.h"
 #include "event/event_loop.h"
+#include "gateway/connection_acceptor.h"
 #include "gateway/downstream_connections.h"
 #include "gateway/lifecycle.h"
-#include "gateway/listening_socket.h"
 #include "gateway/request_listener.h"
 #include "gateway/request_parsing.h"
 #include "gateway/response_head.h"
 
 namespace paddlestile {
 
-class Downstream {
+class Downstream final : private ConnectionAcceptor::Owner {
  public:
   class Listener : public RequestListener {
    public:
@@ -51,44 +51,40 @@
   void Shutdown(Duration timeout, std::function<void()> done);
 
   // The listening socket, for another process to inherit; -1 after the shutdown.
-  [[nodiscard]] int listening_socket() const;
+  [[nodiscard]] int listening_socket() const { return acceptor_.listening_socket(); }
+
+  // What a connection waits at most to be accepted, or refused with `retry_after` (0: none told).
+  void SetMaxAcceptWait(Duration max_wait, Duration retry_after) {
+    acceptor_.SetMaxWait(max_wait, retry_after);
+  }
+  [[nodiscard]] Duration max_accept_wait() const { return acceptor_.max_wait(); }
+  // Refuses what waits to be accepted by the new process of a hot restart, which does not answer.
+  void RefuseForNewProcess() { acceptor_.RefusePending(AcceptBlock::kNewProcessHangs); }
 
   // Closes an idle connection: one that was never used first, else the longest idle; false where
   // there is none.
-  bool CloseOneIdle() { return connections_.CloseOneIdle(); }
+  bool CloseOneIdle() override { return connections_.CloseOneIdle(); }
 
-  [[nodiscard]] size_t connection_count() const { return connections_.size(); }
+  [[nodiscard]] size_t connection_count() const override { return connections_.size(); }
   // Where it listens, with the port that the kernel chose where any was asked for.
-  [[nodiscard]] const Address& address() const { return address_; }
+  [[nodiscard]] const Address& address() const { return acceptor_.address(); }
 
  private:
-  enum class AcceptResult {
-    kContinue,      // one was accepted, or the next may be tried
-    kQueueEmpty,    // no connection is pending
-    kNoDescriptor,  // to be tried again later
-  };
-  void AcceptPending();
-  AcceptResult AcceptOne();
-  // Reserves a descriptor; closes an idle connection for it where somebody waits. kContinue: done.
-  AcceptResult AcquireDescriptor();
-  void ContinueAcceptingAfterRound();
-  void RetryAcceptingLater();
+  // ConnectionAcceptor::Owner.
+  void OnAccepted(Socket socket) override { connections_.Add(std::move(socket)); }
+  bool OnDescriptorsExhausted() override { return listener_->OnDescriptorsExhausted(); }
+
   void DrainStep();
   // Whether no connection waits in the accept queue, as far as can be known.
-  [[nodiscard]] bool AcceptQueueIsQuiet(Time now, bool accepted_all) const;
+  [[nodiscard]] bool AcceptQueueIsQuiet(Time now) const;
 
   EventLoop& loop_;
-  DescriptorBudget& budget_;
   const Lifecycle& lifecycle_;
   Listener* listener_;
-  Address address_;
-  std::unique_ptr<ListeningSocket> listening_socket_;  // null once shut down
   DownstreamConnections connections_;
-  EventLoop::TimerId accept_timer_, drain_timer_;
-  bool accept_yielded_ = false;  // accepting goes on after the round
-  bool shared_;                  // another process may listen on the address too
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with this, for tasks
-  Time last_accept_at_{0};
+  ConnectionAcceptor acceptor_;
+  EventLoop::TimerId drain_timer_;
+  bool shared_;  // another process may listen on the address too
   Time drain_started_at_{0};
   Time shutdown_deadline_{0};         // where on_drained_ is set
   std::function<void()> on_drained_;  // set by Shutdown
--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -199,6 +199,7 @@
   is_http10_ = request.message.is_http10;
   keep_alive_ = request.message.keep_alive;
   state_ = State::kWaiting;
+  request_whole_ = true;
   Dispatch(std::move(request));
 }
 
@@ -244,6 +245,7 @@
   is_http10_ = request.message.is_http10;
   keep_alive_ = request.message.keep_alive;
   state_ = State::kUploading;
+  request_whole_ = false;
   Dispatch(std::move(request));
 }
 
@@ -284,6 +286,7 @@
   loop_.CancelTimer(timer_);
   ResetForNextRequest();
   state_ = State::kWaiting;
+  request_whole_ = true;
   if (request_) {
     owner_.listener().OnRequestComplete(request_);
   }
@@ -364,6 +367,7 @@
   Log(LogLevel::kInfo, "request answered {}: {}", status, reason);
   state_ = State::kWaiting;
   keep_alive_ = false;
+  request_whole_ = false;
   ReleaseBodyBuffer();
   stream_.input().Consume(stream_.input().size());
   SendResponse({.status = status, .reason = std::string(reason) + '\n'});
@@ -444,6 +448,9 @@
 void DownstreamConnection::Linger() {
   state_ = State::kLingering;
   stream_.ShutdownWrite();
+  if (request_whole_) {
+    owner_.MarkLingering(*this);
+  }
   SetTimer(kLingerTimeout, [this] { owner_.Close(*this); });
   loop_.RunAfterRound([self = shared_from_this()] {
     if (!self->stream_.closed()) {
--- a/src/gateway/downstream_connection.h
+++ b/src/gateway/downstream_connection.h
@@ -127,6 +127,7 @@
   bool keep_alive_ = true;            // of the present request: whether another may follow
   bool is_http10_ = false;            // the client of the present request knows no chunks
   bool continue_considered_ = false;  // "100 Continue" was sent, or is not expected
+  bool request_whole_ = false;        // all of the present request has been read
   bool received_any_ = false;         // the client has sent its first byte
   std::shared_ptr<StreamingBody> request_body_;  // of a request that streams; else null
   std::unique_ptr<BodyWriter> response_writer_;  // of a response that streams; else null
--- a/src/gateway/downstream_connections.cpp
+++ b/src/gateway/downstream_connections.cpp
@@ -75,6 +75,10 @@
   AddToIdleList(connection, idle_);
 }
 
+void DownstreamConnections::MarkLingering(DownstreamConnection& connection) {
+  AddToIdleList(connection, lingering_);
+}
+
 void DownstreamConnections::MarkActive(DownstreamConnection& connection) {
   DownstreamConnection::Registration& registration = connection.registration();
   if (registration.idle_list != nullptr) {
@@ -85,7 +89,8 @@
 
 bool DownstreamConnections::CloseOneIdle() {
   const Time now = loop_.Now();
-  return CloseOneOf(unused_, now - kUnusedGrace) || CloseOneOf(idle_, now);
+  return CloseOneOf(lingering_, now) || CloseOneOf(unused_, now - kUnusedGrace) ||
+         CloseOneOf(idle_, now);
 }
 
 void DownstreamConnections::CloseIdleBeyondShare() {
--- a/src/gateway/downstream_connections.h
+++ b/src/gateway/downstream_connections.h
@@ -17,7 +17,8 @@
 namespace paddlestile {
 
 // Owns the connections. A connection is in at most one idle list: in that of the unused ones until
-// its first byte, in that of the idle ones between two requests, in none during a request.
+// its first byte, in that of the idle ones between two requests, in that of the lingering ones
+// after its last response, in none during a request.
 class DownstreamConnections {
  public:
   // All arguments must outlive the connections' events.
@@ -38,9 +39,11 @@
   // ---- Idle connections.
   void MarkUnused(DownstreamConnection& connection);  // no byte has come yet
   void MarkIdle(DownstreamConnection& connection);    // between two requests
+  // The last response is with the kernel, and the client has sent all that it will.
+  void MarkLingering(DownstreamConnection& connection);
   void MarkActive(DownstreamConnection& connection);  // a request has begun
-  // Closes the oldest connection that is unused for some time, else the longest idle one; false
-  // where there is none.
+  // Closes a lingering connection, else the oldest one that is unused for some time, else the
+  // longest idle one; false where there is none.
   bool CloseOneIdle();
   // Closes idle connections while more than their share of the descriptors is kept open.
   void CloseIdleBeyondShare();
@@ -74,8 +77,9 @@
   const Lifecycle& lifecycle_;
   RequestListener* listener_;
   std::list<std::shared_ptr<DownstreamConnection>> connections_;
-  std::list<DownstreamConnection*> unused_;  // oldest first
-  std::list<DownstreamConnection*> idle_;    // longest idle first
+  std::list<DownstreamConnection*> unused_;     // oldest first
+  std::list<DownstreamConnection*> idle_;       // longest idle first
+  std::list<DownstreamConnection*> lingering_;  // longest first
   bool draining_ = false;
   size_t reserved_body_bytes_ = 0;
 };
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,7 +24,11 @@
 constexpr Duration kDefaultConnectTimeout = seconds(1);  // where the settings name none
 constexpr Duration kDrainAllowance = milliseconds(600);  // beyond the longest deadline
 constexpr Duration kMaxWaitForFirstList = seconds(1);    // before serving without one
-constexpr size_t kMaxNameBytes = 64;                     // of the gateway's name in counters
+// What a connection waits to be accepted at most: this part of the shortest deadline, so that a
+// client that is refused has time to ask elsewhere.
+constexpr int kAcceptWaitDivisor = 4;
+constexpr Duration kMaxAcceptWait = seconds(1);
+constexpr size_t kMaxNameBytes = 64;  // of the gateway's name in counters
 
 // Resident memory; 0 where the system does not report it.
 long ResidentKilobytes() {
@@ -80,7 +84,6 @@
       budget_(config_->max_sockets),
       load_balancer_(config_->settings, config_->seed) {
   upstream_ = std::make_unique<Upstream>(loop_, budget_, UpstreamOptionsOf(*config_), this);
-  UpdateLongestDeadline();
   const bool self_renewing_watch = config_->settings.discovery_mode == DiscoveryMode::kPush;
   discovery_ = std::make_unique<DiscoveryClient>(loop_, config_->discovery, config_->names,
                                                  config_->initial_endpoints.revision,
@@ -90,6 +93,7 @@
   // Last: clients are accepted once all the rest works.
   downstream_ = std::make_unique<Downstream>(loop_, budget_, config_->listen, lifecycle_, this,
                                              std::move(inherited), shared);
+  UpdateDeadlines();
   lifecycle_.SetChangeCallback([this] { OnLifecycleChanged(); });
   if (!lifecycle_.accepts()) {
     ready_timer_ = loop_.RunAfter(kMaxWaitForFirstList, [this] { lifecycle_.set_ready(); });
@@ -139,17 +143,24 @@
 
 // ---- Configuration --------------------------------------------------------------------------
 
-void Gateway::UpdateLongestDeadline() {
+void Gateway::UpdateDeadlines() {
   longest_deadline_ = Duration(0);
+  Duration shortest_deadline = Duration::max();
   for (const RequestClass& request_class : config_->settings.classes) {
     longest_deadline_ = std::max(longest_deadline_, request_class.deadline);
+    shortest_deadline = std::min(shortest_deadline, request_class.deadline);
   }
+  const Duration max_wait = std::min(shortest_deadline / kAcceptWaitDivisor, kMaxAcceptWait);
+  const auto& allowed = config_->settings.allowed;
+  const Duration retry_after =
+      allowed.retry_after ? std::min(allowed.max_retry_after, max_wait) : Duration(0);
+  downstream_->SetMaxAcceptWait(max_wait, retry_after);
 }
 
 void Gateway::ApplyConfig(GatewayConfig config) {
   ValidateSettings(config.settings);
   config_ = std::make_shared<GatewayConfig>(std::move(config));
-  UpdateLongestDeadline();
+  UpdateDeadlines();
   upstream_->set_options(UpstreamOptionsOf(*config_));
   discovery_->set_names(config_->names);
   EnqueueSettings();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -75,7 +75,7 @@
   [[nodiscard]] std::string DescribeState() const;
 
   [[nodiscard]] const Address& address() const { return downstream_->address(); }
-  [[nodiscard]] const Downstream& downstream() const { return *downstream_; }
+  [[nodiscard]] Downstream& downstream() { return *downstream_; }
   [[nodiscard]] DescriptorBudget& budget() { return budget_; }
   // Requests that have no response yet, or attempts in flight.
   [[nodiscard]] size_t request_count() const { return requests_.size(); }
@@ -104,7 +104,8 @@
   void OnDiscoveryFailed() override;
 
   void OnLifecycleChanged();
-  void UpdateLongestDeadline();
+  // What follows from the classes' deadlines.
+  void UpdateDeadlines();
   void ApplyEndpointList(EndpointList list, EndpointUpdateKind kind);
 
   // ---- Requests.
--- /dev/null
+++ b/tests/gateway/accept_queue_test.cpp
@@ -0,0 +1,202 @@
+// A gateway without a free descriptor: what waits in the accept queue is served or refused in time.
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "base/metrics.h"
+#include "gateway/downstream_fixture.h"
+#include "gateway/gateway_fixture.h"
+#include "gateway/test_peers.h"
+
+namespace paddlestile {
+namespace {
+
+using testing::DownstreamTest;
+using testing::Get;
+using testing::Ms;
+using testing::Peer;
+using testing::RunFor;
+using testing::RunUntil;
+
+constexpr Duration kMaxWait = Ms(120);
+// Beyond the bound: the time limit of clients that say nothing, and a slow machine.
+constexpr Duration kMargin = Ms(300);
+constexpr size_t kClients = 12;  // the clients' share of the descriptors
+
+class AcceptQueueTest : public DownstreamTest {
+ protected:
+  AcceptQueueTest() : DownstreamTest(DescriptorBudget::kReserve + 8) {  // a budget of 20
+    downstream->SetMaxAcceptWait(kMaxWait, Ms(75));
+  }
+  // Clients whose requests are not responded to hold the share.
+  void FillWithRequests() {
+    for (size_t i = 0; i < kClients; ++i) {
+      full.push_back(Dial());
+      full.back().Say(Get("full" + std::to_string(i)));
+    }
+    ASSERT_TRUE(HasRequests(kClients));
+  }
+  // The response to a request, and that it came within the bound.
+  std::string ResponseInTime(Peer& peer) {
+    const Time begun = loop.Now();
+    EXPECT_TRUE(RunUntil(loop, [&] { return peer.Has("\r\n\r\n") || peer.Ended(); }));
+    EXPECT_LE(loop.Now() - begun, kMaxWait + kMargin);
+    return peer.Heard();
+  }
+  void ExpectRefusedInTime() {
+    Peer peer = Dial();
+    peer.Say(Get("refused"));
+    const std::string response = ResponseInTime(peer);
+    EXPECT_TRUE(response.starts_with("HTTP/1.1 503 ")) << response;
+    EXPECT_NE(response.find("Retry-After: 0.075\r\n"), std::string::npos) << response;
+    EXPECT_NE(response.find("Connection: close\r\n"), std::string::npos) << response;
+    EXPECT_TRUE(RunUntil(loop, [&] { return peer.Ended(); }));
+  }
+
+  std::vector<Peer> full;
+};
+
+// Nothing could be closed for it, so nobody accepted it until its deadline was over.
+TEST_F(AcceptQueueTest, FullOfRequestsARequestIsRefusedInTime) {
+  FillWithRequests();
+  const uint64_t refused = GlobalCounters().refused_client_share;
+  ExpectRefusedInTime();
+  EXPECT_EQ(GlobalCounters().refused_client_share - refused, 1u);
+  EXPECT_GE(GlobalCounters().accept_wait_longest_ms, 100u);
+  EXPECT_EQ(requests.size(), kClients);
+}
+
+TEST_F(AcceptQueueTest, WhatWaitsIsServedWhereADescriptorBecomesFreeInTime) {
+  FillWithRequests();
+  Peer peer = Dial();
+  peer.Say(Get("waits"));
+  RunFor(loop, kMaxWait / 3);
+  requests[0]->Respond({.status = 502});
+  EXPECT_TRUE(HasRequests(kClients + 1));
+}
+
+TEST_F(AcceptQueueTest, FullOfIdleClientsARequestIsServed) {
+  for (size_t i = 0; i < kClients; ++i) {
+    full.push_back(Dial());
+  }
+  RunFor(loop, Ms(250));
+  Peer peer = Dial();
+  peer.Say(Get("a"));
+  EXPECT_TRUE(HasRequests(1));
+}
+
+TEST_F(AcceptQueueTest, DrainedByAnOperatorARequestIsRefusedInTime) {
+  FillWithRequests();
+  lifecycle.set_drained(true);
+  downstream->OnLifecycleChanged();
+  ExpectRefusedInTime();
+}
+
+TEST_F(AcceptQueueTest, WhileTheProcessEndsARequestIsRefusedInTime) {
+  FillWithRequests();
+  downstream->Shutdown(Ms(2000), [] {});
+  lifecycle.set_ending();
+  downstream->OnLifecycleChanged();
+  ExpectRefusedInTime();
+}
+
+// A new process of a hot restart while the old one holds the whole budget.
+TEST_F(AcceptQueueTest, WithoutADescriptorOfTheBudgetARequestIsRefusedInTime) {
+  budget.set_held_by_other_process(budget.limit());
+  const uint64_t refused = GlobalCounters().refused_no_descriptor;
+  ExpectRefusedInTime();
+  EXPECT_EQ(GlobalCounters().refused_no_descriptor - refused, 1u);
+}
+
+#ifndef __SANITIZE_ADDRESS__  // UBSan opens a pipe to look at an object, and finds no descriptor
+TEST_F(AcceptQueueTest, AtTheDescriptorLimitOfTheProcessARequestIsRefusedInTime) {
+  Peer peer = Dial();
+  peer.Say(Get("refused"));
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  const FileDescriptor probe(dup(0));
+  rlimit none = before;
+  none.rlim_cur = static_cast<rlim_t>(probe.get()) + 1;  // not one more than there are
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &none), 0);
+  const uint64_t refused = GlobalCounters().refused_process_limit;
+  const std::string response = ResponseInTime(peer);
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 503 ")) << response;
+  EXPECT_EQ(GlobalCounters().refused_process_limit - refused, 1u);
+}
+#endif
+
+// Many at once, far more than descriptors kept for refusals.
+TEST_F(AcceptQueueTest, ABurstIsRefusedInTime) {
+  FillWithRequests();
+  std::vector<Peer> burst;
+  for (int i = 0; i < 200; ++i) {
+    burst.push_back(Dial());
+    burst.back().Say(Get("burst" + std::to_string(i)));
+  }
+  for (Peer& peer : burst) {
+    EXPECT_TRUE(ResponseInTime(peer).starts_with("HTTP/1.1 503 "));
+  }
+}
+
+// Clients that say nothing, or half a head, have their time limit and no more.
+TEST_F(AcceptQueueTest, ClientsThatSendNoHeadDelayNoOthers) {
+  FillWithRequests();
+  std::vector<Peer> silent;
+  for (int i = 0; i < 60; ++i) {
+    silent.push_back(Dial());
+    if (i % 2 == 0) {
+      silent.back().Say("GET /read/1 HT");
+    }
+  }
+  const uint64_t unread = GlobalCounters().refused_unread;
+  ExpectRefusedInTime();
+  EXPECT_TRUE(RunUntil(loop, [&] { return GlobalCounters().refused_unread - unread == 60; }));
+  for (Peer& peer : silent) {
+    EXPECT_TRUE(peer.Ended());
+  }
+}
+
+// A close over unread bytes would reset the connection, and the response with it.
+TEST_F(AcceptQueueTest, ARefusalArrivesWhileTheClientStillSendsItsBody) {
+  FillWithRequests();
+  Peer peer = Dial();
+  peer.Say("POST /read/1 HTTP/1.1\r\nX-Call-Id: b\r\nContent-Length: 60000\r\n\r\nbody");
+  for (int i = 0; i < 20; ++i) {
+    peer.Say(std::string(1000, 'x'));
+    RunFor(loop, Ms(10));
+  }
+  EXPECT_TRUE(ResponseInTime(peer).starts_with("HTTP/1.1 503 "));
+}
+
+TEST_F(AcceptQueueTest, AHealthCheckAtAFullGatewayIsAnswered) {
+  FillWithRequests();
+  Peer peer = Dial();
+  peer.Say("GET /_health HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(ResponseInTime(peer).starts_with("HTTP/1.1 200 "));
+}
+
+TEST_F(AcceptQueueTest, MalformedRequestsAreAnsweredAsSuch) {
+  FillWithRequests();
+  Peer peer = Dial();
+  peer.Say("GET /read HTTP/1.1\nX: y\n\n");
+  EXPECT_TRUE(ResponseInTime(peer).starts_with("HTTP/1.1 400 "));
+}
+
+class AcceptQueueGatewayTest : public testing::GatewayTest {};
+
+TEST_F(AcceptQueueGatewayTest, TheBoundIsAPartOfTheShortestDeadline) {
+  config.settings.classes[1].deadline = Ms(40);
+  Start();
+  EXPECT_EQ(gateway->downstream().max_accept_wait(), Ms(10));
+  GatewayConfig changed = gateway->config();
+  changed.settings.classes[1].deadline = Ms(2000);
+  gateway->ApplyConfig(changed);
+  EXPECT_EQ(gateway->downstream().max_accept_wait(), Ms(500));
+}
+
+}  // namespace
+}  // namespace paddlestile
