Hot restart: each step accepts or refuses what waits, and the old process reports what it needs

What callers saw: nobody accepted what came (a) for 2 s while a new process hung that was ready, (b) for up to a second where the old process died before the new one had its first list, (c) until the reset of the queue where the new process died while the old one was ending.

Change: (a) the old process refuses what waits once the new one has left reports unanswered for the bound of the accept queue; (b) a new process whose old one ends is ready at once; (c) an old process that is ending accepts again. The lines of the protocol are as before.

--- a/src/gateway/hot_restart_new_process.cpp
+++ b/src/gateway/hot_restart_new_process.cpp
@@ -216,6 +216,9 @@
   stream_.Close();
   budget_.set_held_by_other_process(0);
   Log(LogLevel::kInfo, "hot restart: the old process has ended");
+  if (on_old_ended_) {
+    on_old_ended_();
+  }
 }
 
 }  // namespace paddlestile
--- a/src/gateway/hot_restart_new_process.h
+++ b/src/gateway/hot_restart_new_process.h
@@ -40,6 +40,10 @@
   NewProcess(EventLoop& loop, HotRestartState state, DescriptorBudget& budget);
   // `on_revoked` runs where the old process serves again because this one did not answer.
   void set_on_revoked(std::function<void()> on_revoked) { on_revoked_ = std::move(on_revoked); }
+  // `on_old_ended` runs where the old process ends: nobody else accepts connections then.
+  void set_on_old_ended(std::function<void()> on_old_ended) {
+    on_old_ended_ = std::move(on_old_ended);
+  }
   // To be called once this process can serve.
   void ReportReady();
   // To be called when this process, which serves, is told to end: the old one serves again, if it
@@ -54,7 +58,7 @@
   EventLoop& loop_;
   DescriptorBudget& budget_;
   Stream stream_;
-  std::function<void()> on_revoked_;
+  std::function<void()> on_revoked_, on_old_ended_;
   Time reported_at_;           // when the old process last told what it holds
   bool is_monitored_ = false;  // the old process wants answers
   bool is_asked_ = false;      // since the last answer
--- a/src/gateway/hot_restart_old_process.cpp
+++ b/src/gateway/hot_restart_old_process.cpp
@@ -22,10 +22,11 @@
 // Reports without an answer before a new process that was ready is taken to hang. Counted in
 // reports, not in time: a machine that stands still is no fault of the new process.
 constexpr int kMaxUnansweredReports = 40;
-// What the old process may still open: upstream connections for requests in progress.
-constexpr size_t kSpareDescriptors = 16;
-// Of a process that ends, outside of its budget.
-constexpr size_t kUnbudgetedDescriptors = 24;
+// What the old process may still open: an upstream connection for each of its clients, so many at
+// most.
+constexpr size_t kMaxSpareDescriptors = 16;
+// Of a process that ends, outside of its budget: 24, and those kept to refuse connections.
+constexpr size_t kUnbudgetedDescriptors = 24 + ConnectionRefuser::kMaxConnections;
 
 }  // namespace
 
@@ -66,8 +67,11 @@
   // was ready, and has left too many without an answer.
   bool CountReport() {
     ++unanswered_reports_;
-    return !answers_ || !owner_.lifecycle_.replaced() ||
-           unanswered_reports_ <= kMaxUnansweredReports;
+    return !IsMonitored() || unanswered_reports_ <= kMaxUnansweredReports;
+  }
+  // Whether the new process, which accepts, has not answered for so long.
+  [[nodiscard]] bool IsLateBy(Duration delay) const {
+    return IsMonitored() && (unanswered_reports_ - 1) * kReportInterval >= delay;
   }
 
  private:
@@ -100,6 +104,8 @@
     HandOver();
   }
 
+  [[nodiscard]] bool IsMonitored() const { return answers_ && owner_.lifecycle_.replaced(); }
+
   void OnReady() {
     Log(LogLevel::kInfo, "hot restart: the new process serves, this one ends what is open");
     unanswered_reports_ = 0;
@@ -108,12 +114,10 @@
   }
 
   void HandOver() {
-    const size_t descriptors_held =
-        owner_.budget_.used() + kSpareDescriptors + kUnbudgetedDescriptors;
     const std::string learned_state = owner_.export_learned_state_();
-    handed_over_ =
-        SendLine(fd_, hot_restart::ListenLine(descriptors_held, learned_state.size()) + '\n',
-                 owner_.downstream_.listening_socket());
+    const std::string line =
+        hot_restart::ListenLine(owner_.DescriptorsHeld(), learned_state.size()) + '\n';
+    handed_over_ = SendLine(fd_, line, owner_.downstream_.listening_socket());
     if (!handed_over_) {
       return owner_.OnNewProcessGone();
     }
@@ -135,7 +139,7 @@
 };
 
 OldProcess::OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle,
-                       const Downstream& downstream, DescriptorBudget& budget,
+                       Downstream& downstream, DescriptorBudget& budget,
                        std::function<std::string()> export_learned_state)
     : loop_(loop),
       path_(std::move(path)),
@@ -204,7 +208,8 @@
   channel_->stream().Close();
   // A handler of the channel may be running: its memory is freed after that has returned.
   loop_.RunDeferred([kept = std::exchange(channel_, nullptr)] {});
-  if (lifecycle_.replaced() && lifecycle_.stage() != LifecycleStage::kEnding) {
+  // Also where this one is ending: until then nobody else accepts what pends.
+  if (lifecycle_.replaced()) {
     Log(LogLevel::kWarning, "hot restart: the new process has ended, this one serves on");
     lifecycle_.set_replaced(false);
   }
@@ -230,20 +235,28 @@
   OnNewProcessGone();
 }
 
+size_t OldProcess::DescriptorsHeld() const {
+  const size_t spare = std::min(downstream_.connection_count(), kMaxSpareDescriptors);
+  return std::min(budget_.used() + spare, budget_.limit()) + kUnbudgetedDescriptors;
+}
+
 // Both processes share one budget: once replaced, this one opens no more than it reports.
 void OldProcess::ReportDescriptorsHeld() {
   loop_.CancelTimer(report_timer_);
-  const size_t allowed = std::min(budget_.used() + kSpareDescriptors, budget_.limit());
+  const size_t held = DescriptorsHeld();
   if (lifecycle_.replaced()) {
-    budget_.set_held_by_other_process(budget_.limit() - allowed);
+    budget_.set_held_by_other_process(budget_.limit() + kUnbudgetedDescriptors - held);
   }
-  channel_->stream().Write(hot_restart::HoldsLine(allowed + kUnbudgetedDescriptors) + '\n');
+  channel_->stream().Write(hot_restart::HoldsLine(held) + '\n');
   if (!channel_) {
     return;  // the write failed
   }
   if (!channel_->CountReport()) {
     return RevokeNewProcess();
   }
+  if (channel_->IsLateBy(downstream_.max_accept_wait())) {
+    downstream_.RefuseForNewProcess();
+  }
   report_timer_ = loop_.RunAfter(kReportInterval, [this] { ReportDescriptorsHeld(); });
 }
 
--- a/src/gateway/hot_restart_old_process.h
+++ b/src/gateway/hot_restart_old_process.h
@@ -20,7 +20,7 @@
 class OldProcess {
  public:
   // All references must outlive it. An empty `path`: without effect.
-  OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle, const Downstream& downstream,
+  OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle, Downstream& downstream,
              DescriptorBudget& budget, std::function<std::string()> export_learned_state);
   ~OldProcess();
   // To be called when this process is told to end: a new one does not hand back to it then.
@@ -38,12 +38,14 @@
   void RevokeNewProcess();
   // Listens anew where the file at `path_` is no longer this process' socket.
   void ReplaceOtherSocket();
+  // Of the budget that both processes share: what this one has open, and may open yet.
+  [[nodiscard]] size_t DescriptorsHeld() const;
   void ReportDescriptorsHeld();
 
   EventLoop& loop_;
   std::string path_;
   Lifecycle& lifecycle_;
-  const Downstream& downstream_;
+  Downstream& downstream_;
   DescriptorBudget& budget_;
   std::function<std::string()> export_learned_state_;
   std::unique_ptr<Acceptor> acceptor_;  // null: without effect
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -305,6 +305,7 @@
       known_endpoints);
   SignalHandler signal_handler(loop, served, signals);
   if (new_process) {
+    new_process->set_on_old_ended([&] { lifecycle.set_ready(); });
     DrainWhenRevoked(*new_process, lifecycle, signal_handler);
   }
   // Told to end meanwhile, it leaves the old process as it was.
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -290,6 +290,63 @@
   EXPECT_TRUE(Yes(6003));
 }
 
+// The bound of the accept queue, a quarter of the deadline, and what reports and a slow machine
+// add.
+constexpr int kAnsweredWithinMs = 250 + 350;
+
+// The response that comes to a request within the bound; what has come by then where none does.
+std::string ResponseInTime(const Address& to, const std::string& id) {
+  Peer peer = Peer::To(to);
+  peer.Say("GET /read HTTP/1.1\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: 1000\r\n\r\n");
+  for (int ms = 0; ms < kAnsweredWithinMs && !peer.Has("\r\n\r\n") && !peer.Ended(); ms += 2) {
+    usleep(2000);
+  }
+  return peer.Heard();
+}
+
+// What came waited unread for two seconds, until the new process was revoked.
+TEST_F(HotRestartTest, OldProcessRefusesInTimeWhileTheNewOneHangs) {
+  Child first, second;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Start(second, 6002);
+  ASSERT_TRUE(first.Says("the new process serves"));
+  ASSERT_TRUE(second.Says("ready, reported to the old process"));
+  usleep(100'000);  // it has answered reports by then
+  second.Signal(SIGSTOP);
+  const std::string response = ResponseInTime(address, "hangs");
+  EXPECT_TRUE(response.starts_with("HTTP/1.1 503 ")) << response << first.Text();
+}
+
+// What came waited for the new process' first list, a second at most.
+TEST_F(HotRestartTest, NewProcessAcceptsAtOnceWhereTheOldOneDiesBeforeItIsReady) {
+  Child first, second;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Start(second, 6002);
+  ASSERT_TRUE(second.Says("learned state of the old process imported"));
+  first.Kill();
+  const std::string response = ResponseInTime(address, "dies");
+  EXPECT_TRUE(response.ends_with("served")) << response << second.Text();
+}
+
+// Nobody accepted what came until the old process closed its listening socket, which reset it.
+TEST_F(HotRestartTest, OldProcessThatEndsAcceptsAgainWhereTheNewOneDies) {
+  Child first, second;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Peer half = Peer::To(address);
+  half.Say("GET /read HT");  // keeps the old process for its time limit
+  usleep(100'000);
+  Start(second, 6002);
+  ASSERT_TRUE(first.Says("the new process serves"));
+  first.Signal(SIGTERM);
+  ASSERT_TRUE(first.Says("draining"));
+  second.Kill();
+  const std::string response = ResponseInTime(address, "ends");
+  EXPECT_TRUE(response.ends_with("served")) << response << first.Text();
+}
+
 // A third process asked the one that hung, had no reply and listened beside the first.
 TEST_F(HotRestartTest, ThirdProcessTakesOverFromTheFirstWhereTheSecondHangs) {
   Child first, second, third;
