--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace paddlestile::lab {
@@ -65,11 +66,17 @@
 }
 
 void Ledger::Break(Rule rule, Time at, std::string id, std::string what) {
+  counts_.first_breach = counts_.all_breaches() == 0 ? at : std::min(counts_.first_breach, at);
+  counts_.last_breach = std::max(counts_.last_breach, at);
   if (++counts_.breaches[static_cast<size_t>(rule)] <= kKeptOfARule) {
     breaches_.push_back({rule, at, std::move(id), std::move(what)});
   }
 }
 
+uint64_t Ledger::Counts::all_breaches() const {
+  return std::accumulate(breaches.begin(), breaches.end(), uint64_t{0});
+}
+
 Ledger::Window& Ledger::WindowOf(Time asked) {
   const auto second = std::min(static_cast<size_t>(asked.count() / 1'000'000), kWindowsMost);
   if (second >= windows_.size()) {
--- a/src/lab/ledger.h
+++ b/src/lab/ledger.h
@@ -156,6 +156,8 @@
     // Keys whose effect came about twice over all of a client's tries, whoever's doing it was.
     uint64_t keys_run_again = 0;
     std::array<uint64_t, kRules> breaches{};
+    Time first_breach{0}, last_breach{0};  // of any rule
+    [[nodiscard]] uint64_t all_breaches() const;
   };
   [[nodiscard]] const Counts& counts() const { return counts_; }
   // The first ones of each rule.
--- a/src/lab/result.cpp
+++ b/src/lab/result.cpp
@@ -46,6 +46,18 @@
   return std::nullopt;
 }
 
+uint64_t Result::broken_count() const {
+  const uint64_t breaches = counts.all_breaches();
+  if (breaches == 0) {
+    return broken.size();
+  }
+  const auto is_of_a_rule = [](const std::string& what) {
+    return what.starts_with("rule: ");
+  };
+  return breaches + broken.size() -
+         static_cast<uint64_t>(std::ranges::count_if(broken, is_of_a_rule));
+}
+
 uint32_t Quantile(std::vector<uint32_t>& values, double part) {
   if (values.empty()) {
     return 0;
--- a/src/lab/result.h
+++ b/src/lab/result.h
@@ -49,6 +49,7 @@
   std::vector<std::string> late;    // why this is no verdict: the lab itself was late
   // What did not hold in earlier attempts at this verdict, in which the lab was late (lab soak).
   std::vector<std::string> broken_without_verdict;
+  uint64_t broken_count_without_verdict = 0;  // each breach of a rule counted; 0: not counted
   Ledger::Counts counts;
   BankResult bank;
   ScaleFigures scale;
@@ -64,6 +65,8 @@
   std::vector<MarkedFault> faults;
   std::vector<std::string> logs;  // the last lines of each gateway's, where something broke
 
+  // Each breach of a rule counted, also those that `broken` only sums up.
+  [[nodiscard]] uint64_t broken_count() const;
   [[nodiscard]] double worth_share() const {
     return counts.worth_asked > 0 ? counts.worth_served / counts.worth_asked : 0;
   }
--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -12,6 +12,7 @@
 namespace paddlestile::lab {
 namespace {
 
+constexpr uint64_t kSeedMultiplier = 0x9e37'79b9'7f4a'7c15ULL;
 constexpr uint64_t kClusterEvery = 3;  // seeds
 constexpr uint64_t kCrowdEvery = 4;    // seeds without a cluster
 constexpr int kMaxAttempts = 3;        // at a verdict
@@ -33,7 +34,8 @@
 constexpr Duration kWideLength{26'000'000};
 constexpr Duration kLongDeadline{6'000'000};  // longer than a new process that hangs goes unnoticed
 constexpr Span kLongWaitMs{3500, 5200};
-constexpr double kLongShare = 0.04;
+constexpr Span kLongShare{0.02, 0.12};  // past what the gateways can hold
+constexpr uint64_t kLongShareStream = 1;
 constexpr double kBadPerSecond = 2;         // clients of each kind
 constexpr Duration kDrainTakes{6'000'000};  // an operator's, until it is in again
 constexpr Duration kReloadAt{300'000};      // before any other fault
@@ -43,7 +45,9 @@
 class SoakScript {
  public:
   SoakScript(uint64_t seed, SoakMix mix)
-      : random_(seed * 0x9e37'79b9'7f4a'7c15ULL + 1), is_wide_(mix == SoakMix::kWide) {
+      : random_(seed * kSeedMultiplier + 1),
+        long_share_random_(seed * kSeedMultiplier + 1 + kLongShareStream),
+        is_wide_(mix == SoakMix::kWide) {
     e_.name = "soak";
     e_.about = "Faults in series, drawn from the seed.";
     e_.seed = seed;
@@ -137,7 +141,8 @@
       slow.name = "soak-long";
       slow.rules.latency_objective = kLongDeadline;
       slow.rules.deadline = kLongDeadline;
-      slow.share = kLongShare;
+      slow.share =
+          std::uniform_real_distribution(kLongShare.low, kLongShare.high)(long_share_random_);
       slow.wait_ms = kLongWaitMs;
       e_.classes.push_back(slow);
     }
@@ -338,23 +343,39 @@
   }
 
   std::mt19937_64 random_;
+  std::mt19937_64 long_share_random_;  // apart, so that a seed's faults are what they were without
   bool is_wide_;
   Experiment e_;
 };
 
+// From when to when rules were broken; empty where none was.
+std::string SpanOfBreaches(const Ledger::Counts& counts) {
+  if (counts.all_breaches() == 0) {
+    return "";
+  }
+  const auto seconds = [](Time at) {
+    return static_cast<double>(at.count()) / 1e6;
+  };
+  return fmt::format(", from {:.3f} to {:.3f} s", seconds(counts.first_breach),
+                     seconds(counts.last_breach));
+}
+
 Result PlaySeed(const SoakOptions& options, uint64_t seed) {
   RunOptions run;
   run.gateway = options.gateway;
   run.logs = options.logs;
   std::vector<std::string> broken_without_verdict;
+  uint64_t broken_count_without_verdict = 0;
   for (int attempt = 1;; ++attempt) {
     Result result = RunExperiment(DrawSoakExperiment(seed, options.mix), run);
     if (result.verdict != Verdict::kVoid || attempt == kMaxAttempts) {
       result.broken_without_verdict = std::move(broken_without_verdict);
+      result.broken_count_without_verdict = broken_count_without_verdict;
       return result;
     }
     broken_without_verdict.insert(broken_without_verdict.end(), result.broken.begin(),
                                   result.broken.end());
+    broken_count_without_verdict += result.broken_count();
   }
 }
 
@@ -387,14 +408,16 @@
 std::string SoakLine(const Result& result, SoakMix mix) {
   std::string line = fmt::format("seed {}: {}", result.seed, NameOf(result.verdict));
   if (!result.broken.empty()) {
-    line += fmt::format(", {} ({} in all)", result.broken.front(), result.broken.size());
+    line += fmt::format(", {} ({} in all{})", result.broken.front(), result.broken_count(),
+                        SpanOfBreaches(result.counts));
   } else if (!result.late.empty()) {
     line += ", " + result.late.front();
   }
   if (!result.broken_without_verdict.empty()) {
-    line +=
-        fmt::format("; before, without a verdict: {} ({} in all)",
-                    result.broken_without_verdict.front(), result.broken_without_verdict.size());
+    line += fmt::format("; before, without a verdict: {} ({} in all)",
+                        result.broken_without_verdict.front(),
+                        std::max<uint64_t>(result.broken_count_without_verdict,
+                                           result.broken_without_verdict.size()));
   }
   return line + fmt::format("; excused: {} | paddlestile lab soak{} --seed {} --seeds 1",
                             DescribeExcused(result.counts),
--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -107,6 +107,42 @@
       "--seeds 1");
 }
 
+// The number told was that of the lines kept, 21 at most: it was read as 21 requests lost at once.
+TEST(SoakLine, CountsEachBreachAndTellsFromWhenToWhen) {
+  Ledger ledger({.classes = {RequestClass{}}});
+  for (int i = 0; i < 50; ++i) {
+    const size_t request = ledger.Ask(Duration(0), {});
+    const size_t attempt = ledger.Try(Duration(0), request, 0, Duration(1'000'000));
+    ledger.Taken(attempt);
+    ledger.Broken(Duration(2'000'000 + i * 10'000), attempt, "closed");
+  }
+  Result result;
+  result.seed = 12;
+  result.verdict = Verdict::kBroken;
+  result.counts = ledger.counts();
+  Judge(Experiment{}, ledger.breaches(), result);
+  EXPECT_EQ(SoakLine(result),
+            "seed 12: broken, rule: lost at 2.000 s, r-0: closed (50 in all, from 2.000 to 2.490 "
+            "s); excused: none | paddlestile lab soak --seed 12 --seeds 1");
+}
+
+TEST(SoakExperiment, TheWideMixDrawsItsShareOfLongRequests) {
+  double least = 1, most = 0;
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const Experiment experiment = DrawSoakExperiment(seed, SoakMix::kWide);
+    for (const ClassSpec& request_class : experiment.classes) {
+      if (request_class.name == "soak-long") {
+        least = std::min(least, request_class.share);
+        most = std::max(most, request_class.share);
+      }
+    }
+  }
+  EXPECT_GE(least, 0.02);
+  EXPECT_LT(least, 0.03);
+  EXPECT_GT(most, 0.11);
+  EXPECT_LE(most, 0.12);
+}
+
 // A play with hundreds excused does not read like one with none, nor a break that was played again.
 TEST(SoakLine, CountsWhatWasExcusedAndTellsWhatBrokeWithoutAVerdict) {
   Result result;
