--- a/src/event/socket.cpp
+++ b/src/event/socket.cpp
@@ -29,6 +29,15 @@
   setsockopt(fd, SOL_SOCKET, SO_ATTACH_REUSEPORT_CBPF, &choice, sizeof(choice));
 }
 
+std::optional<tcp_info> TcpInfo(int fd) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < sizeof(info)) {
+    return std::nullopt;
+  }
+  return info;
+}
+
 }  // namespace
 
 FileDescriptor Listen(const Address& listen, int backlog, bool shared) {
@@ -58,13 +67,16 @@
   return {ntohl(address.sin_addr.s_addr), ntohs(address.sin_port)};
 }
 
+std::optional<size_t> AcceptQueueLength(int fd) {
+  const std::optional<tcp_info> info = TcpInfo(fd);
+  // Of a listening socket the kernel tells the length of its queue in this field.
+  return info ? std::optional<size_t>(info->tcpi_unacked) : std::nullopt;
+}
+
 std::optional<Duration> TimeSinceLastData(int fd) {
-  tcp_info info{};
-  socklen_t size = sizeof(info);
-  if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < sizeof(info)) {
-    return std::nullopt;
-  }
-  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+  const std::optional<tcp_info> info = TcpInfo(fd);
+  return info ? std::optional<Duration>(std::chrono::milliseconds(info->tcpi_last_data_recv))
+              : std::nullopt;
 }
 
 std::optional<Socket> Connect(const Address& to, DescriptorBudget* budget, bool& refused) {
--- a/src/event/socket.h
+++ b/src/event/socket.h
@@ -49,6 +49,10 @@
 // The address that a socket is bound to.
 Address LocalAddress(int fd);
 
+// How many connections wait in the accept queue of a listening socket; nothing where the kernel
+// does not tell.
+std::optional<size_t> AcceptQueueLength(int fd);
+
 // How long ago the last bytes came on a connection, or it came up where none have; nothing where
 // the kernel does not tell. Of one that was just accepted: what it has waited for that.
 std::optional<Duration> TimeSinceLastData(int fd);
--- a/src/gateway/connection_acceptor.cpp
+++ b/src/gateway/connection_acceptor.cpp
@@ -21,7 +21,8 @@
 constexpr int kMaxAcceptsPerTurn = 32;  // connections, before other events have their turn
 // Of all descriptors. Clients that send nothing come by hundreds and must leave some to upstream.
 constexpr double kMaxDescriptorShare = 0.6;
-constexpr Duration kRetryDelay = milliseconds(5);              // while descriptors are short
+constexpr Duration kRetryDelay = milliseconds(5);  // while descriptors are short
+constexpr size_t kMaxQueueSamples = 1024;
 constexpr Duration kDefaultMaxWait = std::chrono::seconds(1);  // until SetMaxWait
 
 uint64_t Counters::*RefusalCounter(AcceptBlock block) {
@@ -128,6 +129,9 @@
     }
     // The process has no descriptor left although the budget has. The edge is consumed: unless one
     // is freed, only the timer looks again.
+    if (!IsConnectionPending()) {
+      return AcceptResult::kQueueEmpty;
+    }
     if (error == EMFILE && owner_.OnDescriptorsExhausted()) {
       return AcceptResult::kContinue;
     }
@@ -137,9 +141,7 @@
   setsockopt(socket.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   ++GlobalCounters().downstream_connections_accepted;
   last_accept_at_ = loop_.Now();
-  if (blocked_since_) {
-    RecordWait(TimeSinceLastData(socket.get()));
-  }
+  OnTaken();
   owner_.OnAccepted(std::move(socket));
   return AcceptResult::kContinue;
 }
@@ -152,8 +154,7 @@
   }
   // Only where somebody waits: else the last free descriptor would cost an idle connection each
   // time.
-  pollfd pending{listening_socket_->fd(), POLLIN, 0};
-  if (poll(&pending, 1, 0) == 0) {
+  if (!IsConnectionPending()) {
     return AcceptResult::kQueueEmpty;
   }
   const bool freed = within_share ? owner_.OnDescriptorsExhausted() : owner_.CloseOneIdle();
@@ -163,6 +164,11 @@
   return BlockedBy(within_share ? AcceptBlock::kNoDescriptor : AcceptBlock::kClientShare);
 }
 
+bool ConnectionAcceptor::IsConnectionPending() const {
+  pollfd pending{listening_socket_->fd(), POLLIN, 0};
+  return poll(&pending, 1, 0) != 0;
+}
+
 ConnectionAcceptor::AcceptResult ConnectionAcceptor::BlockedBy(AcceptBlock block) {
   block_ = block;
   return AcceptResult::kNoDescriptor;
@@ -171,23 +177,21 @@
 // ---- While descriptors are short ------------------------------------------------------------
 
 void ConnectionAcceptor::OnBlocked() {
-  const Time now = loop_.Now();
-  if (!blocked_since_) {
-    blocked_since_ = now;
-  }
-  if (now - *blocked_since_ >= max_wait_ && RefuseAllPending() == AcceptResult::kQueueEmpty) {
+  SampleQueue();
+  if (RefusePendingSince(max_wait_) == AcceptResult::kQueueEmpty) {
     return EndBlock();
   }
   RetryLater();
 }
 
-ConnectionAcceptor::AcceptResult ConnectionAcceptor::RefuseAllPending() {
+ConnectionAcceptor::AcceptResult ConnectionAcceptor::RefusePendingSince(Duration least_wait) {
   for (int refused = 0; refused < kMaxAcceptsPerTurn; ++refused) {
-    const ConnectionRefuser::Attempt attempt =
-        refuser_.RefuseNext(listening_socket_->fd(), RefusalCounter(block_));
-    switch (attempt.result) {
+    if (FirstWait() < least_wait) {
+      return AcceptResult::kNoDescriptor;
+    }
+    switch (refuser_.RefuseNext(listening_socket_->fd(), RefusalCounter(block_))) {
       case ConnectionRefuser::Result::kAccepted:
-        RecordWait(attempt.waited);
+        OnTaken();
         ++refused_in_block_;
         last_accept_at_ = loop_.Now();
         break;
@@ -206,7 +210,8 @@
   }
   block_ = block;
   refuses_for_other_ = true;
-  if (RefuseAllPending() == AcceptResult::kQueueEmpty) {
+  SampleQueue();
+  if (RefusePendingSince(Duration(0)) == AcceptResult::kQueueEmpty) {
     EndBlock();
   }
 }
@@ -221,17 +226,46 @@
 
 void ConnectionAcceptor::EndBlock() {
   blocked_since_.reset();
+  taken_in_block_ = 0;
+  queue_samples_.clear();
   refuses_for_other_ = false;
   if (const size_t refused = std::exchange(refused_in_block_, 0); refused > 0) {
     Log(LogLevel::kInfo, "accept queue: {} connections not served, as {}", refused, ToText(block_));
   }
 }
 
-// Where the kernel does not tell, it is that of the first one at most.
-void ConnectionAcceptor::RecordWait(std::optional<Duration> measured) {
-  const Duration wait = measured.value_or(loop_.Now() - blocked_since_.value_or(loop_.Now()));
+void ConnectionAcceptor::SampleQueue() {
+  const Time now = loop_.Now();
+  blocked_since_ = blocked_since_.value_or(now);
+  const size_t queue_length = AcceptQueueLength(listening_socket_->fd()).value_or(0);
+  queue_length_known_ = queue_length > 0;
+  const uint64_t arrived = taken_in_block_ + queue_length;
+  const uint64_t arrived_before = queue_samples_.empty() ? 0 : queue_samples_.back().arrived;
+  if (arrived > std::max(arrived_before, taken_in_block_) &&
+      queue_samples_.size() < kMaxQueueSamples) {
+    queue_samples_.push_back({now, arrived});
+  }
+}
+
+Duration ConnectionAcceptor::FirstWait() {
+  while (!queue_samples_.empty() && queue_samples_.front().arrived <= taken_in_block_) {
+    queue_samples_.pop_front();
+  }
+  const Time now = loop_.Now();
+  if (!queue_samples_.empty()) {
+    return now - queue_samples_.front().at;
+  }
+  // It came after the last sample; where there are none, it is as old as the block at most.
+  return queue_length_known_ ? Duration(0) : now - blocked_since_.value_or(now);
+}
+
+void ConnectionAcceptor::OnTaken() {
+  if (!blocked_since_) {
+    return;
+  }
   uint64_t& longest = GlobalCounters().accept_wait_longest_ms;
-  longest = std::max(longest, static_cast<uint64_t>(ToMilliseconds(wait)));
+  longest = std::max(longest, static_cast<uint64_t>(ToMilliseconds(FirstWait())));
+  ++taken_in_block_;
 }
 
 void ConnectionAcceptor::ContinueAfterRound() {
--- a/src/gateway/connection_acceptor.h
+++ b/src/gateway/connection_acceptor.h
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -32,8 +34,8 @@
 // For the log.
 std::string_view ToText(AcceptBlock block);
 
-// While it has no descriptor it waits for one, for the longest wait at most: then all that pends is
-// refused, until the queue is empty.
+// While it has no descriptor it waits for one; what has waited in the queue for the longest wait is
+// refused.
 class ConnectionAcceptor {
  public:
   class Owner {
@@ -79,6 +81,7 @@
   [[nodiscard]] const Address& address() const { return address_; }
   // Whether accepting was not put off, and nothing is being refused.
   [[nodiscard]] bool accepted_all() const;
+  [[nodiscard]] bool refusing() const { return !refuser_.idle(); }
   [[nodiscard]] Time last_accept_at() const { return last_accept_at_; }
 
  private:
@@ -91,12 +94,19 @@
   // Reserves a descriptor; closes an idle connection for it where somebody waits. kContinue: done.
   AcceptResult AcquireDescriptor();
   AcceptResult BlockedBy(AcceptBlock block);
-  // While no descriptor is free. kQueueEmpty where all that pended was refused.
-  AcceptResult RefuseAllPending();
+  // Refuses what has waited for `least_wait`. kQueueEmpty where nothing is left in the queue.
+  AcceptResult RefusePendingSince(Duration least_wait);
   void OnBlocked();
   void EndBlock();
-  void RecordWait(std::optional<Duration> measured);
   void OnRoomForRefusals();
+  [[nodiscard]] bool IsConnectionPending() const;
+
+  // How long the first connection of the queue waits. Connections are numbered from the beginning
+  // of the block, in the queue's order; samples of its length tell by when each had come.
+  void SampleQueue();
+  [[nodiscard]] Duration FirstWait();
+  // The first connection was taken from the queue.
+  void OnTaken();
   void ContinueAfterRound();
   void RetryLater();
 
@@ -111,7 +121,14 @@
   EventLoop::TimerId retry_timer_;
   bool yielded_ = false;  // accepting goes on after the round
   Time last_accept_at_{0};
-  std::optional<Time> blocked_since_;  // without a free descriptor, and the queue not empty
+  struct QueueSample {
+    Time at{0};
+    uint64_t arrived = 0;  // since the beginning of the block, those taken included
+  };
+  std::optional<Time> blocked_since_;  // no descriptor was free, and the queue not empty since
+  uint64_t taken_in_block_ = 0;
+  bool queue_length_known_ = false;
+  std::deque<QueueSample> queue_samples_;  // of those that came later than blocked_since_
   AcceptBlock block_ = AcceptBlock::kNoDescriptor;
   size_t refused_in_block_ = 0;
   bool refuses_for_other_ = false;  // RefusePending has not come to the end of the queue
--- a/src/gateway/connection_refuser.cpp
+++ b/src/gateway/connection_refuser.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <iterator>
@@ -22,23 +23,28 @@
 
 using std::chrono::milliseconds;
 
-// For the head of the request, from the accept on, and for the client to read the response.
+// For the head of the request, and for the client to read the response.
 constexpr Duration kHeadTimeout = milliseconds(200);
 constexpr Duration kLingerTimeout = milliseconds(200);
-// Before a connection closes for the next: its bytes, or its end, may be on their way.
-constexpr Duration kLeastTime = milliseconds(20);
+constexpr Duration kUnreadRecheck = milliseconds(5);  // a head has come and is about to be read
+// Before a connection closes for the next: its head, or the rest of its body, may be on the way.
+constexpr Duration kLeastHeadTime = milliseconds(20);
+constexpr Duration kLeastLingerTime = milliseconds(100);
 
 }  // namespace
 
 // One connection that is refused.
 class ConnectionRefuser::Connection final : public Stream::Listener {
  public:
-  Connection(ConnectionRefuser& owner, FileDescriptor fd, uint64_t Counters::*counter)
+  // `is_quiet`: the client has sent nothing for the time of a head while it waited in the queue.
+  Connection(ConnectionRefuser& owner, FileDescriptor fd, uint64_t Counters::*counter,
+             bool is_quiet)
       : owner_(owner),
         loop_(owner.loop_),
         stream_(owner.loop_, Socket(std::move(fd), nullptr), this, false),
-        opened_at_(owner.loop_.Now()),
-        counter_(counter) {
+        step_started_at_(owner.loop_.Now()),
+        counter_(counter),
+        is_quiet_(is_quiet) {
     stream_.set_max_unread_bytes(kMaxHeadBytes + kMaxBufferedBodyBytes);
   }
   Connection(const Connection&) = delete;
@@ -47,11 +53,15 @@
 
   // False where the kernel does not watch the connection.
   bool Start() {
-    StartTimer(kHeadTimeout);
+    StartTimer(kHeadTimeout, [this] { OnHeadTimeout(); });
     return stream_.Start();
   }
   Stream& stream() { return stream_; }
-  [[nodiscard]] Time opened_at() const { return opened_at_; }
+  // Whether it may close for another one.
+  [[nodiscard]] bool MayClose() const {
+    const Duration least_time = responded_ ? kLeastLingerTime : kLeastHeadTime;
+    return loop_.Now() - step_started_at_ >= least_time && !stream_.HasUnreadBytes();
+  }
   [[nodiscard]] bool responded() const { return responded_; }
   std::list<std::shared_ptr<Connection>>::iterator position;  // in the list of the owner
 
@@ -68,6 +78,9 @@
   void ReadHead() {
     const ParseProgress progress = parser_.Feed(stream_.input());
     if (progress == ParseProgress::kNeedMore && !parser_.head_done()) {
+      if (is_quiet_) {
+        owner_.Close(*this);
+      }
       return;
     }
     is_whole_ =
@@ -89,6 +102,7 @@
 
   void Respond(const Response& response) {
     responded_ = true;
+    step_started_at_ = loop_.Now();
     stream_.input().Consume(stream_.input().size());
     stream_.Write(ResponseHead(response, false) + response.reason);
   }
@@ -99,7 +113,7 @@
     }
     // Closed with bytes unread, the kernel would reset the connection, and the response with it.
     stream_.ShutdownWrite();
-    StartTimer(kLingerTimeout);
+    StartTimer(kLingerTimeout, [this] { owner_.Close(*this); });
     loop_.RunAfterRound([kept = *position] {
       if (!kept->stream_.closed()) {
         kept->stream_.DiscardInput();
@@ -108,11 +122,18 @@
   }
   void OnError() override { owner_.Close(*this); }
 
-  void StartTimer(Duration delay) {
+  void OnHeadTimeout() {
+    if (stream_.HasUnreadBytes()) {
+      return StartTimer(kUnreadRecheck, [this] { OnHeadTimeout(); });
+    }
+    owner_.Close(*this);
+  }
+
+  void StartTimer(Duration delay, std::function<void()> callback) {
     loop_.CancelTimer(timer_);
-    timer_ = loop_.RunAfter(delay, [this] {
+    timer_ = loop_.RunAfter(delay, [this, callback = std::move(callback)] {
       timer_ = {};
-      owner_.Close(*this);
+      callback();
     });
   }
 
@@ -120,8 +141,9 @@
   EventLoop& loop_;  // may outlive the owner, as tasks that were put off may
   Stream stream_;
   HttpParser parser_{HttpParser::Kind::kRequest, kMaxBodyBytes};
-  Time opened_at_;
+  Time step_started_at_;  // to read the head, or to linger
   uint64_t Counters::*counter_;
+  bool is_quiet_;
   bool responded_ = false;
   bool is_whole_ = false;  // the request has come in full, and nothing behind it
   EventLoop::TimerId timer_;
@@ -149,39 +171,37 @@
   }
 }
 
-ConnectionRefuser::Attempt ConnectionRefuser::RefuseNext(int listening_socket,
-                                                         uint64_t Counters::*counter) {
+ConnectionRefuser::Result ConnectionRefuser::RefuseNext(int listening_socket,
+                                                        uint64_t Counters::*counter) {
   if (!MakeRoom()) {
-    return {Result::kNoRoom};
+    return Result::kNoRoom;
   }
   placeholders_.pop_back();
   FileDescriptor fd(accept4(listening_socket, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
   if (fd) {
     ++GlobalCounters().downstream_connections_accepted;
-    const std::optional<Duration> waited = TimeSinceLastData(fd.get());
-    Add(std::move(fd), waited, counter);
-    return {Result::kAccepted, waited};
+    Add(std::move(fd), counter);
+    return Result::kAccepted;
   }
   const int error = errno;
   Refill();
   const bool queue_empty = error == EAGAIN || error == EWOULDBLOCK;
   const bool client_left = error == ECONNABORTED || error == EINTR;
   if (client_left) {
-    return {Result::kAccepted};
+    return Result::kAccepted;
   }
-  return {queue_empty ? Result::kQueueEmpty : Result::kNoRoom};
+  return queue_empty ? Result::kQueueEmpty : Result::kNoRoom;
 }
 
-void ConnectionRefuser::Add(FileDescriptor fd, std::optional<Duration> quiet_time,
-                            uint64_t Counters::*counter) {
+void ConnectionRefuser::Add(FileDescriptor fd, uint64_t Counters::*counter) {
   const int on = 1;
   setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  connections_.push_back(std::make_shared<Connection>(*this, std::move(fd), counter));
+  const bool is_quiet = TimeSinceLastData(fd.get()).value_or(Duration(0)) >= kHeadTimeout;
+  connections_.push_back(std::make_shared<Connection>(*this, std::move(fd), counter, is_quiet));
   Connection& connection = *connections_.back();
   connection.position = std::prev(connections_.end());
   // A client that has said nothing in the queue for so long is not waited for.
-  const bool is_silent =
-      quiet_time.value_or(Duration(0)) >= kHeadTimeout && connection.stream().IsIdle();
+  const bool is_silent = is_quiet && connection.stream().IsIdle();
   if (is_silent || !connection.Start()) {
     Close(connection);
   }
@@ -192,10 +212,12 @@
   if (!placeholders_.empty()) {
     return true;
   }
-  if (connections_.empty() || loop_.Now() - connections_.front()->opened_at() < kLeastTime) {
+  const auto closable = std::ranges::find_if(
+      connections_, [](const auto& connection) { return connection->MayClose(); });
+  if (closable == connections_.end()) {
     return false;
   }
-  Close(*connections_.front());
+  Close(**closable);
   return !placeholders_.empty();
 }
 
@@ -209,13 +231,23 @@
     ++GlobalCounters().refused_unread;
   }
   // A handler of this connection may be running: its memory is freed after that has returned.
-  loop_.RunDeferred([this, alive = std::weak_ptr(alive_), kept = *connection.position] {
-    if (!alive.expired()) {
-      on_room_();
-    }
-  });
+  loop_.RunDeferred([kept = *connection.position] {});
   connections_.erase(connection.position);
   Refill();
+  ReportRoomAfterRound();
+}
+
+void ConnectionRefuser::ReportRoomAfterRound() {
+  if (std::exchange(room_report_scheduled_, true)) {
+    return;
+  }
+  loop_.RunAfterRound([this, alive = std::weak_ptr(alive_)] {
+    if (alive.expired()) {
+      return;
+    }
+    room_report_scheduled_ = false;
+    on_room_();
+  });
 }
 
 }  // namespace paddlestile
--- a/src/gateway/connection_refuser.h
+++ b/src/gateway/connection_refuser.h
@@ -8,7 +8,6 @@
 #include <functional>
 #include <list>
 #include <memory>
-#include <optional>
 #include <vector>
 
 #include "base/file_descriptor.h"
@@ -31,13 +30,9 @@
     kQueueEmpty,  // no connection is pending
     kNoRoom,      // to be tried again when the room callback runs
   };
-  struct Attempt {
-    Result result = Result::kNoRoom;
-    std::optional<Duration> waited{};  // in the queue, of one that was taken, where it is known
-  };
 
-  // `on_room` runs, after the running handler, when a connection has ended. The references must
-  // outlive this object.
+  // `on_room` runs, after the round, when connections have ended. The references must outlive this
+  // object.
   ConnectionRefuser(EventLoop& loop, const Lifecycle& lifecycle, std::function<void()> on_room);
   ConnectionRefuser(const ConnectionRefuser&) = delete;
   ConnectionRefuser& operator=(const ConnectionRefuser&) = delete;
@@ -49,7 +44,7 @@
 
   // Accepts the next connection of a listening socket, and refuses it, counted by `counter`. Where
   // all descriptors are in use, a connection that has had its least time closes for it.
-  Attempt RefuseNext(int listening_socket, uint64_t Counters::*counter);
+  Result RefuseNext(int listening_socket, uint64_t Counters::*counter);
 
   // No connection is being refused.
   [[nodiscard]] bool idle() const { return connections_.empty(); }
@@ -58,17 +53,20 @@
   class Connection;
   // Opens placeholders for descriptors that are free.
   void Refill();
-  // Closes the longest open connection that has had its least time; false where there is none.
+  // Closes the longest open connection that has had its least time and has nothing unread, where no
+  // descriptor is free; false where there is none.
   bool MakeRoom();
-  void Add(FileDescriptor fd, std::optional<Duration> quiet_time, uint64_t Counters::*counter);
+  void Add(FileDescriptor fd, uint64_t Counters::*counter);
   void Close(Connection& connection);
+  void ReportRoomAfterRound();
 
   EventLoop& loop_;
   const Lifecycle& lifecycle_;
   std::function<void()> on_room_;
   Duration retry_after_{0};
   std::vector<FileDescriptor> placeholders_;
-  std::list<std::shared_ptr<Connection>> connections_;          // longest open first
+  std::list<std::shared_ptr<Connection>> connections_;  // longest open first
+  bool room_report_scheduled_ = false;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with this, for tasks
 };
 
--- a/src/gateway/downstream.cpp
+++ b/src/gateway/downstream.cpp
@@ -64,15 +64,17 @@
   if (now - drain_started_at_ >= kDrainIdleDelay) {
     connections_.CloseAllIdle(shutting_down);
   }
-  // A new process needs the descriptors at once.
-  if (lifecycle_.replaced() || now - drain_started_at_ >= kDrainIdleDelay) {
-    listener_->OnIdleClosing();
+  // A new process needs the descriptors at once. An operator's drain may be undone.
+  const bool idle_clients_closed = now - drain_started_at_ >= kDrainIdleDelay;
+  if (lifecycle_.replaced() || (shutting_down && idle_clients_closed)) {
+    listener_->TrimIdleUpstream();
   }
   if (shutting_down && now >= shutdown_deadline_) {
     connections_.CloseAllWithoutWork();
   }
   // Connections in the queue would be reset with the socket: not while accepting was put off.
-  if (shutting_down && shared_ && acceptor_.accepted_all() &&
+  // A replaced process keeps it: it refuses what waits where the new one hangs.
+  if (shutting_down && shared_ && !lifecycle_.replaced() && acceptor_.accepted_all() &&
       now - drain_started_at_ >= kDrainSharedTimeout) {
     acceptor_.StopListening();
   }
@@ -85,6 +87,9 @@
 }
 
 bool Downstream::AcceptQueueIsQuiet(Time now) const {
+  if (acceptor_.refusing()) {
+    return false;
+  }
   if (acceptor_.listening_socket() < 0 || !lifecycle_.accepts()) {
     return true;
   }
--- a/src/gateway/downstream.h
+++ b/src/gateway/downstream.h
@@ -26,9 +26,9 @@
    public:
     // No file descriptor is left; true where one was freed.
     virtual bool OnDescriptorsExhausted() = 0;
-    // While it drains, from when idle connections of clients close on, again and again: nothing is
-    // held any more that no request needs.
-    virtual void OnIdleClosing() {}
+    // Again and again while this process ends, or a new one serves: closes idle connections to
+    // hosts that no client of this process needs.
+    virtual void TrimIdleUpstream() {}
 
    protected:
     ~Listener() = default;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,7 +28,8 @@
 // client that is refused has time to ask elsewhere.
 constexpr int kAcceptWaitDivisor = 4;
 constexpr Duration kMaxAcceptWait = seconds(1);
-constexpr size_t kMaxNameBytes = 64;  // of the gateway's name in counters
+constexpr size_t kMaxIdleUpstreamAtEnd = 16;  // of a process that ends or was replaced
+constexpr size_t kMaxNameBytes = 64;          // of the gateway's name in counters
 
 // Resident memory; 0 where the system does not report it.
 long ResidentKilobytes() {
@@ -360,9 +361,9 @@
   MaybeEraseRequest(request);
 }
 
-// One connection for each request that may need one yet.
-void Gateway::OnIdleClosing() {
-  upstream_->CloseIdleBeyond(unanswered_count_);
+// One connection for each client, whose next request may need it.
+void Gateway::TrimIdleUpstream() {
+  upstream_->CloseIdleBeyond(std::min(downstream_->connection_count(), kMaxIdleUpstreamAtEnd));
 }
 
 bool Gateway::OnDescriptorsExhausted() {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -89,7 +89,7 @@
                             ProxiedRequest::ResponseCallback reply) override;
   void OnClientDisconnected(const RequestPtr& request) override;
   void OnRequestComplete(const RequestPtr& request) override;
-  void OnIdleClosing() override;
+  void TrimIdleUpstream() override;
   // Of Upstream::Listener too.
   bool OnDescriptorsExhausted() override;
   // Upstream::Listener.
--- a/src/gateway/hot_restart_new_process.cpp
+++ b/src/gateway/hot_restart_new_process.cpp
@@ -181,9 +181,12 @@
     is_monitored_ = true;
     is_asked_ = true;
   } else if (line == hot_restart::kRevokedLine) {
-    is_revoked_ = true;
+    is_revoked_ = !old_is_ending_;  // else nobody would serve once that one has ended
   } else if (line == hot_restart::kEndingLine) {
     old_is_ending_ = true;
+    if (on_old_ended_) {
+      on_old_ended_();
+    }
   }
 }
 
--- a/src/gateway/hot_restart_new_process.h
+++ b/src/gateway/hot_restart_new_process.h
@@ -40,7 +40,8 @@
   NewProcess(EventLoop& loop, HotRestartState state, DescriptorBudget& budget);
   // `on_revoked` runs where the old process serves again because this one did not answer.
   void set_on_revoked(std::function<void()> on_revoked) { on_revoked_ = std::move(on_revoked); }
-  // `on_old_ended` runs where the old process ends: nobody else accepts connections then.
+  // `on_old_ended` runs where the old process is told to end, and where it has ended: nobody else
+  // accepts connections for long.
   void set_on_old_ended(std::function<void()> on_old_ended) {
     on_old_ended_ = std::move(on_old_ended);
   }
--- a/src/gateway/hot_restart_old_process.cpp
+++ b/src/gateway/hot_restart_old_process.cpp
@@ -18,10 +18,13 @@
 
 using std::chrono::milliseconds;
 
-constexpr Duration kReportInterval = milliseconds(50);  // of the descriptors held
+constexpr Duration kReportInterval = milliseconds(50);    // of the descriptors held
+constexpr Duration kAcceptRetryDelay = milliseconds(50);  // while no descriptor is left
 // Reports without an answer before a new process that was ready is taken to hang. Counted in
 // reports, not in time: a machine that stands still is no fault of the new process.
 constexpr int kMaxUnansweredReports = 40;
+// Before connections are refused that it is to accept: one long round of its loop is none.
+constexpr int kMinUnansweredReports = 2;
 // What the old process may still open: an upstream connection for each of its clients, so many at
 // most.
 constexpr size_t kMaxSpareDescriptors = 16;
@@ -71,7 +74,8 @@
   }
   // Whether the new process, which accepts, has not answered for so long.
   [[nodiscard]] bool IsLateBy(Duration delay) const {
-    return IsMonitored() && (unanswered_reports_ - 1) * kReportInterval >= delay;
+    return IsMonitored() && unanswered_reports_ > kMinUnansweredReports &&
+           (unanswered_reports_ - 1) * kReportInterval >= delay;
   }
 
  private:
@@ -164,6 +168,7 @@
 
 OldProcess::~OldProcess() {
   loop_.CancelTimer(report_timer_);
+  loop_.CancelTimer(accept_timer_);
   if (channel_) {
     channel_->stream().Close();
   }
@@ -180,8 +185,13 @@
 }
 
 void OldProcess::Accept() {
+  loop_.CancelTimer(accept_timer_);
   while (true) {
     FileDescriptor fd(accept4(acceptor_->fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd && errno != EAGAIN && errno != EWOULDBLOCK) {
+      // Without a descriptor: the edge is consumed, and a new process waits for a reply.
+      accept_timer_ = loop_.RunAfter(kAcceptRetryDelay, [this] { Accept(); });
+    }
     if (!fd) {
       return;
     }
@@ -251,7 +261,9 @@
   if (!channel_) {
     return;  // the write failed
   }
-  if (!channel_->CountReport()) {
+  const bool is_answered = channel_->CountReport();
+  // One that ends has no place to take back.
+  if (!is_answered && lifecycle_.stage() != LifecycleStage::kEnding) {
     return RevokeNewProcess();
   }
   if (channel_->IsLateBy(downstream_.max_accept_wait())) {
--- a/src/gateway/hot_restart_old_process.h
+++ b/src/gateway/hot_restart_old_process.h
@@ -51,7 +51,7 @@
   std::unique_ptr<Acceptor> acceptor_;  // null: without effect
   uint64_t inode_ = 0;                  // of the socket's file, which a newer process may replace
   std::shared_ptr<Channel> channel_;    // to the new process; null: none
-  EventLoop::TimerId report_timer_;
+  EventLoop::TimerId report_timer_, accept_timer_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with this object
 };
 
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -347,6 +347,34 @@
   EXPECT_TRUE(response.ends_with("served")) << response << first.Text();
 }
 
+// An old process that was ending revoked a new one that hung: both ended, and nobody served.
+TEST(NewProcessTest, ServesOnWhereAnOldProcessThatEndsRevokesIt) {
+  EventLoop loop;
+  DescriptorBudget budget(256);
+  auto [channel, old_process] = testing::Pair();
+  HotRestartState state;
+  state.channel = std::move(channel);
+  NewProcess new_process(loop, std::move(state), budget);
+  bool revoked = false;
+  new_process.set_on_revoked([&] { revoked = true; });
+  old_process.Say("monitors\nending\nrevoked\n");
+  testing::RunFor(loop, testing::Ms(50));
+  EXPECT_FALSE(revoked);
+}
+
+// What came waited for the new process' first list though the old one was told to end.
+TEST_F(HotRestartTest, NewProcessIsReadyAtOnceWhereTheOldOneIsToldToEnd) {
+  Child first, second;
+  Start(first, 6001);
+  ASSERT_TRUE(first.Says("listens on"));
+  Start(second, 6002);
+  ASSERT_TRUE(second.Says("learned state of the old process imported"));
+  first.Signal(SIGTERM);
+  ASSERT_TRUE(first.Says("draining"));
+  const std::string response = ResponseInTime(address, "told");
+  EXPECT_TRUE(response.ends_with("served")) << response << second.Text();
+}
+
 // A third process asked the one that hung, had no reply and listened beside the first.
 TEST_F(HotRestartTest, ThirdProcessTakesOverFromTheFirstWhereTheSecondHangs) {
   Child first, second, third;
