An answer whose rest had come before its host's reset is passed on whole

Cause: a reset of the host's connection ended a response that streams at once. Bytes that had been read and for which the client had no room yet were thrown away, also where they were the rest of the body.

Change: what was read before the break is passed on first. Then the body is whole, or it is cut as before.

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -360,10 +360,13 @@
 }
 
 ParseProgress UpstreamConnection::ReadBodyPiece(Buffer& piece) {
-  const ParseProgress progress = parser_.TakeBody(stream_.input(), piece, stream_.ended());
+  ParseProgress progress = parser_.TakeBody(stream_.input(), piece, stream_.ended());
   passed_on_bytes_ += piece.size();
+  if (host_broke_off_ && progress == ParseProgress::kNeedMore && piece.empty()) {
+    progress = ParseProgress::kMalformed;  // all that had come was passed on
+  }
   if (progress == ParseProgress::kNeedMore) {
-    ResumeReadingAfterRound();
+    ReadOnAfterRound();
   } else {
     OnResponseBodyRead(progress);
   }
@@ -376,10 +379,11 @@
   if (progress == ParseProgress::kMalformed) {
     ++GlobalCounters().bodies_truncated;
     Log(LogLevel::kInfo, "body cut: {} broke off within an answer", host_.endpoint);
-    LogCutResponse(stream_.ended() ? ResponseCut::kHostClosed : ResponseCut::kHostMalformed);
+    const bool has_closed = stream_.ended() || host_broke_off_;
+    LogCutResponse(has_closed ? ResponseCut::kHostClosed : ResponseCut::kHostMalformed);
   }
-  response_complete_ = progress == ParseProgress::kDone && parser_.message().keep_alive &&
-                       request_written_ && stream_.input().empty();
+  response_complete_ = progress == ParseProgress::kDone && !host_broke_off_ &&
+                       parser_.message().keep_alive && request_written_ && stream_.input().empty();
   if (IsReusable()) {
     ReturnToPool();
   } else {
@@ -388,14 +392,18 @@
 }
 
 // Not within the present call: new bytes are reported to the writer, which may be running.
-void UpstreamConnection::ResumeReadingAfterRound() {
-  if (!stream_.readable()) {
+void UpstreamConnection::ReadOnAfterRound() {
+  if (!stream_.readable() && !host_broke_off_) {
     return;
   }
   loop_.RunAfterRound([this, alive = std::weak_ptr(alive_)] {
-    if (!alive.expired() && !stream_.closed()) {
-      stream_.ResumeReading();
+    if (alive.expired() || stream_.closed()) {
+      return;
+    }
+    if (host_broke_off_ && response_body_) {
+      return response_body_->OnDataAvailable();
     }
+    stream_.ResumeReading();
   });
 }
 
@@ -434,6 +442,12 @@
 }
 
 void UpstreamConnection::OnError() {
+  if (response_body_ && !stream_.input().empty()) {
+    // The client had no room yet for what came before the break, which may be the rest of the body.
+    host_broke_off_ = true;
+    loop_.CancelTimer(pause_timer_);
+    return response_body_->OnDataAvailable();
+  }
   if (response_body_) {
     ++GlobalCounters().bodies_truncated;
     Log(LogLevel::kInfo, "body cut: {} broke off within an answer", host_.endpoint);
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -156,7 +156,7 @@
   void StartStreamedResponse();
   ParseProgress ReadBodyPiece(Buffer& piece);
   void OnResponseBodyRead(ParseProgress progress);
-  void ResumeReadingAfterRound();
+  void ReadOnAfterRound();
   [[nodiscard]] Outcome OutcomeOf(const BufferedMessage& response) const;
   [[nodiscard]] std::optional<LoadReport> LoadReportOf(const BufferedMessage& response,
                                                        Outcome outcome) const;
@@ -185,6 +185,7 @@
   EventLoop::TimerId deadline_timer_, connect_timer_, pause_timer_, settle_timer_;
   bool request_written_ = false;
   bool response_complete_ = false;  // in step with its request: another may follow
+  bool host_broke_off_ = false;     // what came before that is passed on yet
   bool first_byte_received_ = false;
   Time first_byte_at_{0}, last_byte_at_{0};       // of the present response
   size_t passed_on_bytes_ = 0;                    // of a body that streams
--- a/tests/gateway/upstream_test.cpp
+++ b/tests/gateway/upstream_test.cpp
@@ -49,6 +49,10 @@
                          std::shared_ptr<const BufferedMessage> response) override {
     finished.push_back({request->id(), attempt, outcome, std::move(report),
                         response ? std::string(response->body()) : std::string()});
+    if (response && response->streaming_body) {
+      streaming_body = response->streaming_body;
+      streaming_body->SetDataCallback([] {});  // the test reads by hand
+    }
   }
   void OnResponseStarted(const std::shared_ptr<ProxiedRequest>&, size_t, const std::string&,
                          Duration) override {
@@ -125,6 +129,7 @@
       std::make_shared<RequestClass>(paddlestile::testing::MakeClass(Idempotency::kKeyed));
   testing::Port port;
   std::vector<FinishedAttempt> finished;
+  std::shared_ptr<StreamingBody> streaming_body;  // of the last response that streams
   std::vector<std::pair<Outcome, std::optional<LoadReport>>> probes;
   int responses_started = 0;
   std::unique_ptr<Upstream> upstream;
@@ -651,6 +656,44 @@
   EXPECT_EQ(finished[0].body, "been");
 }
 
+// What had come before a reset was thrown away where the client had no room for it yet, also where
+// it was the rest of the body.
+TEST_F(UpstreamTest, ABodyThatHadComeInFullIsPassedOnAfterAReset) {
+  MakeUpstream(DefaultOptions());
+  constexpr size_t kBodyBytes = 90'000;
+  constexpr size_t kRestBytes = 20'000;
+  for (const size_t missing_bytes : {0, 1}) {
+    Send("id" + std::to_string(missing_bytes));
+    Peer host = Host();
+    host.Say("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n");
+    host.Say(std::string(kBodyBytes - kRestBytes, 'a'));
+    ASSERT_TRUE(RunUntil(loop, [&] { return streaming_body != nullptr; }));
+    size_t read_bytes = 0;
+    ASSERT_TRUE(RunUntil(loop, [&] {
+      Buffer piece;
+      EXPECT_EQ(streaming_body->Read(piece), ParseProgress::kNeedMore);
+      read_bytes += piece.size();
+      return read_bytes == kBodyBytes - kRestBytes;
+    }));
+    host.Say(std::string(kRestBytes - missing_bytes, 'b'));
+    testing::RunFor(loop, Ms(20));
+    host.Reset();
+    testing::RunFor(loop, Ms(20));
+    Buffer rest;
+    const ParseProgress progress = streaming_body->Read(rest);
+    EXPECT_EQ(rest.size(), kRestBytes - missing_bytes);
+    if (missing_bytes == 0) {
+      EXPECT_EQ(progress, ParseProgress::kDone);
+    } else {
+      EXPECT_EQ(progress, ParseProgress::kNeedMore);
+      Buffer nothing;
+      EXPECT_EQ(streaming_body->Read(nothing), ParseProgress::kMalformed);
+    }
+    EXPECT_EQ(upstream->connection_count(), 0u);
+    streaming_body = nullptr;
+  }
+}
+
 TEST_F(UpstreamTest, StreamedResponseEndsWithItsClient) {
   request_class->is_streamed = true;
   MakeUpstream(DefaultOptions());
