--- a/src/gateway/hot_restart.h
+++ b/src/gateway/hot_restart.h
@@ -11,7 +11,9 @@
 //   5    | ends; its channel closes                | has all of the descriptor budget
 //
 // Where the new process vanishes, or no longer answers once it was ready, the old one accepts again
-// and waits for another new process. One that finds itself revoked drains and ends.
+// and waits for another new process. One that finds itself revoked drains and ends. Until it is
+// revoked the old one refuses what waits. An old process that is told to end revokes nobody, and a
+// new one that is not ready becomes so.
 #ifndef PADDLESTILE_GATEWAY_HOT_RESTART_H_
 #define PADDLESTILE_GATEWAY_HOT_RESTART_H_
 
