lab: a request is judged at its own deadline, also behind one that has more time

Found by reading a trace: the ledger looked at deadlines in the order in which requests were handed over, so that one of 1.5 s behind one of 6 s was declared lost up to 4.5 s late, and an answer that came 100 to 300 ms late counted as in time. Deadlines are looked at in their own order now: a stricter check.

Measured: the new test fails without the change (0 lost) and passes with it.

--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -102,7 +102,7 @@
 size_t Ledger::Try(Time now, size_t ask, size_t gateway, Time deadline) {
   tries_.push_back({.ask = ask, .gateway = gateway, .deadline = deadline, .handed = now});
   ++counts_.tries;
-  due_.emplace_back(deadline, tries_.size() - 1);
+  due_.emplace(deadline, tries_.size() - 1);
   return tries_.size() - 1;
 }
 
@@ -371,9 +371,9 @@
     Break(Rule::kTwice, s.at, IdOf(receipts_[s.second].n), "while an earlier copy was still out");
   }
   const Duration allowed = 2 * rules_.slack + lag;
-  while (!due_.empty() && now > due_.front().first + allowed) {
-    const auto [deadline, n] = due_.front();
-    due_.pop_front();
+  while (!due_.empty() && now > due_.begin()->first + allowed) {
+    const auto [deadline, n] = *due_.begin();
+    due_.erase(due_.begin());
     const TryState& t = tries_[n];
     if (t.over || !t.taken) {
       continue;
--- a/src/lab/ledger.h
+++ b/src/lab/ledger.h
@@ -207,7 +207,7 @@
   std::vector<AskState> asks_;
   std::vector<TryState> tries_;
   std::vector<Receipt> receipts_;
-  std::deque<std::pair<Time, size_t>> due_;  // tries by deadline, nearly in order
+  std::multimap<Time, size_t> due_;  // tries that may have no answer yet, by deadline
   struct Suspect {
     Time at{0};
     uint64_t first = 0, second = 0;
--- a/tests/lab/ledger_test.cpp
+++ b/tests/lab/ledger_test.cpp
@@ -61,6 +61,15 @@
   EXPECT_EQ(a.Count(Rule::kLost), 1u);
 }
 
+// It was judged only at the deadline of the longer one that was handed before it.
+TEST(Ledger, ARequestIsLostInItsOwnTimeBehindOneThatHasMore) {
+  Account a(Rules(Idempotency::kSafe));
+  a.Taken(a.Try(Ms(0), a.Ask(Ms(0), {}), 0, Ms(6000)));
+  a.Begin(Ms(0));
+  a.Advance(Ms(1150), Ms(0));
+  EXPECT_EQ(a.Count(Rule::kLost), 1u);
+}
+
 // A stop of its process makes an answer late, and never excuses that none comes.
 TEST(Ledger, ADelayedAnswerIsExcusedAndALostOneIsNot) {
   Account a(Rules(Idempotency::kSafe));
