lab: a lost request tells where its connection is, a breach what the host took

Change: the text of a lost request ends with "connection in the accept queue" or "connection held by gateway 0, new process" (the first 20, which are told one by one; asked of the child processes' own descriptors). The lines beside the first breach end with the longest time that the host took one processor in one sample, from /proc/stat. What is judged is unchanged. The processes of a gateway are listed in one place of the runner.

--- a/src/lab/ledger.cpp
+++ b/src/lab/ledger.cpp
@@ -68,9 +68,14 @@
 void Ledger::Break(Rule rule, Time at, std::string id, std::string what) {
   counts_.first_breach = counts_.all_breaches() == 0 ? at : std::min(counts_.first_breach, at);
   counts_.last_breach = std::max(counts_.last_breach, at);
-  if (++counts_.breaches[static_cast<size_t>(rule)] <= kKeptOfARule) {
+  if (IsTold(rule)) {
     breaches_.push_back({rule, at, std::move(id), std::move(what)});
   }
+  ++counts_.breaches[static_cast<size_t>(rule)];
+}
+
+bool Ledger::IsTold(Rule rule) const {
+  return counts_.breaches[static_cast<size_t>(rule)] < kKeptOfARule;
 }
 
 uint64_t Ledger::Counts::all_breaches() const {
@@ -399,10 +404,14 @@
   asks_[t.ask].last_status = 0;
   ++counts_.lost;
   const double delay_ms = static_cast<double>(DelayOf(n).count()) / 1000;
+  // Looking for it takes time, which counts as the lab's own lateness.
+  const std::string connection =
+      describe_connection_ && IsTold(Rule::kLost) ? describe_connection_(n) : "";
   Break(Rule::kLost, now, IdOf(n),
-        fmt::format("no answer in its time, gateway {}, handed at {:.3f} s{}", t.gateway,
+        fmt::format("no answer in its time, gateway {}, handed at {:.3f} s{}{}{}", t.gateway,
                     static_cast<double>(t.handed.count()) / 1e6,
-                    delay_ms > 0 ? fmt::format(", nor {:.0f} ms later", delay_ms) : ""));
+                    delay_ms > 0 ? fmt::format(", nor {:.0f} ms later", delay_ms) : "",
+                    connection.empty() ? "" : ", connection ", connection));
 }
 
 }  // namespace paddlestile::lab
--- a/src/lab/ledger.h
+++ b/src/lab/ledger.h
@@ -132,6 +132,11 @@
   void set_delay_of(std::function<std::optional<Delay>(size_t n)> delay_of) {
     delay_of_ = std::move(delay_of);
   }
+  // Called for a try that has no answer in its time: where its connection is, told with the breach.
+  // Empty where that is not known.
+  void set_describe_connection(std::function<std::string(size_t n)> describe_connection) {
+    describe_connection_ = std::move(describe_connection);
+  }
 
   // Told of each receipt of a client's try: the try, the host, and the how manieth it is of those
   // that may run.
@@ -200,6 +205,8 @@
   void Break(Rule rule, Time at, std::string id, std::string what);
   // A try that nobody answered in its time.
   void Unanswered(Time now, size_t n);
+  // Whether one more breach of the rule is told by itself, and not only counted.
+  [[nodiscard]] bool IsTold(Rule rule) const;
   Window& WindowOf(Time asked);
   void CountKey(const Receipt& receipt);
 
@@ -218,6 +225,7 @@
   std::unordered_map<uint64_t, Time> keys_;         // when each key's effect last came about
   std::multimap<Time, size_t> delayed_;  // tries without an answer at their deadline, by when due
   std::function<std::optional<Delay>(size_t)> delay_of_;
+  std::function<std::string(size_t)> describe_connection_;
   std::function<void(Time, size_t, size_t, size_t)> receipt_;
   Duration lag_{0};
   Counts counts_;
--- a/src/lab/processor_time.cpp
+++ b/src/lab/processor_time.cpp
@@ -1,23 +1,69 @@
 #include "lab/processor_time.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
-#include <cstdint>
 #include <fstream>
+#include <sstream>
 
 namespace paddlestile::lab {
 namespace {
 
 constexpr Duration kKept{4'000'000};  // beyond the longest deadline and its slack
+constexpr int64_t kMicrosecondsPerSecond = 1'000'000;
 
 double Millis(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
 }
 
+// What the host has taken from each processor so far, in ticks of the kernel's accounts.
+std::vector<int64_t> StolenTicks(std::istream& stat) {
+  std::vector<int64_t> stolen;
+  for (std::string line; std::getline(stat, line);) {
+    // cpu3 user nice system idle iowait irq softirq steal ...
+    std::istringstream fields(line);
+    std::string name;
+    int64_t user = 0, nice = 0, system = 0, idle = 0, iowait = 0, irq = 0, softirq = 0, steal = 0;
+    fields >> name >> user >> nice >> system >> idle >> iowait >> irq >> softirq >> steal;
+    const bool is_one_processor = name.starts_with("cpu") && name != "cpu";
+    if (fields && is_one_processor) {
+      stolen.push_back(steal);
+    }
+  }
+  return stolen;
+}
+
 }  // namespace
 
+void ProcessorTime::SampleMachine(Time now, std::istream& stat) {
+  const int64_t ticks_per_second = sysconf(_SC_CLK_TCK);
+  const std::vector<int64_t> stolen_ticks = StolenTicks(stat);
+  for (size_t i = 0; i < std::min(stolen_ticks.size(), stolen_ticks_.size()); ++i) {
+    const int64_t ticks = stolen_ticks[i] - stolen_ticks_[i];
+    if (ticks > 0) {
+      recent_steals_.push_back(
+          {now, i, Duration(ticks * kMicrosecondsPerSecond / ticks_per_second)});
+    }
+  }
+  stolen_ticks_ = stolen_ticks;
+  while (!recent_steals_.empty() && recent_steals_.front().to < now - kKept) {
+    recent_steals_.pop_front();
+  }
+}
+
+std::string ProcessorTime::DescribeMachine() const {
+  const auto longest = std::ranges::max_element(recent_steals_, {}, &Steal::taken);
+  if (longest == recent_steals_.end()) {
+    return "machine: its host took no processor away\n";
+  }
+  return fmt::format(
+      "machine: its host took processor {} away for {:.0f} ms in one sample, until {:.3f} s\n",
+      longest->processor, Millis(longest->taken),
+      std::chrono::duration<double>(longest->to).count());
+}
+
 void ProcessorTime::Sample(Time now, std::string_view name, pid_t pid) {
   // Of the main thread, which has the event loop: ns on a processor, ns in the run queue.
   std::ifstream file(fmt::format("/proc/{}/schedstat", pid));
@@ -76,7 +122,7 @@
       text += Describe(account);
     }
   }
-  return text;
+  return text + DescribeMachine();
 }
 
 }  // namespace paddlestile::lab
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -122,6 +122,7 @@
     }
     load_ = std::make_unique<Load>(loop_, e_, ledger_, seed_ ^ 0x10ad, targets);
     ledger_.set_delay_of([this](size_t n) { return DelayOf(n); });
+    ledger_.set_describe_connection([this](size_t n) { return DescribeConnection(n); });
     if (options_.straight) {
       result_.faults.clear();
     }
@@ -776,33 +777,56 @@
       if (stopped_.WatchesQueue(i, Now())) {
         stopped_.Queued(i, Now(), QueuedConnections(i));
       }
-      SampleProcessor(fmt::format("gateway {}", i), g.process.get());
-      SampleProcessor(fmt::format("gateway {}, new process", i), g.next.get());
-      SampleProcessor(fmt::format("gateway {}, old process", i), g.before.get());
+      for (const GatewayProcess& running : ProcessesOf(g)) {
+        processor_time_.Sample(Now(), fmt::format("gateway {}{}", i, running.role),
+                               running.process->pid());
+      }
     }
+    std::ifstream machine("/proc/stat");
+    processor_time_.SampleMachine(Now(), machine);
     if (ledger_.broken() && processors_at_breach_.empty()) {
       processors_at_breach_ = processor_time_.Describe();
     }
   }
+  // Those that there are, each with its role in a hot restart as told behind the gateway's number.
+  struct GatewayProcess {
+    std::string_view role;
+    const Process* process;
+  };
+  static std::vector<GatewayProcess> ProcessesOf(const GatewayState& g) {
+    std::vector<GatewayProcess> processes = {
+        {"", g.process.get()}, {", new process", g.next.get()}, {", old process", g.before.get()}};
+    std::erase_if(processes, [](const GatewayProcess& each) { return each.process == nullptr; });
+    return processes;
+  }
   // The clients' ends of the connections to a gateway that none of its processes has accepted.
   [[nodiscard]] std::vector<Address> QueuedConnections(size_t i) const {
     const GatewayState& g = gateways_[i];
     std::vector<Address> queued = load_->ClientsOf(i);
-    for (const Process* const process : {g.process.get(), g.next.get(), g.before.get()}) {
-      if (process == nullptr) {
-        continue;
-      }
-      const std::vector<Address> accepted = AcceptedConnections(process->pid(), g.address);
+    for (const GatewayProcess& running : ProcessesOf(g)) {
+      const std::vector<Address> accepted = AcceptedConnections(running.process->pid(), g.address);
       std::erase_if(queued, [&](const Address& client) {
         return std::ranges::find(accepted, client) != accepted.end();
       });
     }
     return queued;
   }
-  void SampleProcessor(const std::string& name, const Process* process) {
-    if (process != nullptr) {
-      processor_time_.Sample(Now(), name, process->pid());
+  // Where a try's connection is, so that a gateway that did not accept is told from one that did
+  // not answer.
+  [[nodiscard]] std::string DescribeConnection(size_t n) const {
+    const auto client = load_->ClientOf(n);
+    if (!client || options_.straight) {
+      return "";
+    }
+    const size_t i = ledger_.GatewayOf(n);
+    const GatewayState& g = gateways_[i];
+    for (const GatewayProcess& running : ProcessesOf(g)) {
+      const std::vector<Address> accepted = AcceptedConnections(running.process->pid(), g.address);
+      if (std::ranges::find(accepted, *client) != accepted.end()) {
+        return fmt::format("held by gateway {}{}", i, running.role);
+      }
     }
+    return "in the accept queue";
   }
   // What the script's stops delay a try by.
   [[nodiscard]] std::optional<Ledger::Delay> DelayOf(size_t n) const {
--- a/tests/lab/ledger_test.cpp
+++ b/tests/lab/ledger_test.cpp
@@ -70,6 +70,24 @@
   EXPECT_EQ(a.Count(Rule::kLost), 1u);
 }
 
+// Only while the breach is told by itself: the look at the processes' descriptors takes time.
+TEST(Ledger, ALostRequestNamesWhereItsConnectionIs) {
+  constexpr int kRequests = 30;
+  Account a(Rules(Idempotency::kSafe));
+  int looks = 0;
+  a.set_describe_connection([&](size_t) {
+    ++looks;
+    return std::string("in the accept queue");
+  });
+  for (int i = 0; i < kRequests; ++i) {
+    a.Begin(Ms(0));
+  }
+  a.Advance(Ms(1150), Ms(0));
+  EXPECT_EQ(a.Count(Rule::kLost), static_cast<uint64_t>(kRequests));
+  EXPECT_EQ(static_cast<size_t>(looks), a.breaches().size());
+  EXPECT_TRUE(a.breaches().front().what.ends_with(", connection in the accept queue"));
+}
+
 // A stop of its process makes an answer late, and never excuses that none comes.
 TEST(Ledger, ADelayedAnswerIsExcusedAndALostOneIsNot) {
   Account a(Rules(Idempotency::kSafe));
--- a/tests/lab/run_test.cpp
+++ b/tests/lab/run_test.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <regex>
 #include <string>
 
 #include "gateway/test_peers.h"
@@ -113,6 +114,19 @@
                            return name;
                          });
 
+// One that a process has and does not answer is told from one that nobody accepts.
+TEST_F(LabRun, ALostRequestNamesWhereItsConnectionIs) {
+  int code = 0;
+  const json result = Play(std::string("--gateway ") + PADDLESTILE_FAULTY_GATEWAY + " hang", code);
+  for (const char* const says : {"rule: lost .*, connection held by gateway 0",
+                                 "rule: lost .*, connection in the accept queue"}) {
+    const bool named = std::ranges::any_of(result["broken"], [&](const std::string line) {
+      return std::regex_search(line, std::regex(says));
+    });
+    EXPECT_TRUE(named) << says << result["broken"].dump(1);
+  }
+}
+
 // An operator's day with a gateway that knows of none: each is found out by its own name.
 TEST_F(LabRun, AGatewayThatCannotBeOperatedIsFoundOut) {
   const std::pair<const char*, const char*> cases[] = {
