--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -54,6 +54,7 @@
 constexpr Duration kBackWithin{2'000'000};    // us; after its end
 constexpr Duration kNewWithin{6'000'000};     // us; for a new process to say yes
 constexpr Duration kOperateAgain{50'000};     // us; between two of an operator's calls
+constexpr Duration kMaxLookingForConnections{50'000};  // us; of lost requests, in a play
 constexpr size_t kTailLines = 20;
 
 double Seconds(Duration d) {
@@ -812,17 +813,23 @@
     return queued;
   }
   // Where a try's connection is, so that a gateway that did not accept is told from one that did
-  // not answer.
-  [[nodiscard]] std::string DescribeConnection(size_t n) const {
+  // not answer. Empty once the looks have taken too long: a breach must not cost the verdict.
+  std::string DescribeConnection(size_t n) {
     const auto client = load_->ClientOf(n);
-    if (!client || options_.straight) {
+    if (!client || options_.straight || looking_for_connections_ > kMaxLookingForConnections) {
       return "";
     }
-    const size_t i = ledger_.GatewayOf(n);
+    const Time begun = loop_.Now();
+    std::string holder = DescribeHolder(ledger_.GatewayOf(n), *client);
+    looking_for_connections_ += loop_.Now() - begun;
+    return holder;
+  }
+  // Who has the connection of this client to a gateway.
+  [[nodiscard]] std::string DescribeHolder(size_t i, const Address& client) const {
     const GatewayState& g = gateways_[i];
     for (const GatewayProcess& running : ProcessesOf(g)) {
       const std::vector<Address> accepted = AcceptedConnections(running.process->pid(), g.address);
-      if (std::ranges::find(accepted, *client) != accepted.end()) {
+      if (std::ranges::find(accepted, client) != accepted.end()) {
         return fmt::format("held by gateway {}{}", i, running.role);
       }
     }
@@ -1054,7 +1061,8 @@
   StoppedProcesses stopped_;
   ProcessorTime processor_time_;
   std::string processors_at_breach_;
-  std::mt19937_64 random_;  // of the gateways that a fault befalls
+  Duration looking_for_connections_{0};  // of lost requests, so far
+  std::mt19937_64 random_;               // of the gateways that a fault befalls
   Result result_;
   Time zero_{0};
   uint64_t starts_ = 0;
