--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -76,14 +76,14 @@
   const std::string small_body(kSmallBodyBytes, 'x');
   const std::string large_body(kLargeBodyBytes, 'x');
   const double large_from_ms = NowMs() + kUsualMs;
-  std::atomic<bool> stopped{false}, down{false};
+  std::atomic<bool> down{false};
   std::atomic<int> asked{0}, served{0}, refused{0}, lost{0};
-  std::vector<std::thread> clients;
+  Workers clients;
   for (int i = 0; i < kClients; ++i) {
-    clients.emplace_back([&, i] {
+    clients.Add([&, i] {
       Client client(kGateway, port);
       SleepMs(i * (kHostWorkMs + kClientPauseMs) / kClients);
-      for (int n = 0; !stopped; ++n) {
+      for (int n = 0; !clients.stopped(); ++n) {
         const bool is_large = options.trouble && NowMs() >= large_from_ms;
         const std::string id = "c" + std::to_string(i) + "-" + std::to_string(n);
         ++asked;
@@ -125,10 +125,7 @@
     down = true;
     SleepMs(1000);
   }
-  stopped = true;
-  for (std::thread& client : clients) {
-    client.join();
-  }
+  clients.Stop();
   std::printf(
       "asked %d, served %d, refused %d; the gateway had at most %ld kB of %ld kB%s, %d taken "
       "and not answered\n",
--- a/review/stand_ins/stand_ins.h
+++ b/review/stand_ins/stand_ins.h
@@ -516,6 +516,31 @@
   bool timed_out_ = false;
 };
 
+// Threads that go on until they are stopped, at the latest when this object goes out of scope.
+class Workers {
+ public:
+  Workers() = default;
+  Workers(const Workers&) = delete;
+  Workers& operator=(const Workers&) = delete;
+  ~Workers() { Stop(); }
+  template <typename Work>
+  void Add(Work work) {
+    threads_.emplace_back(std::move(work));
+  }
+  [[nodiscard]] bool stopped() const { return stopped_; }
+  void Stop() {
+    stopped_ = true;
+    for (std::thread& thread : threads_) {
+      thread.join();
+    }
+    threads_.clear();
+  }
+
+ private:
+  std::atomic<bool> stopped_{false};
+  std::vector<std::thread> threads_;
+};
+
 // One call on a connection of its own. Returns the status, 0 without an answer.
 inline int CallAlone(const std::string& ip, int port, const std::string& method,
                      const std::string& target, double timeout_ms = 1000) {
@@ -559,9 +584,13 @@
     }
     pointers.push_back(nullptr);
     const int log = open(log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    const pid_t own_pid = getpid();
     const pid_t pid = fork();
     if (pid == 0) {
       prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with this case, however that ends
+      if (getppid() != own_pid) {
+        _exit(127);
+      }
       dup2(log, 1);
       dup2(log, 2);
       const char* const arguments[] = {"sh", "-c", command.c_str(), nullptr};
