Hand over the endpoint list in force at a hot restart

Cause: the old process handed over its listening socket and what it had learned of hosts, and not the list of hosts. The new process went by `known` of its file, which may be older than what the old process was told, and serves a second after its start without a list from discovery.

Change: the text that is handed over has the list in force in discovery's form (revision, address, phase, zone and start of each host). The new process begins with it, unless its file has a higher revision.

--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -40,4 +40,8 @@
   return Time(std::max<int64_t>(0, std::llround(unix_ms * 1000) - wall_origin_us_));
 }
 
+double Clock::ToUnixMillis(Time time) const {
+  return static_cast<double>(time.count() + wall_origin_us_) / 1000;
+}
+
 }  // namespace paddlestile
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -19,6 +19,8 @@
   // Converts Unix time to the time scale of Now(). Returns 0 for values that are not positive, out
   // of range, or before the origin.
   [[nodiscard]] Time FromUnixMillis(double unix_ms) const;
+  // Converts a time to Unix time, such that FromUnixMillis returns the same time.
+  [[nodiscard]] double ToUnixMillis(Time time) const;
 
  private:
   int64_t monotonic_origin_us_ = 0;  // std::chrono::steady_clock at Time(0)
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -226,8 +226,22 @@
 
 // ---- Learned state --------------------------------------------------------------------------
 
+EndpointList Gateway::CurrentEndpointList() const {
+  EndpointList list;
+  list.revision = discovery_->revision();
+  list.complete = true;
+  for (EndpointInfo& info : listed_endpoints_.AllListed()) {
+    if (const auto listed_address = upstream_->EndpointAddress(info.id)) {
+      list.endpoints.push_back({std::move(info), *listed_address});
+    }
+  }
+  return list;
+}
+
 std::string Gateway::ExportLearnedState() const {
-  return EncodeLearnedState(load_balancer_.learned_state(), config_->names, loop_.Now());
+  return EncodeLearnedState(load_balancer_.learned_state(), CurrentEndpointList(), config_->names,
+                            loop_.Now(),
+                            [&](Time time) { return loop_.clock().ToUnixMillis(time); });
 }
 
 bool Gateway::ImportLearnedState(const std::string& text) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -69,10 +69,13 @@
   // previous callback; null removes it.
   void RunBeforeEventsFrom(Time time, std::function<void()> callback);
 
-  // Returns the learned state as text for another process; empty if it is too long.
+  // Returns the endpoint list in force, without the exclusions.
+  [[nodiscard]] EndpointList CurrentEndpointList() const;
+  // Returns the learned state and the endpoint list in force as text for another process; empty if
+  // it is too long.
   [[nodiscard]] std::string ExportLearnedState() const;
-  // Imports the learned state that another process exported. Returns false, without any change, if
-  // it is malformed.
+  // Imports the learned state that another process exported, without its endpoint list. Returns
+  // false, without any change, if it is malformed.
   bool ImportLearnedState(const std::string& text);
 
   // Describes counters and current state on one line.
--- a/src/gateway/learned_state_codec.cpp
+++ b/src/gateway/learned_state_codec.cpp
@@ -12,6 +12,7 @@
 using nlohmann::json;
 
 constexpr int kVersion = 1;
+constexpr const char* kListKey = "list";
 constexpr double kMaxNumber = 1e15;
 constexpr double kMaxAgeMs = 1e12;
 constexpr int kMaxConsecutiveEjections = 16;
@@ -171,17 +172,29 @@
   }
 }
 
-}  // namespace
-
-std::string EncodeLearnedState(const LearnedState& learned, const NameTables& names, Time now) {
-  json document = EncodeFields(learned);
-  document["version"] = kVersion;
-  json& hosts = document["hosts"] = json::array();
+json EncodeEndpoints(const LearnedState& learned, Time now) {
+  json hosts = json::array();
   for (const Endpoint& endpoint : learned.endpoints) {
     if (endpoint.info.state != EndpointState::kRemoved) {
       hosts.push_back(EncodeEndpoint(endpoint, now));
     }
   }
+  return hosts;
+}
+
+std::string ToText(const json& document) {
+  return document.dump(-1, ' ', true, json::error_handler_t::replace);
+}
+
+}  // namespace
+
+std::string EncodeLearnedState(const LearnedState& learned, const EndpointList& endpoint_list,
+                               const NameTables& names, Time now,
+                               const UnixMillisFromTime& to_unix_millis) {
+  json document = EncodeFields(learned);
+  document["version"] = kVersion;
+  document["hosts"] = EncodeEndpoints(learned, now);
+  document[kListKey] = EncodeEndpointList(endpoint_list, names, to_unix_millis);
   json& kinds = document["kinds"] = json::object();
   ForEachName(names.kinds, learned.machine_kinds.size(),
               [&](const std::string& name, size_t index) {
@@ -194,7 +207,11 @@
                                  {"served", learned.objective_met_rate[index]},
                                  {"share", learned.arrival_shares[index]}};
               });
-  std::string text = document.dump(-1, ' ', true, json::error_handler_t::replace);
+  std::string text = ToText(document);
+  if (text.size() > kMaxLearnedStateBytes) {
+    document["hosts"] = json::array();
+    text = ToText(document);
+  }
   return text.size() <= kMaxLearnedStateBytes ? text : std::string();
 }
 
@@ -216,4 +233,14 @@
   return std::nullopt;
 }
 
+std::optional<EndpointList> DecodeHandedOverList(const std::string& text, const NameTables& names,
+                                                 const TimeFromUnixMillis& from_unix_millis) {
+  const json document = json::parse(text, nullptr, false);
+  const auto list = document.find(kListKey);
+  if (!document.is_object() || list == document.end()) {
+    return std::nullopt;
+  }
+  return DecodeEndpointList(*list, names, from_unix_millis);
+}
+
 }  // namespace paddlestile
--- a/src/gateway/listed_endpoints.cpp
+++ b/src/gateway/listed_endpoints.cpp
@@ -51,6 +51,15 @@
   return Exclude(entry, all_excluded_ || excluded_.contains(listed_info.id));
 }
 
+std::vector<EndpointInfo> ListedEndpoints::AllListed() const {
+  std::vector<EndpointInfo> endpoints;
+  endpoints.reserve(listed_.size());
+  for (const auto& [id, entry] : listed_) {
+    endpoints.push_back(entry.listed_info);
+  }
+  return endpoints;
+}
+
 EndpointUpdate ListedEndpoints::SetExcluded(std::set<std::string> endpoints, bool all) {
   const std::set<std::string> excluded_before = std::exchange(excluded_, std::move(endpoints));
   const bool all_excluded_before = std::exchange(all_excluded_, all);
--- a/src/gateway/listed_endpoints.h
+++ b/src/gateway/listed_endpoints.h
@@ -36,6 +36,9 @@
   // Adds or replaces an entry. Returns it as it should be reported to the load balancer.
   EndpointInfo Set(const EndpointInfo& listed_info);
 
+  // Returns all endpoints as listed, without exclusion.
+  [[nodiscard]] std::vector<EndpointInfo> AllListed() const;
+
  private:
   struct Entry {
     bool draining = false;     // draining according to the list, or excluded
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -27,6 +27,7 @@
 #include "gateway/hot_restart.h"
 #include "gateway/hot_restart_new_process.h"
 #include "gateway/hot_restart_old_process.h"
+#include "gateway/learned_state_codec.h"
 #include "gateway/lifecycle.h"
 
 namespace paddlestile {
@@ -216,6 +217,22 @@
   }
 }
 
+// Replaces the endpoint list of the file by that of the old process, unless the file's is newer.
+// The old process may have been told of drains that the file lacks, and while discovery is down
+// nothing else tells the new process of them.
+void AdoptEndpointList(const std::string& learned_state, const EventLoop& loop,
+                       GatewayConfig& config) {
+  auto list = DecodeHandedOverList(learned_state, config.names, [&](double unix_ms) {
+    return loop.clock().FromUnixMillis(unix_ms);
+  });
+  if (!list || list->revision < config.initial_endpoints.revision) {
+    return;
+  }
+  Log(LogLevel::kInfo, "hot restart: endpoint list of the old process adopted, revision {:.0f}",
+      list->revision);
+  config.initial_endpoints = std::move(*list);
+}
+
 void ImportLearnedState(const std::string& text, Gateway& gateway) {
   if (text.empty()) {
     return;
@@ -276,7 +293,6 @@
   if (cluster) {
     file = config;
   }
-  const size_t known_endpoints = config.initial_endpoints.endpoints.size();
   LogUnsupportedSettings(config.settings);
 
   // A second process may be started beside this one only if there is an admin interface.
@@ -284,6 +300,8 @@
   const std::string hot_restart_path =
       admin_address ? HotRestartSocketPath(std::getenv("TMPDIR"), config.listen) : std::string();
   HotRestartState inherited = RequestHotRestart(hot_restart_path, config.listen);
+  AdoptEndpointList(inherited.learned_state, loop, config);
+  const size_t known_endpoints = config.initial_endpoints.endpoints.size();
   Lifecycle lifecycle(!inherited.listening_socket);
   Gateway gateway(loop, std::move(config), lifecycle, std::move(inherited.listening_socket),
                   admin_address.has_value());
--- a/src/gateway/upstream.cpp
+++ b/src/gateway/upstream.cpp
@@ -19,6 +19,11 @@
       listener_(listener),
       pool_(loop, budget, options_, *this) {}
 
+std::optional<Address> Upstream::EndpointAddress(const std::string& endpoint) {
+  const UpstreamHost* const host = pool_.FindHost(endpoint);
+  return host == nullptr ? std::nullopt : std::optional(host->address);
+}
+
 void Upstream::StartAttempt(std::shared_ptr<ProxiedRequest> request, size_t attempt,
                             const std::string& endpoint, Time deadline) {
   auto transaction = std::make_unique<UpstreamTransaction>();
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -59,6 +59,8 @@
   void SetEndpointAddress(const std::string& endpoint, const Address& address) {
     pool_.SetAddress(endpoint, address);
   }
+  // Returns the address of an endpoint; nullopt if it is not known.
+  [[nodiscard]] std::optional<Address> EndpointAddress(const std::string& endpoint);
   // Removes an endpoint that is no longer listed. Running transactions continue, but no connection
   // is kept.
   void RemoveEndpoint(const std::string& endpoint) { pool_.Remove(endpoint); }
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -2,6 +2,7 @@
 #include "gateway/hot_restart.h"
 
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 #include <sys/un.h>
@@ -147,15 +148,46 @@
     WriteConfig(256);
   }
   ~HotRestartTest() override { std::filesystem::remove_all(folder_); }
-  void WriteConfig(int sockets, const std::string& more_classes = "") const {
+  void WriteConfig(int sockets, const std::string& more_classes = "", int revision = 1,
+                   const std::string& more_hosts = "") const {
     std::ofstream(folder_ + "/config.json")
         << R"({"name":"n1","seed":"1f","limits":{"sockets":)" << sockets
-        << R"(},"known":{"revision":1,)"
-        << R"("complete":true,"members":[{"id":"h","host_port":")" << host.port.text()
-        << R"(","phase":"active"}]},"settings":{"Classes":[{"Name":"read","Effect":"safe",)"
+        << R"(},"known":{"revision":)" << revision << ',' << R"("complete":true,"members":[)"
+        << EntryOf("h", host, "active") << more_hosts
+        << R"(]},"settings":{"Classes":[{"Name":"read","Effect":"safe",)"
         << R"("Slo":400.0,"Deadline":1000.0})" << more_classes
         << R"(],"Allowed":{"SendCap":3,"ConnectTimeout":250.0}}})";
   }
+  // Returns the entry of a host in an endpoint list.
+  static std::string EntryOf(const std::string& id, const Host& listed, const std::string& phase) {
+    return R"({"id":")" + id + R"(","host_port":")" + listed.port.text() + R"(","phase":")" +
+           phase + R"("})";
+  }
+  // Accepts the watch of a process that was started and sends it a change of the list, which has
+  // revision 2. Returns once the process goes by it; discovery is silent from then on.
+  Peer TellChange(Child& child, const std::string& entry) {
+    Peer agent;
+    for (int i = 0; i < 1000 && !(agent && agent.Has("\r\n\r\n")); ++i) {
+      usleep(2000);
+      if (!agent) {
+        agent = discovery.TryAccept();
+      }
+    }
+    const std::string line = R"({"revision":2,"complete":false,"members":[)" + entry + "]}\n";
+    agent.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+               fmt::format("{:x}\r\n{}\r\n", line.size(), line));
+    usleep(100'000);
+    child.Signal(SIGUSR1);
+    EXPECT_TRUE(child.WaitForOutput("revision=2 ")) << child.Text();
+    return agent;
+  }
+  // Lets `second` take over from `first`, and ends `first`.
+  void Replace(Child& first, Child& second, uint16_t admin) {
+    Start(second, admin);
+    ASSERT_TRUE(second.WaitForOutput("ready, reported to the old process")) << second.Text();
+    first.Signal(SIGTERM);
+    EXPECT_EQ(first.Wait(), 0);
+  }
   [[nodiscard]] std::map<std::string, std::string> Environment() const {
     return {{"LB_NAME", "n1"},
             {"LB_LISTEN", ToText(address)},
@@ -237,6 +269,50 @@
   EXPECT_TRUE(IsHealthy(6003));
 }
 
+// Guards against a new process that goes by the endpoint list of its file although the old process
+// was told a newer one: while discovery was down, it sent requests to a host that was draining.
+TEST_F(HotRestartTest, NewProcessKeepsDrainsThatOldProcessWasTold) {
+  Host draining_host;
+  WriteConfig(256, "", 1, ',' + EntryOf("g", draining_host, "active"));
+  Child first, second, third;
+  Start(first, 6001);
+  const Peer agent = TellChange(first, EntryOf("g", draining_host, "leaving"));
+  Replace(first, second, 6002);
+  Load load(address, 0, 4);
+  usleep(300'000);
+  // The list is passed on again, although the second process was never told it by discovery.
+  Replace(second, third, 6003);
+  usleep(300'000);
+  StopAndExpectNoFailures(load);
+  EXPECT_TRUE(draining_host.counts_by_id.empty()) << draining_host.counts_by_id.size();
+}
+
+// Discovery reported a host that the file of the new process does not have yet.
+TEST_F(HotRestartTest, NewProcessUsesHostsThatOldProcessWasTold) {
+  Host added_host;
+  Child first, second;
+  Start(first, 6001);
+  const Peer agent = TellChange(first, EntryOf("g", added_host, "active"));
+  Replace(first, second, 6002);
+  Load load(address, 0, 4);
+  usleep(300'000);
+  StopAndExpectNoFailures(load);
+  EXPECT_FALSE(added_host.counts_by_id.empty());
+}
+
+TEST_F(HotRestartTest, NewProcessKeepsNewerListOfItsFile) {
+  Host draining_host;
+  Child first, second;
+  Start(first, 6001);
+  const Peer agent = TellChange(first, EntryOf("g", draining_host, "active"));
+  WriteConfig(256, "", 3, ',' + EntryOf("g", draining_host, "leaving"));
+  Replace(first, second, 6002);
+  Load load(address, 0, 4);
+  usleep(300'000);
+  StopAndExpectNoFailures(load);
+  EXPECT_TRUE(draining_host.counts_by_id.empty()) << draining_host.counts_by_id.size();
+}
+
 // Without a Unix socket both processes listen on the address, and the newer one gets the
 // connections.
 TEST_F(HotRestartTest, NoRequestFailsWithoutUnixSocket) {
