Bound the memory of requests by a part of limits.memory_mb

Cause: bodies of up to 64 KiB counted in no budget, and neither did what is read ahead on each connection (80 KB, also while the previous request was in progress); limits.memory_mb was not read.

Change: the memory of a request is reserved as it arrives and goes with its message until that is freed: in the queue, at a host that does not read, while a retry is possible, after its client has left. The budget is a third of what limits.memory_mb leaves after two idle processes (two run in a hot restart). Past it a request is refused at once: 503, Retry-After, close; requests_over_memory counts them. 4 KiB are read of a pipelined request, and 32 KiB of any request until it is known whether its body is held or streamed.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -26,6 +26,7 @@
   X(requests_admitted)                /* passed to the load balancer */             \
   X(requests_malformed)               /* 4xx or 5xx, not passed to the balancer */  \
   X(requests_over_limit)              /* over the limit on concurrent requests */   \
+  X(requests_over_memory)             /* 503: no memory left to hold them */        \
   X(responses_served)                 /* 200 */                                     \
   X(responses_rejected)               /* 503 */                                     \
   X(responses_failed)                 /* 502 */                                     \
--- a/src/config/gateway_config.h
+++ b/src/config/gateway_config.h
@@ -31,6 +31,8 @@
   std::optional<Address> admin;  // admin interface, from LB_ADMIN or else the file's `admin`
   uint64_t seed = 0;             // for the decision module's random numbers
   size_t max_sockets = 1024;     // limit of the gateway's open descriptors
+  // Limit of the memory of all processes of the gateway.
+  size_t max_memory_bytes = 192U << 20;
   Settings settings;
   Duration endpoint_idle_timeout{0};  // after which endpoints close idle connections; 0: unknown
   NameTables names;                   // the positions of names in `settings`
--- a/src/config/gateway_config_parser.cpp
+++ b/src/config/gateway_config_parser.cpp
@@ -16,6 +16,9 @@
 
 constexpr double kMinSockets = 64;
 constexpr double kMaxSockets = 1e6;
+constexpr double kMinMemoryMegabytes = 1;
+constexpr double kMaxMemoryMegabytes = 1e6;
+constexpr double kBytesPerMegabyte = 1U << 20;
 constexpr double kMaxIdleTimeoutMillis = 1e9;
 constexpr int kSeedBase = 16;
 
@@ -72,9 +75,25 @@
   return seed;
 }
 
+void ParseMaxMemory(const Json& limits, GatewayConfig& config) {
+  const Json* const memory = limits.Find("memory_mb");
+  if (memory == nullptr) {
+    return;
+  }
+  if (!(memory->number() >= kMinMemoryMegabytes && memory->number() <= kMaxMemoryMegabytes)) {
+    throw ConfigError(
+        fmt::format("'limits.memory_mb' is {}, expected 1 to 1000000", memory->text()));
+  }
+  config.max_memory_bytes = static_cast<size_t>(memory->number() * kBytesPerMegabyte);
+}
+
 void ParseLimits(const Json& json, GatewayConfig& config) {
   const Json* const limits = json.Find("limits");
-  const Json* const sockets = limits != nullptr ? limits->Find("sockets") : nullptr;
+  if (limits == nullptr) {
+    return;
+  }
+  ParseMaxMemory(*limits, config);
+  const Json* const sockets = limits->Find("sockets");
   if (sockets == nullptr) {
     return;
   }
@@ -166,6 +185,7 @@
   config.admin = previous.admin;
   config.seed = previous.seed;
   config.max_sockets = previous.max_sockets;
+  config.max_memory_bytes = previous.max_memory_bytes;
 }
 
 }  // namespace paddlestile
--- a/src/event/buffer.h
+++ b/src/event/buffer.h
@@ -34,6 +34,8 @@
   // Makes room for at least `min_bytes` after the content and returns a pointer to it. Invalidates
   // views of the content.
   char* Prepare(size_t min_bytes);
+  // Returns the number of bytes of memory that the buffer holds.
+  [[nodiscard]] size_t capacity() const { return capacity_; }
   // Returns the number of bytes of room after the content.
   [[nodiscard]] size_t Room() const { return capacity_ - end_; }
   // Adds the first `size` bytes of the room to the content.
--- a/src/event/memory_budget.h
+++ b/src/event/memory_budget.h
@@ -39,6 +39,10 @@
         : reserved_bytes_(std::move(reserved_bytes)), bytes_(bytes) {
       *reserved_bytes_ += bytes_;
     }
+    void Merge(Reservation addition) {
+      reserved_bytes_ = addition.reserved_bytes_;
+      bytes_ += std::exchange(addition.bytes_, 0);
+    }
     void Swap(Reservation& other) noexcept {
       std::swap(reserved_bytes_, other.reserved_bytes_);
       std::swap(bytes_, other.bytes_);
@@ -52,12 +56,27 @@
 
   // Returns nullopt if fewer than `bytes` are left.
   [[nodiscard]] std::optional<Reservation> Reserve(size_t bytes) {
-    if (bytes > limit_bytes_ - *reserved_bytes_) {
+    if (*reserved_bytes_ + bytes > limit_bytes_) {
       return std::nullopt;
     }
     return Reservation(reserved_bytes_, bytes);
   }
 
+  // Enlarges a reservation of this budget to `bytes`; no effect if it is as large already. Returns
+  // false, without effect, if too little is left.
+  [[nodiscard]] bool Enlarge(Reservation& reservation, size_t bytes) {
+    if (bytes <= reservation.bytes()) {
+      return true;
+    }
+    auto addition = Reserve(bytes - reservation.bytes());
+    if (!addition) {
+      return false;
+    }
+    reservation.Merge(std::move(*addition));
+    return true;
+  }
+
+  void set_limit(size_t limit_bytes) { limit_bytes_ = limit_bytes; }
   [[nodiscard]] size_t reserved_bytes() const { return *reserved_bytes_; }
 
  private:
--- a/src/gateway/downstream.h
+++ b/src/gateway/downstream.h
@@ -57,10 +57,13 @@
   [[nodiscard]] int listening_socket() const { return acceptor_.listening_socket(); }
 
   // Sets how long a connection may wait in the accept queue before it is refused, and the
-  // Retry-After value of refusals (0 omits the header).
+  // Retry-After value of refusals by this side (0 omits the header).
   void SetMaxAcceptWait(Duration max_wait, Duration retry_after) {
     acceptor_.SetMaxWait(max_wait, retry_after);
+    connections_.set_retry_after(retry_after);
   }
+  // Sets the memory for requests that are being received or wait for a response.
+  void SetRequestMemory(size_t bytes) { connections_.SetRequestMemory(bytes); }
   [[nodiscard]] Duration max_accept_wait() const { return acceptor_.max_wait(); }
   // Refuses connections that the new process of a hot restart should accept, because it does not
   // answer.
--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -32,13 +32,21 @@
 // Number of body bytes to receive before a streamed request is dispatched and uses an upstream
 // connection.
 constexpr size_t kMinStreamedBytes = 16'384;
+// Maximum that is read ahead of a request: until its head and the start of its body have been
+// received, and while the previous request is in progress.
+constexpr size_t kMaxUnparsedBytes = kMaxHeadBytes + kMinStreamedBytes;
+constexpr size_t kMaxPipelinedBytes = 4096;
+// The memory of smaller requests is bounded by the number of connections.
+constexpr size_t kMaxUncountedBytes = 4096;
+// A streamed request has one piece in the input and one that is being written.
+constexpr size_t kStreamedRequestBytes = 2 * kMaxPieceBytes;
 
 }  // namespace
 
 DownstreamConnection::DownstreamConnection(EventLoop& loop, DownstreamConnections& owner,
                                            Socket socket)
     : owner_(owner), loop_(loop), stream_(loop, std::move(socket), this, false) {
-  stream_.set_max_unread_bytes(kMaxHeadBytes + kMaxBufferedBodyBytes);
+  stream_.set_max_unread_bytes(kMaxUnparsedBytes);
 }
 
 DownstreamConnection::~DownstreamConnection() {
@@ -58,7 +66,7 @@
 void DownstreamConnection::Shutdown() {
   loop_.CancelTimer(timer_);
   owner_.MarkActive(*this);
-  body_memory_ = {};
+  memory_ = {};
   TruncateBody();
   AbandonRequest();
   response_writer_.reset();
@@ -117,6 +125,9 @@
   if (progress == ParseProgress::kMalformed) {
     return RejectMalformed(parser_.error_status(), "malformed request");
   }
+  if (!ReserveInput()) {
+    return RejectForMemory();
+  }
   if (progress == ParseProgress::kDone) {
     return FinishBufferedRequest();
   }
@@ -161,16 +172,23 @@
   const bool is_small =
       length ? *length <= kMaxBufferedBodyBytes : received_bytes < kMaxBufferedBodyBytes;
   if (is_small) {
-    return;
+    return AllowUnread(kMaxHeadBytes + kMaxBufferedBodyBytes);
   }
   if (!ReserveBodyBuffer() && received_bytes >= kMinStreamedBytes) {
     StartStreamedRequest();
   }
 }
 
+// Reserves memory for what has been received of the request. Returns false if too little is left.
+bool DownstreamConnection::ReserveInput() {
+  const size_t bytes = stream_.input().capacity();
+  return bytes <= kMaxUncountedBytes || buffers_large_body_ ||
+         owner_.request_budget().Enlarge(memory_, bytes);
+}
+
 // Whether the large body is buffered. Reserves the memory for it on the first call.
 bool DownstreamConnection::ReserveBodyBuffer() {
-  if (body_memory_.bytes() > 0) {
+  if (buffers_large_body_) {
     return true;
   }
   const auto length = parser_.body_length();
@@ -181,9 +199,19 @@
   if (!memory) {
     return false;
   }
-  body_memory_ = std::move(*memory);
-  stream_.set_max_unread_bytes(kMaxHeadBytes + body_memory_.bytes());
+  memory_ = std::move(*memory);
+  buffers_large_body_ = true;
   stream_.set_min_read_bytes(kMaxPieceBytes);
+  AllowUnread(kMaxHeadBytes + memory_.bytes());
+  return true;
+}
+
+// Raises the limit up to which the request is read.
+void DownstreamConnection::AllowUnread(size_t bytes) {
+  stream_.set_max_unread_bytes(bytes);
+  if (!stream_.readable()) {
+    return;
+  }
   // Bytes left unread because of the previous limit have already been reported and would not be
   // reported again.
   loop_.RunAfterRound([self = shared_from_this()] {
@@ -191,7 +219,6 @@
       self->stream_.ResumeReading();
     }
   });
-  return true;
 }
 
 void DownstreamConnection::FinishBufferedRequest() {
@@ -199,7 +226,7 @@
   BufferedMessage request;
   request.message = parser_.message();
   request.bytes = stream_.input().TakeFront(request.message.total_bytes);
-  request.memory = std::move(body_memory_);
+  request.memory = std::move(memory_);
   ResetForNextRequest();
   is_http10_ = request.message.is_http10;
   keep_alive_ = request.message.keep_alive;
@@ -210,8 +237,9 @@
 
 void DownstreamConnection::ResetForNextRequest() {
   parser_.Reset();
-  body_memory_ = {};
-  stream_.set_max_unread_bytes(kMaxHeadBytes + kMaxBufferedBodyBytes);
+  memory_ = {};
+  buffers_large_body_ = false;
+  stream_.set_max_unread_bytes(kMaxPipelinedBytes);
   stream_.set_min_read_bytes(kMinReadBytes);
   continue_handled_ = false;
   upload_.Reset();
@@ -240,6 +268,9 @@
 // ---- Requests with a streamed body ----------------------------------------------------------
 
 void DownstreamConnection::StartStreamedRequest() {
+  if (!owner_.request_budget().Enlarge(memory_, kStreamedRequestBytes)) {
+    return RejectForMemory();
+  }
   const auto length = parser_.body_length();
   BufferedMessage request;
   request.message = parser_.TakeHead(stream_.input(), request.bytes);
@@ -372,12 +403,22 @@
 void DownstreamConnection::RejectMalformed(int status, std::string_view reason) {
   ++GlobalCounters().requests_malformed;
   Log(LogLevel::kInfo, "request rejected with status {}: {}", status, reason);
+  RejectUnread({.status = status, .reason = std::string(reason) + '\n'});
+}
+
+void DownstreamConnection::RejectForMemory() {
+  ++GlobalCounters().requests_over_memory;
+  RejectUnread({.status = 503, .retry_after = owner_.retry_after()});
+}
+
+// Responds without reading the rest of the request, and closes the connection.
+void DownstreamConnection::RejectUnread(const Response& response) {
   state_ = State::kWaiting;
   keep_alive_ = false;
   request_fully_read_ = false;
-  body_memory_ = {};
+  memory_ = {};
   stream_.input().Consume(stream_.input().size());
-  SendResponse({.status = status, .reason = std::string(reason) + '\n'});
+  SendResponse(response);
 }
 
 void DownstreamConnection::SendResponse(const Response& response) {
@@ -463,6 +504,7 @@
   loop_.RunAfterRound([self = shared_from_this()] {
     if (!self->stream_.closed()) {
       self->stream_.DiscardInput();
+      self->memory_ = {};
     }
   });
 }
@@ -471,6 +513,7 @@
   if (stream_.closed() || state_ != State::kReading) {
     return;
   }
+  stream_.set_max_unread_bytes(kMaxUnparsedBytes);
   if (stream_.input().empty() && !stream_.ended()) {
     SetTimer(kIdleTimeout, [this] { OnReadTimeout(); });
     owner_.MarkIdle(*this);
--- a/src/gateway/downstream_connection.h
+++ b/src/gateway/downstream_connection.h
@@ -89,7 +89,9 @@
   void StartRequestTimer();
   void SendContinueIfExpected();
   void OnBodyBytes();
+  bool ReserveInput();
   bool ReserveBodyBuffer();
+  void AllowUnread(size_t bytes);
   void FinishBufferedRequest();
   void ResetForNextRequest();
   void Dispatch(BufferedMessage request);
@@ -112,6 +114,8 @@
 
   // Responses.
   void RejectMalformed(int status, std::string_view reason);
+  void RejectForMemory();
+  void RejectUnread(const Response& response);
   void SendResponse(const Response& response);
   void OnResponseBodyFinished(bool complete);
   // Logs why a response that is being written ends early; otherwise no effect.
@@ -131,7 +135,8 @@
   bool received_any_bytes_ = false;              // the client has sent at least one byte
   std::shared_ptr<StreamingBody> request_body_;  // body of a streamed request; else null
   std::unique_ptr<BodyWriter> response_writer_;  // writer of a streamed response; else null
-  MemoryBudget::Reservation body_memory_;        // for the large body that is being received
+  MemoryBudget::Reservation memory_;             // for the request that is being received
+  bool buffers_large_body_ = false;              // memory_ is for its whole body
   Time request_started_at_{0};  // time of its first byte; for the first request, of the connect
   UploadProgress upload_;       // of the current request's body
   Time opened_at_{0};
--- a/src/gateway/downstream_connections.cpp
+++ b/src/gateway/downstream_connections.cpp
@@ -1,6 +1,8 @@
 #include "gateway/downstream_connections.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <iterator>
 #include <utility>
 
@@ -30,7 +32,8 @@
       budget_(budget),
       lifecycle_(lifecycle),
       listener_(listener),
-      body_budget_(kMaxReservedBodyBytes) {}
+      request_budget_(SIZE_MAX),
+      large_body_budget_(kMaxReservedBodyBytes) {}
 
 DownstreamConnections::~DownstreamConnections() {
   for (const auto& connection : connections_) {
@@ -154,7 +157,13 @@
   if (bytes > kMaxReservedBytesPerBody) {
     return std::nullopt;
   }
-  return body_budget_.Reserve(bytes);
+  return large_body_budget_.Reserve(bytes);
+}
+
+void DownstreamConnections::SetRequestMemory(size_t bytes) {
+  const size_t for_large_bodies = std::min(bytes / 2, kMaxReservedBodyBytes);
+  large_body_budget_.set_limit(for_large_bodies);
+  request_budget_.set_limit(bytes - for_large_bodies);
 }
 
 }  // namespace paddlestile
--- a/src/gateway/downstream_connections.h
+++ b/src/gateway/downstream_connections.h
@@ -56,11 +56,17 @@
   // Closes all connections without a request or response in progress.
   void CloseAllWithoutUnfinishedWork();
 
-  // ---- Request bodies larger than kMaxBufferedBodyBytes. A request with a buffered body can be
-  // retried.
-  // Reserves memory to buffer one body until its request has ended; returns nullopt if the body is
-  // too large or too much is already reserved.
+  // ---- Memory of requests, from the first byte until the last attempt has ended.
+  // Sets the total, part of which is for bodies larger than kMaxBufferedBodyBytes.
+  void SetRequestMemory(size_t bytes);
+  // The budget of requests that are not buffered by ReserveBodyBuffer.
+  [[nodiscard]] MemoryBudget& request_budget() { return request_budget_; }
+  // Reserves memory to buffer one body larger than kMaxBufferedBodyBytes, so that its request can
+  // be retried. Returns nullopt if the body is too large or too much is already reserved.
   std::optional<MemoryBudget::Reservation> ReserveBodyBuffer(size_t bytes);
+  // The Retry-After value of refusals; 0 omits the header.
+  [[nodiscard]] Duration retry_after() const { return retry_after_; }
+  void set_retry_after(Duration retry_after) { retry_after_ = retry_after; }
 
   // Whether each connection closes after its current response.
   [[nodiscard]] bool draining() const { return draining_; }
@@ -86,7 +92,9 @@
   std::list<DownstreamConnection*> idle_;       // longest idle first
   std::list<DownstreamConnection*> lingering_;  // longest lingering first
   bool draining_ = false;
-  MemoryBudget body_budget_;
+  MemoryBudget request_budget_;
+  MemoryBudget large_body_budget_;
+  Duration retry_after_{0};
 };
 
 }  // namespace paddlestile
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -28,6 +28,10 @@
 // client has time to try another gateway.
 constexpr int kAcceptWaitDivisor = 4;
 constexpr Duration kMaxAcceptWait = seconds(1);
+// Memory of a process without requests. Two processes run during a hot restart.
+constexpr size_t kIdleProcessBytes = 8U << 20;
+constexpr size_t kMaxProcesses = 2;
+constexpr size_t kMinRequestMemoryBytes = 1U << 20;
 constexpr size_t kMaxIdleUpstreamWhileEnding = 16;  // while draining or replaced
 constexpr size_t kMaxNameBytes = 64;                // of the gateway's name in the counters line
 
@@ -62,6 +66,14 @@
   return text;
 }
 
+// Returns the part of the memory limit for the requests of this process: one third each for the
+// requests of both processes of a hot restart, and one for responses.
+size_t RequestMemoryOf(const GatewayConfig& config) {
+  constexpr size_t kIdleBytes = kMaxProcesses * kIdleProcessBytes;
+  const size_t shared = config.max_memory_bytes - std::min(config.max_memory_bytes, kIdleBytes);
+  return std::max(shared / (kMaxProcesses + 1), kMinRequestMemoryBytes);
+}
+
 Upstream::Options UpstreamOptionsOf(const GatewayConfig& config) {
   Upstream::Options options;
   options.connect_timeout = config.settings.allowed.connect_timeout;
@@ -94,6 +106,7 @@
   // Created last, so that clients are accepted only when everything else works.
   downstream_ = std::make_unique<Downstream>(loop_, budget_, config_->listen, lifecycle_, this,
                                              std::move(inherited), shared);
+  downstream_->SetRequestMemory(RequestMemoryOf(*config_));
   UpdateDeadlines();
   lifecycle_.SetChangeCallback([this] { OnLifecycleChanged(); });
   if (!lifecycle_.accepts()) {
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -65,6 +65,16 @@
 
  protected:
   [[nodiscard]] pid_t pid() const { return child_.pid(); }
+  // Returns the list entries of `count` hosts at one port. A host of unknown capacity gets few
+  // requests at a time.
+  static std::string HostEntries(int count, const Port& port) {
+    std::string entries;
+    for (int i = 0; i < count; ++i) {
+      entries += fmt::format(R"({}{{"id":"h{}","host_port":"{}","phase":"active"}})",
+                             i == 0 ? "" : ",", i, port.text());
+    }
+    return entries;
+  }
   // Returns the largest resident memory that the process has had; 0 if it is not known.
   [[nodiscard]] long PeakMemoryKib() const {
     std::ifstream status("/proc/" + std::to_string(pid()) + "/status");
@@ -369,12 +379,7 @@
   std::string config = kConfig;
   config.replace(config.find("256"), 3, "1024");
   config.replace(config.find("1000.0"), 6, "9000.0");
-  std::string hosts_json;
-  for (int i = 0; i < 60; ++i) {  // at one port, as a host of unknown capacity gets few requests
-    hosts_json += fmt::format(R"({}{{"id":"h{}","host_port":"{}","phase":"active"}})",
-                              i == 0 ? "" : ",", i, host.text());
-  }
-  config.replace(config.find("[]"), 2, '[' + hosts_json + ']');
+  config.replace(config.find("[]"), 2, '[' + HostEntries(60, host) + ']');
   std::ofstream(path_) << config;
   Start();
   ASSERT_TRUE(WaitForOutput("listens on"));
@@ -414,6 +419,50 @@
 #endif
 }
 
+// Guards against bodies of up to 64 KiB that are held without a bound: the clients' share of the
+// descriptors sends such requests to hosts that never respond. What there is no memory for is
+// refused at once, with a time to come back.
+TEST_F(Program, BoundsMemoryOfRequestsThatWaitForAResponse) {
+  Port host(256);
+  std::string config = kConfig;
+  config.replace(config.find("256"), 3, R"(1024,"memory_mb":32)");
+  config.replace(config.find("1000.0"), 6, "9000.0");
+  config.replace(config.find(R"("SendCap":3)"), 11,
+                 R"("SendCap":3,"RetryAfter":true,"MaxRetryAfter":1500.0)");
+  config.replace(config.find("[]"), 2, '[' + HostEntries(200, host) + ']');
+  std::ofstream(path_) << config;
+  Start();
+  ASSERT_TRUE(WaitForOutput("listens on"));
+  const std::string body(60'000, 'x');
+  std::vector<Peer> clients, hosts;
+  size_t refused = 0;
+  for (int i = 0; i < 500; ++i) {
+    clients.push_back(Peer::To(address));
+    clients.back().Send("POST /read HTTP/1.1\r\nX-Call-Id: " + std::to_string(i) +
+                        "\r\nX-Budget-Ms: 9000\r\nContent-Length: 60000\r\n\r\n" + body);
+    usleep(2000);
+    while (Peer peer = host.TryAccept()) {
+      hosts.push_back(std::move(peer));
+    }
+  }
+  usleep(100'000);
+  for (Peer& client : clients) {
+    refused += client.Has("HTTP/1.1 503") ? 1 : 0;
+    EXPECT_EQ(client.Has("HTTP/1.1 503"), client.Has("Retry-After: "));
+  }
+  EXPECT_GT(hosts.size(), 20u);
+  EXPECT_GT(refused, 200u);
+  Peer health = Peer::To(address);
+  health.Send("GET /_health HTTP/1.1\r\n\r\n");
+  for (int i = 0; i < 500 && !health.Has("200 OK"); ++i) {
+    usleep(2000);
+  }
+  EXPECT_TRUE(health.Has("200 OK"));
+#ifndef __SANITIZE_ADDRESS__  // AddressSanitizer uses memory of its own
+  EXPECT_LT(PeakMemoryKib(), 32L * 1024);
+#endif
+}
+
 // Five hundred clients, each of which has sent all but the last byte of a body of the maximum
 // length.
 TEST_F(Program, BoundsMemoryForManyLongRequests) {
--- a/tests/config/gateway_config_test.cpp
+++ b/tests/config/gateway_config_test.cpp
@@ -42,6 +42,18 @@
   EXPECT_EQ(ToText(host.address), "127.0.0.2:80");
 }
 
+TEST_F(GatewayConfigTest, ReadsTheMemoryLimit) {
+  std::string text = ConfigText(kSettings);
+  const std::string limits = R"("limits":{"sockets":512)";
+  ASSERT_NE(text.find(limits), std::string::npos);
+  text.insert(text.find(limits) + limits.size(), R"(,"memory_mb":64)");
+  Write(text);
+  EXPECT_EQ(Read().max_memory_bytes, 64U << 20);
+  text.replace(text.find("\"memory_mb\":64"), 14, R"("memory_mb":"a")");
+  Write(text);
+  EXPECT_NE(Error().find("'limits.memory_mb' is a, expected 1 to 1000000"), std::string::npos);
+}
+
 // Older files lack the settings ResultMix.NinesPart, ResultMix.TopNines and FamilyInfo.WarmKeys.
 TEST_F(GatewayConfigTest, OptionalSettingsAreCheckedAndHaveDefaults) {
   const auto settings_with = [](const std::string& added) {
--- a/tests/event/memory_budget_test.cpp
+++ b/tests/event/memory_budget_test.cpp
@@ -32,6 +32,21 @@
   EXPECT_EQ(budget.reserved_bytes(), 0u);
 }
 
+TEST(MemoryBudgetTest, ReservationIsEnlargedWhileThereIsRoom) {
+  MemoryBudget budget(100);
+  MemoryBudget::Reservation reservation;
+  EXPECT_TRUE(budget.Enlarge(reservation, 40));
+  EXPECT_TRUE(budget.Enlarge(reservation, 90));
+  EXPECT_FALSE(budget.Enlarge(reservation, 101));
+  EXPECT_TRUE(budget.Enlarge(reservation, 50));
+  EXPECT_EQ(reservation.bytes(), 90u);
+  EXPECT_EQ(budget.reserved_bytes(), 90u);
+  budget.set_limit(80);  // keeps what is reserved
+  EXPECT_FALSE(budget.Reserve(1));
+  reservation = {};
+  EXPECT_EQ(budget.reserved_bytes(), 0u);
+}
+
 TEST(MemoryBudgetTest, ReservationMayOutliveTheBudget) {
   std::optional<MemoryBudget::Reservation> reservation;
   {
--- a/tests/gateway/downstream_test.cpp
+++ b/tests/gateway/downstream_test.cpp
@@ -739,6 +739,78 @@
   EXPECT_TRUE(RunUntil(loop, [&] { return done; }));
 }
 
+// ---- Memory of requests ------------------------------------------------------------------------
+
+std::string PostRequest(const std::string& id, size_t body_bytes) {
+  return "POST /read/1 HTTP/1.1\r\nX-Call-Id: " + id +
+         "\r\nContent-Length: " + std::to_string(body_bytes) + "\r\n\r\n" +
+         std::string(body_bytes, 'x');
+}
+
+// A request keeps its memory until it has ended, also once its client has disconnected while an
+// attempt is in flight. Others are refused meanwhile, and served afterwards.
+TEST_F(DownstreamTest, RequestsBeyondTheMemoryAreRefused) {
+  downstream->SetRequestMemory(200'000);  // half of it is for larger bodies
+  downstream->SetMaxAcceptWait(Ms(250), Ms(250));
+  Peer first = Connect();
+  first.Send(PostRequest("first", 60'000));
+  ASSERT_TRUE(HasRequests(1));
+  first.Close();
+  ASSERT_TRUE(RunUntil(loop, [&] { return !disconnected.empty(); }));
+  Peer second = Connect();
+  second.Send(PostRequest("second", 60'000));
+  EXPECT_TRUE(Receives(second, "HTTP/1.1 503 "));
+  EXPECT_TRUE(Receives(second, "Retry-After: "));
+  EXPECT_TRUE(Receives(second, "Connection: close"));
+  Peer small = Connect();
+  small.Send(PostRequest("small", 2'000));
+  EXPECT_TRUE(HasRequests(2));
+  requests.clear();
+  Peer third = Connect();
+  third.Send(PostRequest("third", 60'000));
+  EXPECT_TRUE(HasRequests(1));
+}
+
+// A body that is still being received counts too, and so does one that is streamed.
+TEST_F(DownstreamTest, UnfinishedRequestsCountInTheMemory) {
+  downstream->SetRequestMemory(160'000);
+  for (const size_t body_bytes : {60'000U, 3'000'000U}) {
+    Peer slow = Connect();
+    slow.Send(PostRequest("slow", body_bytes).substr(0, 50'000));
+    RunFor(loop, Ms(20));
+    Peer refused = Connect();
+    refused.Send(PostRequest("refused", 60'000));
+    EXPECT_TRUE(Receives(refused, "HTTP/1.1 503 ")) << body_bytes;
+    for (const auto& request : requests) {
+      request->Respond({.status = 502});
+    }
+    slow.Close();
+    RunFor(loop, Ms(20));
+    requests.clear();
+    Peer served = Connect();
+    served.Send(PostRequest("served", 60'000));
+    EXPECT_TRUE(HasRequests(1)) << body_bytes;
+    requests.clear();
+  }
+}
+
+// While a request is in progress, little is read of those that follow on its connection.
+TEST_F(DownstreamTest, PipelinedRequestsOfAnySizeAreServedInOrder) {
+  downstream->SetRequestMemory(400'000);
+  Peer peer = Connect();
+  std::string text;
+  for (const size_t body_bytes : {0U, 3'000U, 30'000U, 60'000U, 0U, 65'536U, 5'000U}) {
+    text += PostRequest(std::to_string(body_bytes), body_bytes);
+  }
+  peer.Send(text);
+  for (const size_t body_bytes : {0U, 3'000U, 30'000U, 60'000U, 0U, 65'536U, 5'000U}) {
+    ASSERT_TRUE(HasRequests(1)) << body_bytes;
+    EXPECT_EQ(requests[0]->message().body().size(), body_bytes);
+    requests[0]->Respond({.status = 502});
+    requests.clear();
+  }
+}
+
 // Without free descriptors during a drain, connections in the accept queue are accepted before the
 // socket closes, even if another process listens at the same address.
 class DownstreamSharedFewDescriptorsTest : public DownstreamFewDescriptorsTest {
