Bound the memory of responses that are received whole

Cause: responses of up to 64 KiB are received whole before any of it is passed on, and counted in no budget.

Change: a response is received whole if it fits into a budget, a sixth of what limits.memory_mb leaves after two idle processes; the reservation goes with the message. Else it is streamed from its first 8 KiB on, as larger ones are. 32 KiB are read ahead until that is decided, not 128.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,7 +31,7 @@
 // Memory of a process without requests. Two processes run during a hot restart.
 constexpr size_t kIdleProcessBytes = 8U << 20;
 constexpr size_t kMaxProcesses = 2;
-constexpr size_t kMinRequestMemoryBytes = 1U << 20;
+constexpr size_t kMinMessageMemoryBytes = 1U << 20;
 constexpr size_t kMaxIdleUpstreamWhileEnding = 16;  // while draining or replaced
 constexpr size_t kMaxNameBytes = 64;                // of the gateway's name in the counters line
 
@@ -66,12 +66,17 @@
   return text;
 }
 
-// Returns the part of the memory limit for the requests of this process: one third each for the
-// requests of both processes of a hot restart, and one for responses.
-size_t RequestMemoryOf(const GatewayConfig& config) {
+struct MessageMemory {
+  size_t for_requests = 0, for_responses = 0;  // bytes
+};
+
+// Returns the parts of the memory limit for the messages of this process. Of what two idle
+// processes leave, each process gets one third for its requests and one sixth for its responses.
+MessageMemory MessageMemoryOf(const GatewayConfig& config) {
   constexpr size_t kIdleBytes = kMaxProcesses * kIdleProcessBytes;
   const size_t shared = config.max_memory_bytes - std::min(config.max_memory_bytes, kIdleBytes);
-  return std::max(shared / (kMaxProcesses + 1), kMinRequestMemoryBytes);
+  return {std::max(shared / 3, kMinMessageMemoryBytes),
+          std::max(shared / 6, kMinMessageMemoryBytes)};
 }
 
 Upstream::Options UpstreamOptionsOf(const GatewayConfig& config) {
@@ -106,7 +111,9 @@
   // Created last, so that clients are accepted only when everything else works.
   downstream_ = std::make_unique<Downstream>(loop_, budget_, config_->listen, lifecycle_, this,
                                              std::move(inherited), shared);
-  downstream_->SetRequestMemory(RequestMemoryOf(*config_));
+  const MessageMemory memory = MessageMemoryOf(*config_);
+  downstream_->SetRequestMemory(memory.for_requests);
+  upstream_->SetResponseMemory(memory.for_responses);
   UpdateDeadlines();
   lifecycle_.SetChangeCallback([this] { OnLifecycleChanged(); });
   if (!lifecycle_.accepts()) {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -54,6 +54,9 @@
   // The options apply to attempts and probes that start from now on.
   void set_options(Options options) { options_ = std::move(options); }
 
+  // Sets the memory for responses that are received whole; others are streamed.
+  void SetResponseMemory(size_t bytes) { pool_.response_budget().set_limit(bytes); }
+
   // Sets the address of an endpoint of the endpoint list. If it changed, new requests use new
   // connections.
   void SetEndpointAddress(const std::string& endpoint, const Address& address) {
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -31,6 +31,9 @@
 constexpr size_t kMinStreamedBytes = 8'192;
 constexpr size_t kMinStreamedBytesUnknownLength = 16'384;
 constexpr size_t kMinReadBytes = 2048;  // most responses are short
+// Maximum that is read ahead before it is known whether the response is streamed, and of one that
+// is received whole.
+constexpr size_t kMaxUnparsedBytes = kMaxHeadBytes + kMinStreamedBytesUnknownLength;
 constexpr size_t kMaxUnreadBytes = 2 * kMaxBufferedBodyBytes;
 // An endpoint may send a second response a few milliseconds after the first. On a reused connection
 // it would be taken for the response to the next request, because HTTP/1.1 responses do not
@@ -47,7 +50,7 @@
       host_(host),
       address_version_(host.address_version),
       stream_(loop, std::move(socket), this, true) {
-  stream_.set_max_unread_bytes(kMaxUnreadBytes);
+  stream_.set_max_unread_bytes(kMaxUnparsedBytes);
 }
 
 UpstreamConnection::~UpstreamConnection() {
@@ -68,6 +71,8 @@
 void UpstreamConnection::Start(std::unique_ptr<UpstreamTransaction> transaction) {
   transaction_ = std::move(transaction);
   parser_.Reset();
+  response_memory_ = {};
+  stream_.set_max_unread_bytes(kMaxUnparsedBytes);
   request_written_ = false;
   first_byte_received_ = false;
   // The deadline of a streamed request is measured from its last byte.
@@ -125,7 +130,6 @@
 }
 
 void UpstreamConnection::ReturnToPool() {
-  stream_.set_max_unread_bytes(kMaxUnreadBytes);
   stream_.set_min_read_bytes(kMinReadBytes);
   pool_.Release(*this);
 }
@@ -310,6 +314,7 @@
   auto response = std::make_shared<BufferedMessage>();
   response->message = parser_.message();
   response->bytes = stream_.input().TakeFront(response->message.total_bytes);
+  response->memory = std::move(response_memory_);
   // Bytes after the response belong to no request, so responses can no longer be matched to
   // requests on this connection.
   response_complete_ = response->message.keep_alive && request_written_ && stream_.input().empty();
@@ -320,19 +325,36 @@
                                forward_response ? std::move(response) : nullptr);
 }
 
-// Whether the body is too large to be buffered and enough of it has been received.
+// Whether the body is too large to be buffered, or there is no memory left for it, and enough of it
+// has been received.
 bool UpstreamConnection::ShouldStreamResponse() {
   if (!parser_.head_done()) {
     return false;
   }
   const auto length = parser_.body_length();
-  if (length && *length <= kMaxBufferedBodyBytes) {
+  if (length && *length <= kMaxBufferedBodyBytes &&
+      ReserveResponseBuffer(static_cast<size_t>(*length))) {
     return false;
   }
   return parser_.body_bytes_received(stream_.input()) >=
          (length ? kMinStreamedBytes : kMinStreamedBytesUnknownLength);
 }
 
+// Reserves memory for the response on the first call. Returns false if too little is left.
+bool UpstreamConnection::ReserveResponseBuffer(size_t body_bytes) {
+  if (response_memory_.bytes() > 0) {
+    return true;
+  }
+  auto memory = pool_.response_budget().Reserve(kMaxHeadBytes + body_bytes);
+  if (!memory) {
+    return false;
+  }
+  response_memory_ = std::move(*memory);
+  stream_.set_max_unread_bytes(kMaxUnreadBytes);
+  ResumeReadingAfterRound();
+  return true;
+}
+
 void UpstreamConnection::StartStreamedResponse() {
   auto response = std::make_shared<BufferedMessage>();
   const auto length = parser_.body_length();
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -15,6 +15,7 @@
 #include "base/address.h"
 #include "base/time.h"
 #include "event/event_loop.h"
+#include "event/memory_budget.h"
 #include "event/socket.h"
 #include "event/stream.h"
 #include "gateway/response_cut.h"
@@ -157,6 +158,7 @@
   void CommitStreamedResponse();
   void FinishResponse();
   bool ShouldStreamResponse();
+  bool ReserveResponseBuffer(size_t body_bytes);
   void StartStreamedResponse();
   ParseProgress ReadBodyPiece(Buffer& piece);
   void OnResponseBodyRead(ParseProgress progress);
@@ -199,6 +201,7 @@
   std::string streamed_request_id_;               // request id of a streamed response
   std::unique_ptr<BodyWriter> request_writer_;    // writer of a streamed request; else null
   std::shared_ptr<StreamingBody> response_body_;  // body of a streamed response; else null
+  MemoryBudget::Reservation response_memory_;     // for a response that is received whole
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with this object
   PoolState pool_state_;
 };
--- a/src/gateway/upstream_connection_pool.h
+++ b/src/gateway/upstream_connection_pool.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <string>
@@ -15,6 +16,7 @@
 #include "base/time.h"
 #include "event/descriptor_budget.h"
 #include "event/event_loop.h"
+#include "event/memory_budget.h"
 #include "gateway/connection_reuse_statistics.h"
 #include "gateway/upstream_connection.h"
 
@@ -72,6 +74,8 @@
   // Records the reuse of a connection after `idle_time`. `failed`: it broke before its response.
   void RecordReuse(Duration idle_time, bool failed);
 
+  // The memory for responses that are received whole before they are forwarded.
+  [[nodiscard]] MemoryBudget& response_budget() { return response_budget_; }
   [[nodiscard]] const UpstreamOptions& options() const { return options_; }
   [[nodiscard]] const auto& connections() const { return connections_; }
   [[nodiscard]] size_t idle_count() const { return idle_.size(); }
@@ -88,6 +92,7 @@
   EventLoop& loop_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with this object
   DescriptorBudget& budget_;
+  MemoryBudget response_budget_{SIZE_MAX};
   const UpstreamOptions& options_;
   UpstreamConnection::Owner& owner_;
   std::unordered_map<std::string, std::unique_ptr<UpstreamHost>> hosts_;  // by endpoint
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -463,6 +463,57 @@
 #endif
 }
 
+// Guards against responses of up to 64 KiB that are held without a bound while they arrive: hosts
+// send the first part of a response each, and the rest 0.3 s later. All are forwarded whole.
+TEST_F(Program, BoundsMemoryOfResponsesThatArriveSlowly) {
+  constexpr size_t kResponses = 500;
+  Port host(512);
+  std::string config = kConfig;
+  config.replace(config.find("256"), 3, R"(2048,"memory_mb":32)");
+  config.replace(config.find("1000.0"), 6, "9000.0");
+  config.replace(config.find("[]"), 2, '[' + HostEntries(500, host) + ']');
+  std::ofstream(path_) << config;
+  Start();
+  ASSERT_TRUE(WaitForOutput("listens on"));
+  const std::string body(64'000, 'x');
+  std::vector<Peer> clients, hosts;
+  const auto serve_hosts = [&] {
+    while (Peer peer = host.TryAccept()) {
+      hosts.push_back(std::move(peer));
+    }
+    for (Peer& peer : hosts) {
+      if (peer.Has("GET /read")) {
+        peer.ClearReceived();
+        peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 64000\r\n\r\n" + body.substr(1000));
+      }
+    }
+  };
+  for (size_t i = 0; i < kResponses; ++i) {
+    clients.push_back(Peer::To(address));
+    clients.back().Send("GET /read HTTP/1.1\r\nX-Call-Id: " + std::to_string(i) +
+                        "\r\nX-Budget-Ms: 9000\r\n\r\n");
+    if (i % 10 == 0) {
+      serve_hosts();
+    }
+  }
+  for (int round = 0; round < 30; ++round) {
+    serve_hosts();
+    usleep(10'000);
+  }
+  for (Peer& peer : hosts) {
+    peer.Send(body.substr(0, 1000));
+  }
+  usleep(100'000);
+  size_t served = 0;
+  for (Peer& client : clients) {
+    served += client.Received().ends_with("\r\n\r\n" + body) ? 1 : 0;
+  }
+  EXPECT_EQ(served, kResponses);
+#ifndef __SANITIZE_ADDRESS__  // AddressSanitizer uses memory of its own
+  EXPECT_LT(PeakMemoryKib(), 32L * 1024);
+#endif
+}
+
 // Five hundred clients, each of which has sent all but the last byte of a body of the maximum
 // length.
 TEST_F(Program, BoundsMemoryForManyLongRequests) {
