--- a/src/raft/raft_node.cpp
+++ b/src/raft/raft_node.cpp
@@ -261,6 +261,8 @@
   if (now < election_timer_due_at_) {
     return;
   }
+  // Also forgotten by a member that may not campaign, so that it does not report a lost leader.
+  leader_.clear();
   // The new term must be greater than all terms heard of.
   const Term next_term = std::max(current_term_, restart_guard_.greatest_term_heard()) + 1;
   if (may_campaign_ && restart_guard_.MayVote(now, next_term, LogEnd(), voters())) {
--- a/tests/raft/election_test.cpp
+++ b/tests/raft/election_test.cpp
@@ -45,6 +45,21 @@
   EXPECT_TRUE(Receive(3 * kSecond, RequestVote(3, false, 2, 2)).messages.at(0).message.granted);
 }
 
+// Guards against a lost leader that is still reported, and to which changes are forwarded: a member
+// that may not start an election kept it for ever.
+TEST_F(RaftFollowerTest, ForgetsALostLeaderIfItMayNotCampaign) {
+  node.set_may_campaign(false);
+  Receive(kSecond, AppendEntries(1, 1, 1, {}));
+  RaftOutput out;
+  node.OnTimeout(kSecond + RaftTiming{}.election_timeout - Duration(1), out);
+  EXPECT_EQ(node.leader(), "b");
+  node.OnTimeout(kSecond + 2 * RaftTiming{}.election_timeout, out);
+  EXPECT_EQ(node.leader(), "");
+  EXPECT_EQ(node.role(), Role::kFollower);
+  Receive(3 * kSecond, AppendEntries(1, 1, 1, {}));
+  EXPECT_EQ(node.leader(), "b");
+}
+
 // A member that does not receive the leader's messages but can send its own keeps starting
 // elections. It must not depose the leader, whose lease relies on its voters.
 TEST_F(RaftFollowerTest, IgnoresCandidatesWhileInContactWithTheLeader) {
