--- a/src/gateway/cluster_agent.cpp
+++ b/src/gateway/cluster_agent.cpp
@@ -282,7 +282,8 @@
     case OperatorCalls::Request::Kind::kChange:
       break;
   }
-  if (const auto rejection = operator_calls_.RejectionOf(*request.change, history, applier_)) {
+  if (const auto rejection = operator_calls_.RejectionOf(*request.change, history, applier_,
+                                                         HoldsLease(CurrentConfig()))) {
     return connections_->Reply(call, *rejection);
   }
   TamperOutgoing(*request.change);
--- a/src/gateway/operator_calls.cpp
+++ b/src/gateway/operator_calls.cpp
@@ -94,11 +94,17 @@
 
 std::optional<json> OperatorCalls::RejectionOf(const cluster::ChangeRequest& request,
                                                const cluster::VersionHistory& history,
-                                               const VersionApplier& applier) const {
+                                               const VersionApplier& applier,
+                                               bool is_current) const {
+  using Kind = cluster::ChangeResult::Kind;
+  const cluster::Change& change = request.change;
   if (request.kind == cluster::ChangeRequest::Kind::kChange) {
-    const std::string reason = WhyNotApplicable(request.change, history, applier);
+    const std::string reason = WhyNotApplicable(change, history, applier);
+    if (!reason.empty() && change.is_delta && !is_current) {
+      return ResultReply({Kind::kNoLeader, change.id, 0, "the member catches up"});
+    }
     if (!reason.empty()) {
-      return ResultReply({cluster::ChangeResult::Kind::kRefused, request.change.id, 0, reason});
+      return ResultReply({Kind::kRefused, change.id, 0, reason});
     }
   }
   if (pending_calls_.size() >= kMaxPendingCalls) {
--- a/src/gateway/operator_calls.h
+++ b/src/gateway/operator_calls.h
@@ -39,9 +39,13 @@
 
   // Returns the reply that rejects a request before it is submitted, because this gateway could not
   // apply the change or too many calls are pending. Returns nullopt if it may be submitted.
+  // `is_current`: this member holds a lease, so that `history` has every version in force.
+  // Otherwise a delta that seems not to be applicable is not refused for good, but is to be
+  // submitted again.
   [[nodiscard]] std::optional<nlohmann::json> RejectionOf(const cluster::ChangeRequest& request,
                                                           const cluster::VersionHistory& history,
-                                                          const VersionApplier& applier) const;
+                                                          const VersionApplier& applier,
+                                                          bool is_current) const;
 
   // Registers a call that waits for the result of a change, and returns a new request number for
   // it.
--- a/tests/gateway/cluster_agent_test.cpp
+++ b/tests/gateway/cluster_agent_test.cpp
@@ -225,6 +225,36 @@
   EXPECT_EQ(StatusOf(3)["stance"], "agreed");
 }
 
+// Guards against valid deltas that a member refused for good just after it had returned without its
+// data: it applied them to the content that it had, which lacked the rest of what they change.
+TEST_F(ClusterAgentTest, MemberThatCatchesUpDoesNotRefuseDeltas) {
+  WriteOperatorFile(3, "changes = \"delta\"\n");
+  StartCluster();
+  ASSERT_EQ(SubmitChange(R"({"settings":{"Classes":[{"Name":"read","Effect":"safe","Slo":300.0,)"
+                         R"("Deadline":900.0}]}})")
+                .code,
+            0);
+  for (int i = 0; i < 3; ++i) {
+    members_[i].Kill();
+  }
+  fs::remove_all(folder_ + "/g2");
+  StartMember(2);
+  ASSERT_TRUE(members_[2].WaitForOutput("participates in"));
+  const std::string delta = R"({"settings":{"Classes":{"read":{"Deadline":800.0}}}})";
+  const std::string path = folder_ + "/delta.json";
+  std::ofstream(path) << delta;
+  const CommandResult early = RunCommand("bank change " + path + " --reason test --delta --id x" +
+                                         " --within 1 --at " + AddressOf(2, 7000));
+  EXPECT_EQ(early.code, 1);
+  EXPECT_EQ(early.text.find("refused"), std::string::npos) << early.text;
+  EXPECT_NE(early.text.find("submit it again with --id x"), std::string::npos) << early.text;
+  StartMember(0);
+  StartMember(1);
+  ASSERT_TRUE(WaitUntil([&] { return StatusOf(2)["version_on"] == 1; }));
+  const CommandResult done = SubmitChange(delta, "--delta --id x");
+  EXPECT_EQ(done.code, 0) << done.text;
+}
+
 TEST_F(ClusterAgentTest, RefusesDeltaIfConfiguredForWholeChanges) {
   StartCluster();
   const CommandResult result = SubmitChange(R"({"barred":{"add":["i"]}})", "--delta");
