Bound the memory of streamed responses that clients do not read

Cause: 32 KiB that are read ahead and 32 KiB that are being written of each streamed response counted in no budget.

Change: a streamed body holds the memory that is reserved for it until it has been passed to the kernel, is cancelled or freed. A response takes 64 KiB of the budget for responses; where there is no room it is read in pieces of 2 KiB.

Evidence: Program.BoundsMemoryOfStreamedResponsesThatClientsDoNotRead failed before the fix (52804 kB) and passes now, with the other tests of streamed bodies and memory bounds.

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -35,6 +35,9 @@
 // is received whole.
 constexpr size_t kMaxUnparsedBytes = kMaxHeadBytes + kMinStreamedBytesUnknownLength;
 constexpr size_t kMaxUnreadBytes = 2 * kMaxBufferedBodyBytes;
+// Maximum that is read ahead of a streamed response for which no memory is left. The memory of such
+// responses is bounded by the number of connections.
+constexpr size_t kMaxUncountedPieceBytes = 2048;
 // An endpoint may send a second response a few milliseconds after the first. On a reused connection
 // it would be taken for the response to the next request, because HTTP/1.1 responses do not
 // identify their request.
@@ -365,14 +368,13 @@
   if (outcome != Outcome::kOk || transaction_->is_probe()) {
     return owner_.OnTransactionFinished(*this, outcome, std::move(report), nullptr);
   }
-  stream_.set_max_unread_bytes(kMaxPieceBytes);
-  stream_.set_min_read_bytes(kMaxPieceBytes);
   response_body_ = response->streaming_body = std::make_shared<StreamingBody>(
       length, [this](Buffer& piece) { return ReadBodyPiece(piece); },
       [this] {
         response_body_ = nullptr;
         pool_.Close(*this);
       });
+  LimitReadAhead(*response_body_);
   CancelTimers();
   StartDownloadPauseTimer();
   request_writer_.reset();  // the endpoint may respond before it has read the whole request
@@ -388,6 +390,18 @@
   }
 }
 
+// Reserves memory for the pieces of a streamed response. If too little is left, the response is
+// read in small pieces instead.
+void UpstreamConnection::LimitReadAhead(StreamingBody& body) {
+  size_t piece_bytes = kMaxUncountedPieceBytes;
+  if (auto memory = pool_.response_budget().Reserve(kStreamingBodyBytes)) {
+    body.HoldMemory(std::move(*memory));
+    piece_bytes = kMaxPieceBytes;
+  }
+  stream_.set_max_unread_bytes(piece_bytes);
+  stream_.set_min_read_bytes(piece_bytes);
+}
+
 ParseProgress UpstreamConnection::ReadBodyPiece(Buffer& piece) {
   ParseProgress progress = parser_.TakeBody(stream_.input(), piece, stream_.ended());
   forwarded_bytes_ += piece.size();
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -160,6 +160,7 @@
   bool ShouldStreamResponse();
   bool ReserveResponseBuffer(size_t body_bytes);
   void StartStreamedResponse();
+  void LimitReadAhead(StreamingBody& body);
   ParseProgress ReadBodyPiece(Buffer& piece);
   void OnResponseBodyRead(ParseProgress progress);
   void ResumeReadingAfterRound();
--- a/src/http/proxied_request.h
+++ b/src/http/proxied_request.h
@@ -23,7 +23,7 @@
   Buffer bytes;         // head and body, or only the head if the body is streamed
   HttpMessage message;  // refers to `bytes`
   std::shared_ptr<StreamingBody> streaming_body{};  // null if the body is in `bytes`
-  MemoryBudget::Reservation memory{};               // for a large body in `bytes`; else empty
+  MemoryBudget::Reservation memory{};               // for `bytes`; empty if they are few
   [[nodiscard]] std::string_view body() const { return message.body.In(bytes.view()); }
 };
 
--- a/src/http/streaming_body.cpp
+++ b/src/http/streaming_body.cpp
@@ -28,7 +28,7 @@
 
 void BodyWriter::Finish(bool complete) {
   if (complete) {
-    body_->SetDataCallback(nullptr);
+    body_->OnWritten();
     body_ = nullptr;
   }
   // The callback may destroy this writer.
--- a/src/http/streaming_body.h
+++ b/src/http/streaming_body.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "event/buffer.h"
+#include "event/memory_budget.h"
 #include "event/stream.h"
 #include "http/parse_progress.h"
 
@@ -18,6 +19,8 @@
 
 // Maximum that one transfer reads ahead, and moves in one round of the event loop.
 constexpr size_t kMaxPieceBytes = 32'768;
+// Memory of a transfer: one piece in the input, and one that is being written.
+constexpr size_t kStreamingBodyBytes = 2 * kMaxPieceBytes;
 
 // Connects a reading connection and a writer, which share it. Ends in one of three ways: it is read
 // to the end, truncated by the reading side, or cancelled by the writing side.
@@ -38,6 +41,9 @@
   [[nodiscard]] bool has_writer() const { return static_cast<bool>(data_callback_); }
 
   // ---- For the reading connection.
+  // Holds the memory that is reserved for the transfer until the body has been written to the
+  // kernel, or is cancelled or destroyed.
+  void HoldMemory(MemoryBudget::Reservation memory) { memory_ = std::move(memory); }
   // Called when more data can be read.
   void OnDataAvailable() {
     if (const auto callback = data_callback_) {
@@ -67,10 +73,16 @@
     }
     return progress;
   }
+  // Called when the whole body has been passed to the kernel.
+  void OnWritten() {
+    data_callback_ = nullptr;
+    memory_ = {};
+  }
   // Ends the body from the writing side.
   void Cancel() {
     data_callback_ = nullptr;
     read_ = nullptr;
+    memory_ = {};
     if (const auto cancel = std::exchange(cancel_, nullptr)) {
       cancel();
     }
@@ -81,6 +93,7 @@
   ReadCallback read_;             // null after the end
   std::function<void()> cancel_;  // null after the end
   std::function<void()> data_callback_;
+  MemoryBudget::Reservation memory_;
   bool begun_ = false;
 };
 
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -514,6 +514,60 @@
 #endif
 }
 
+// Guards against streamed responses that are held without a bound for clients that do not read: one
+// piece of each in the input, and one that is being written.
+TEST_F(Program, BoundsMemoryOfStreamedResponsesThatClientsDoNotRead) {
+  constexpr size_t kResponses = 500;
+  constexpr int kSendBufferBytes = 1 << 18;
+  Port host(512);
+  std::string config = kConfig;
+  config.replace(config.find("256"), 3, R"(2048,"memory_mb":32)");
+  config.replace(config.find("1000.0"), 6, "9000.0");
+  config.replace(config.find("[]"), 2, '[' + HostEntries(500, host) + ']');
+  std::ofstream(path_) << config;
+  Start();
+  ASSERT_TRUE(WaitForOutput("listens on"));
+  const std::string part(1 << 16, 'x');
+  std::vector<Peer> clients, hosts;
+  std::vector<int> streaming_fds;
+  const auto serve_hosts = [&] {
+    while (Peer peer = host.TryAccept()) {
+      setsockopt(peer.fd(), SOL_SOCKET, SO_SNDBUF, &kSendBufferBytes, sizeof(kSendBufferBytes));
+      hosts.push_back(std::move(peer));
+    }
+    for (Peer& peer : hosts) {
+      if (peer.Has("GET /read")) {
+        peer.ClearReceived();
+        peer.Send("HTTP/1.1 200 OK\r\nContent-Length: 33000000\r\n\r\n");
+        streaming_fds.push_back(peer.fd());
+      }
+    }
+    for (const int fd : streaming_fds) {
+      send(fd, part.data(), part.size(), MSG_NOSIGNAL);
+    }
+  };
+  for (size_t i = 0; i < kResponses; ++i) {
+    clients.push_back(Peer::SmallReaderTo(address));
+    clients.back().Send("GET /read HTTP/1.1\r\nX-Call-Id: " + std::to_string(i) +
+                        "\r\nX-Budget-Ms: 9000\r\n\r\n");
+    if (i % 10 == 0) {
+      serve_hosts();
+    }
+  }
+  for (int round = 0; round < 100; ++round) {
+    serve_hosts();
+    usleep(10'000);
+  }
+  size_t started = 0;
+  for (Peer& client : clients) {
+    started += client.Has("HTTP/1.1 200 OK") ? 1 : 0;
+  }
+  EXPECT_GT(started, kResponses * 9 / 10);  // some may be rejected
+#ifndef __SANITIZE_ADDRESS__                // AddressSanitizer uses memory of its own
+  EXPECT_LT(PeakMemoryKib(), 32L * 1024);
+#endif
+}
+
 // Five hundred clients, each of which has sent all but the last byte of a body of the maximum
 // length.
 TEST_F(Program, BoundsMemoryForManyLongRequests) {
--- a/tests/gateway/test_peers.h
+++ b/tests/gateway/test_peers.h
@@ -8,6 +8,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -59,13 +60,17 @@
 
   // Connects to a listener on loopback.
   static Peer To(const Address& to) {
+    return Connect(FileDescriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), to);
+  }
+  // Connects like To, with small segments and a small receive buffer: the kernel then takes some
+  // 100 KiB of what this peer does not read, and not several megabytes.
+  static Peer SmallReaderTo(const Address& to) {
+    constexpr int kSegmentBytes = 1024;
+    constexpr int kReceiveBufferBytes = 4096;
     FileDescriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(to.port);
-    address.sin_addr.s_addr = htonl(to.host);
-    EXPECT_EQ(connect(fd.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
-    return Peer(std::move(fd));
+    setsockopt(fd.get(), IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof(kSegmentBytes));
+    setsockopt(fd.get(), SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes, sizeof(kReceiveBufferBytes));
+    return Connect(std::move(fd), to);
   }
 
   // Sends `text`, or as much of it as the socket buffer takes.
@@ -120,6 +125,15 @@
   [[nodiscard]] int fd() const { return fd_.get(); }
 
  private:
+  static Peer Connect(FileDescriptor fd, const Address& to) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(to.port);
+    address.sin_addr.s_addr = htonl(to.host);
+    EXPECT_EQ(connect(fd.get(), reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+    return Peer(std::move(fd));
+  }
+
   FileDescriptor fd_;
   std::string received_;
   bool ended_ = false;
