Count a streamed request in its memory budget until its body is written

Callers would see more memory taken than limits.memory_mb leaves: the 64 KiB of a streamed request were given back as its last piece was read, while a host that does not read leaves that piece unwritten.

Change: the reservation goes with the body, and that of a head of over 4 KiB with the message.

Evidence: DownstreamTest.StreamedBodyCountsInTheMemoryUntilItIsWritten failed before the fix (no 503 while the body was unwritten) and passes now.

--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -38,8 +38,6 @@
 constexpr size_t kMaxPipelinedBytes = 4096;
 // The memory of smaller requests is bounded by the number of connections.
 constexpr size_t kMaxUncountedBytes = 4096;
-// A streamed request has one piece in the input and one that is being written.
-constexpr size_t kStreamedRequestBytes = 2 * kMaxPieceBytes;
 
 }  // namespace
 
@@ -268,17 +266,22 @@
 // ---- Requests with a streamed body ----------------------------------------------------------
 
 void DownstreamConnection::StartStreamedRequest() {
-  if (!owner_.request_budget().Enlarge(memory_, kStreamedRequestBytes)) {
+  MemoryBudget& budget = owner_.request_budget();
+  BufferedMessage request;
+  const size_t head_bytes = parser_.message().body.at;
+  const bool is_head_reserved =
+      head_bytes <= kMaxUncountedBytes || budget.Enlarge(request.memory, head_bytes);
+  if (!is_head_reserved || !budget.Enlarge(memory_, kStreamingBodyBytes)) {
     return RejectForMemory();
   }
   const auto length = parser_.body_length();
-  BufferedMessage request;
   request.message = parser_.TakeHead(stream_.input(), request.bytes);
   stream_.set_max_unread_bytes(kMaxPieceBytes);
   stream_.set_min_read_bytes(kMaxPieceBytes);
   ++GlobalCounters().requests_streamed;
   request_body_ = request.streaming_body = std::make_shared<StreamingBody>(
       length, [this](Buffer& piece) { return ReadBodyPiece(piece); }, nullptr);
+  request_body_->HoldMemory(std::move(memory_));
   is_http10_ = request.message.is_http10;
   keep_alive_ = request.message.keep_alive;
   state_ = State::kUploading;
--- a/tests/gateway/downstream_test.cpp
+++ b/tests/gateway/downstream_test.cpp
@@ -794,6 +794,36 @@
   }
 }
 
+// Guards against the memory of a streamed body being available again as soon as the last piece has
+// been received: a host that does not read leaves it unwritten.
+TEST_F(DownstreamTest, StreamedBodyCountsInTheMemoryUntilItIsWritten) {
+  downstream->SetRequestMemory(160'000);
+  for (const bool is_written : {true, false}) {
+    Peer slow = Connect();
+    slow.Send(PostRequest("slow", 150'000));
+    ASSERT_TRUE(HasRequests(1));
+    StreamingBody& body = *requests[0]->message().streaming_body;
+    ASSERT_TRUE(RunUntil(loop, [&] {
+      Buffer piece;
+      return body.Read(piece) == ParseProgress::kDone;
+    }));
+    Peer refused = Connect();
+    refused.Send(PostRequest("refused", 60'000));
+    EXPECT_TRUE(Receives(refused, "HTTP/1.1 503 "));
+    if (is_written) {
+      body.OnWritten();
+    } else {
+      requests[0]->Respond({.status = 502});
+      requests.clear();
+    }
+    const size_t requests_before = requests.size();
+    Peer served = Connect();
+    served.Send(PostRequest("served", 60'000));
+    EXPECT_TRUE(HasRequests(requests_before + 1));
+    requests.clear();
+  }
+}
+
 // While a request is in progress, little is read of those that follow on its connection.
 TEST_F(DownstreamTest, PipelinedRequestsOfAnySizeAreServedInOrder) {
   downstream->SetRequestMemory(400'000);
