--- a/src/lab/directory.cpp
+++ b/src/lab/directory.cpp
@@ -251,6 +251,10 @@
   return MembersJson(hosts, revision, true);
 }
 
+std::string Directory::InitialList() const {
+  return MembersJson(HostsAt(initial_revision_), initial_revision_, true);
+}
+
 void Directory::SendUpdates(Connection& connection) {
   if (silent_) {
     return;
--- a/src/lab/directory.h
+++ b/src/lab/directory.h
@@ -35,6 +35,8 @@
   // The complete list as it is sent now, in discovery's JSON format. Recorded as told to the
   // gateway.
   std::string FullList(size_t gateway);
+  // The complete list as it was at the start, in the same format. Not recorded as told to anyone.
+  [[nodiscard]] std::string InitialList() const;
 
   void SetSilent(bool on);
   void SetLag(Duration lag) { lag_ = lag; }
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -220,6 +220,7 @@
   table.Read("kill_at_earliest", fault.kill_at_earliest);
   table.Read("fate", fault.upgrade_outcome, kUpgradeOutcomes);
   table.ReadMillis("fate_after_ms", fault.upgrade_outcome_delay);
+  table.Read("old_known", fault.has_initial_list);
   const int selections = (fault.host_share > 0 ? 1 : 0) + (fault.count > 0 ? 1 : 0) +
                          (fault.host_names.empty() ? 0 : 1);
   if (AffectsHosts(fault.kind) && selections != 1) {
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -203,7 +203,9 @@
   bool kill_at_earliest = false;
   UpgradeOutcome upgrade_outcome = UpgradeOutcome::kTakesOver;  // kGatewayUpgrade
   Duration upgrade_outcome_delay{0};  // since the start of the new process
-  std::string request_class;          // kGatewayReload: the class that the new settings add
+  // kGatewayUpgrade: the configuration file of the new process has the list of the run's start.
+  bool has_initial_list = false;
+  std::string request_class;  // kGatewayReload: the class that the new settings add
 };
 
 struct WindowRequirement {
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -218,7 +218,8 @@
     return gateway.address;
   }
 
-  void WriteConfig(size_t i) {
+  void WriteConfig(size_t i) { WriteConfig(i, directory_.FullList(i)); }
+  void WriteConfig(size_t i, const std::string& known_list) {
     using nlohmann::json;
     GatewayState& gateway = gateways_[i];
     const json config = {{"name", fmt::format("g{}", i)},
@@ -226,7 +227,7 @@
                          {"discovery", ToText(directory_.AddressOf(i))},
                          {"seed", fmt::format("{:x}", seed_ * 1000 + i + process_starts_)},
                          {"limits", {{"cores", 1.0}, {"sockets", experiment_.gateway.sockets}}},
-                         {"known", json::parse(directory_.FullList(i))},
+                         {"known", json::parse(known_list)},
                          {"settings", json::parse(SettingsJson(experiment_, i))}};
     // Replaced atomically, since the gateway may read the file at any time.
     const std::string part = gateway.config_path + ".part";
@@ -673,7 +674,7 @@
     if (!gateway.process || gateway.new_process || gateway.old_process) {
       return;
     }
-    WriteConfig(i);
+    WriteConfig(i, fault.has_initial_list ? directory_.InitialList() : directory_.FullList(i));
     ++process_starts_;
     const Address admin = gateway.admin_address;
     gateway.new_process = StartProcess(i);
