Tests: name fork and vfork in the seccomp filter only where the machine has them

Cause: tests/deploy_test.cpp named SYS_fork and SYS_vfork, which arm64 does not have, so the tests did not compile there.

Change: InstallSeccompFilter puts the two behind #ifdef SYS_fork and #ifdef SYS_vfork. On arm64 a process is started by clone or clone3 alone, which the filter bounds already. On x86-64 the list is the same by reading, call for call and in the same order: fork, splice, sendfile, io_uring_setup, vfork.

--- a/tests/deploy_test.cpp
+++ b/tests/deploy_test.cpp
@@ -56,8 +56,18 @@
   const auto result = [&](uint32_t value) {
     code.push_back(BPF_STMT(BPF_RET | BPF_K, value));
   };
+  // arm64 has neither fork nor vfork: there clone and clone3, bounded below, start every process.
+  constexpr long kForbidden[] = {
+#ifdef SYS_fork
+      SYS_fork,
+#endif
+      SYS_splice, SYS_sendfile, SYS_io_uring_setup,
+#ifdef SYS_vfork
+      SYS_vfork,
+#endif
+  };
   load(kNumber);
-  for (const long call : {SYS_fork, SYS_splice, SYS_sendfile, SYS_io_uring_setup, SYS_vfork}) {
+  for (const long call : kForbidden) {
     code.push_back(BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, static_cast<uint32_t>(call), 0, 1));
     result(kKill);
   }
