--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-for source in review/{6,7,8,9,10}/case.cpp; do
+for source in review/{6,7,8,9,10}/play.cpp; do
   [ -f "$source" ] || continue
   n=$(basename "$(dirname "$source")")
   "${CXX:-c++}" -std=c++20 -O1 -Wall -Wextra -pthread -I review/rig_2 "$source" -o "build/review-2/case-$n" &
