--- a/review/rig_2/rig.h
+++ b/review/rig_2/rig.h
@@ -334,6 +334,7 @@
   pid_t pid = 0;
   int port = 0;
   std::string folder;
+  std::string operator_file;  // of a cluster; empty: none
 
   // `agent`: the port of discovery, if it is not that of `discovery`, whose list it has then.
   void Start(const std::string& name, const std::string& settings, const Discovery& discovery,
@@ -366,6 +367,7 @@
       setenv("LB_DISCOVERY", told.c_str(), 1);
       setenv("LB_CONFIG", path.c_str(), 1);
       setenv("TMPDIR", (folder + "/tmp").c_str(), 1);
+      if (!operator_file.empty()) setenv("LB_OPERATOR", operator_file.c_str(), 1);
       execl("/bin/sh", "sh", "-c", Environment("RUN").c_str(), static_cast<char*>(nullptr));
       _exit(127);
     }
@@ -389,12 +391,36 @@
   [[nodiscard]] std::string Ended() const {
     int status = 0;
     if (waitpid(pid, &status, WNOHANG) != pid) return "";
-    Started().clear();
+    std::erase(Started(), pid);
     return WIFEXITED(status) ? "exit code " + std::to_string(WEXITSTATUS(status))
                              : "signal " + std::to_string(WTERMSIG(status));
   }
 };
 
+// Runs a command of the program to its end and returns its exit code, or -1 if it takes too long.
+inline int Command(const std::string& words, double limit_ms = 30'000) {
+  const pid_t pid = fork();
+  if (pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log =
+        open((Environment("FOLDER") + "/commands").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(log, 1);
+    dup2(log, 2);
+    execl("/bin/sh", "sh", "-c", (Environment("RUN") + " " + words).c_str(),
+          static_cast<char*>(nullptr));
+    _exit(127);
+  }
+  int status = 0;
+  for (const double until = Now() + limit_ms; Now() < until; SleepMs(20)) {
+    if (waitpid(pid, &status, WNOHANG) == pid) {
+      return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+  }
+  kill(pid, SIGKILL);
+  waitpid(pid, nullptr, 0);
+  return -1;
+}
+
 // A class of the settings.
 inline std::string Class(const std::string& name, const std::string& effect, int aim, int deadline,
                          int window = 3000) {
