--- a/review/rig_2/rig.h
+++ b/review/rig_2/rig.h
@@ -447,6 +447,7 @@
 // Opens the record, and ends the case with code 2 should it take too long.
 inline void Begin(const char* what) {
   Now();
+  prctl(PR_SET_PDEATHSIG, SIGKILL);  // with run_case.sh, also where that is killed
   signal(SIGPIPE, SIG_IGN);
   RecordFile() = fopen(Environment("RECORD", "record.txt").c_str(), "w");
   if (RecordFile() == nullptr) {
