--- a/tests/gateway/downstream_test.cpp
+++ b/tests/gateway/downstream_test.cpp
@@ -371,6 +371,26 @@
   EXPECT_TRUE(RunUntil(loop, [&] { return done; }));
 }
 
+// Guards against requests that were read before the drain, behind another one on their connection,
+// being discarded without a response.
+TEST_F(DownstreamTest, DrainingAnswersRequestsThatWaitBehindAnother) {
+  constexpr size_t kRequests = 4;
+  Peer client = Connect();
+  client.Send(GetRequest("a") + GetRequest("b") + GetRequest("c") + GetRequest("d"));
+  ASSERT_TRUE(HasRequests(1));
+  downstream->Shutdown(Ms(3600), [] {});
+  lifecycle.set_ending();
+  downstream->OnLifecycleChanged();
+  RunFor(loop, Ms(50));
+  for (size_t i = 0; i < kRequests; ++i) {
+    ASSERT_TRUE(HasRequests(i + 1)) << i;
+    EXPECT_FALSE(client.Has("Connection: close")) << i;
+    requests[i]->Respond({.status = 502});
+  }
+  EXPECT_TRUE(Receives(client, "Connection: close\r\n"));
+  EXPECT_TRUE(RunUntil(loop, [&] { return client.Ended(); }));
+}
+
 TEST_F(DownstreamTest, DrainingKeepsAcceptingForAWhile) {
   bool done = false;
   downstream->Shutdown(Ms(3600), [&] { done = true; });
--- a/tests/gateway/test_peers.h
+++ b/tests/gateway/test_peers.h
@@ -167,6 +167,10 @@
     EXPECT_TRUE(RunUntil(loop, [&] { return static_cast<bool>(peer = TryAccept()); }));
     return peer;
   }
+  // Sets the receive buffer of the connections that are accepted from now on.
+  void SetReceiveBuffer(int bytes) {
+    EXPECT_EQ(setsockopt(fd_.get(), SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes)), 0);
+  }
   void Close() { fd_.Reset(); }
 
  private:
