Tell the client of a host's end that comes with the last bytes of a response

Cause: the stream reports the last bytes and the end in one call. The body's writer takes the bytes, and nothing calls it again to find out that the rest will not come.

Change: behind the last bytes of a host that has ended, ResumeReadingAfterRound calls the writer.

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -423,8 +423,7 @@
     ++GlobalCounters().bodies_truncated;
     Log(LogLevel::kInfo, "response body truncated: host {} sent an incomplete or malformed body",
         host_.endpoint);
-    const bool has_closed = stream_.ended() || host_connection_lost_;
-    LogResponseCut(has_closed ? ResponseCut::kHostClosed : ResponseCut::kHostMalformed);
+    LogResponseCut(HasHostEnded() ? ResponseCut::kHostClosed : ResponseCut::kHostMalformed);
   }
   response_complete_ = progress == ParseProgress::kDone && !host_connection_lost_ &&
                        parser_.message().keep_alive && request_written_ && stream_.input().empty();
@@ -437,14 +436,15 @@
 
 // Deferred, because new bytes are reported to the body writer, which may be the caller.
 void UpstreamConnection::ResumeReadingAfterRound() {
-  if (!stream_.readable() && !host_connection_lost_) {
+  if (!stream_.readable() && !HasHostEnded()) {
     return;
   }
   loop_.RunAfterRound([this, alive = std::weak_ptr(alive_)] {
     if (alive.expired() || stream_.closed()) {
       return;
     }
-    if (host_connection_lost_ && response_body_) {
+    // The stream reports the end once, possibly together with the last bytes.
+    if (HasHostEnded() && response_body_) {
       return response_body_->OnDataAvailable();
     }
     stream_.ResumeReading();
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -163,6 +163,8 @@
   void LimitReadAhead(StreamingBody& body);
   ParseProgress ReadBodyPiece(Buffer& piece);
   void OnResponseBodyRead(ParseProgress progress);
+  // Whether the host has closed or lost the connection, so that no more bytes will arrive.
+  [[nodiscard]] bool HasHostEnded() const { return stream_.ended() || host_connection_lost_; }
   void ResumeReadingAfterRound();
   [[nodiscard]] Outcome OutcomeOf(const BufferedMessage& response) const;
   [[nodiscard]] std::optional<LoadReport> LoadReportOf(const BufferedMessage& response,
