Await a response that has begun until the deadline of its request

Cause: kResponsePauseLimit ended a response that is not yet forwarded after a pause of 600 ms, to leave time for another attempt.

Change: the limit is removed. The deadline of the attempt, which is that of its request, ends a response that stops.

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -19,9 +19,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Maximum time between two reads of a buffered response. A healthy endpoint sends it in one piece;
-// waiting for the rest of a stalled one would use up the time for the next attempt.
-constexpr Duration kResponsePauseLimit = milliseconds(600);
 // Maximum time between two reads of a streamed response, or two writes of a streamed request. No
 // other attempt is possible here, so slow endpoints are tolerated and only dead ones are given up.
 constexpr Duration kStreamPauseLimit = seconds(5);
@@ -289,9 +286,8 @@
     return OnError();
   }
   if (ShouldStreamResponse()) {
-    return StartStreamedResponse();
+    StartStreamedResponse();
   }
-  StartResponsePauseTimer();
 }
 
 // Once a response of a streamed class has started, it is passed to the client and the deadline no
@@ -576,15 +572,6 @@
   });
 }
 
-// While a response is buffered. Responses of a streamed class may pause.
-void UpstreamConnection::StartResponsePauseTimer() {
-  loop_.CancelTimer(pause_timer_);
-  if (!transaction_->is_probe() && transaction_->request->request_class().is_streamed) {
-    return;
-  }
-  StartPauseTimer(kResponsePauseLimit, [this] { FinishMalformed(ResponseCut::kHostPaused); });
-}
-
 void UpstreamConnection::CancelTimers() {
   loop_.CancelTimer(deadline_timer_);
   loop_.CancelTimer(connect_timer_);
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -176,7 +176,6 @@
   void StartPauseTimer(Duration limit, std::function<void()> callback);
   void StartUploadPauseTimer();
   void StartDownloadPauseTimer();
-  void StartResponsePauseTimer();
   void CancelTimers();
 
   void Finish(Outcome outcome);
