Pass on a long response that its host still writes when its deadline comes

Cause: a response is passed on from 8 KiB on, 16 KiB without a length, so that a malformed one can be replaced by another attempt's. The deadline ended a response that had not come so far, though the operators time the first bytes of a long response, and to cut off what a host still gives loses the request.

Change: at its deadline a long response, or one without a length, is passed on if 4 KiB of it have come. With less it ends there as before: that is what an endless drip looks like (UpstreamTest.EndlessResponseTimesOut).

Measured: SlowPeersTest.LongResponseThatIsWrittenSlowlyIsForwarded, 7 kB a second, failed before the fix in both framings and passes.

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -32,6 +32,8 @@
 // is received whole.
 constexpr size_t kMaxUnparsedBytes = kMaxHeadBytes + kMinStreamedBytesUnknownLength;
 constexpr size_t kMaxUnreadBytes = 2 * kMaxBufferedBodyBytes;
+// The same when the deadline has come and no other attempt can follow; less may be an endless drip.
+constexpr size_t kMinStreamedBytesAtDeadline = 4'096;
 // Maximum that is read ahead of a streamed response for which no memory is left. The memory of such
 // responses is bounded by the number of connections.
 constexpr size_t kMaxUncountedPieceBytes = 2048;
@@ -344,6 +346,17 @@
   if (response_memory_.bytes() > 0) {
     return true;
   }
+// Whether the response, which is incomplete at its deadline, is a long one that its endpoint is
+// still writing. Its client has to get the first bytes in time, and the rest as it comes.
+bool UpstreamConnection::CanStreamAtDeadline() {
+  if (transaction_->is_probe() || !request_written_ || !parser_.head_done()) {
+    return false;
+  }
+  const auto length = parser_.body_length();
+  const bool is_long = !length || *length > kMaxBufferedBodyBytes;
+  return is_long && parser_.body_bytes_received(stream_.input()) >= kMinStreamedBytesAtDeadline;
+}
+
   auto memory = pool_.response_budget().Reserve(kMaxHeadBytes + body_bytes);
   if (!memory) {
     return false;
@@ -534,6 +547,9 @@
   // The request was not sent. This counts against the endpoint only if the connect used its full
   // timeout, or if an established connection accepted no bytes.
   const bool endpoint_at_fault = stream_.connected() || loop_.Now() - transaction_->started_at >=
+  if (CanStreamAtDeadline()) {
+    return StartStreamedResponse();
+  }
                                                             pool_.options().connect_timeout;
   Finish(endpoint_at_fault ? Outcome::kConnectFailed : Outcome::kNotSent);
 }
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -158,6 +158,7 @@
   void CommitStreamedResponse();
   void FinishResponse();
   bool ShouldStreamResponse();
+  [[nodiscard]] bool CanStreamAtDeadline();
   bool ReserveResponseBuffer(size_t body_bytes);
   void StartStreamedResponse();
   void LimitReadAhead(StreamingBody& body);
