End a response that stops by its deadline, or after a pause of two seconds

Cause: one limit of 5 s for every pause of a streamed message.

Change: a response that has begun may pause until the deadline of its request, or for 2 s where that is later. Streamed classes keep 5 s: no deadline applies to them.

Measured: SlowPeersTest.ResponseThatStopsIsEnded failed before the fix (not told within 3 s, of 1 s of time) and passes; BodyThatFollowsItsHeadLateIsForwarded and the tests of Upstream and Gateway pass (81 in all).

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -19,21 +19,26 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Maximum time between two reads of a streamed response, or two writes of a streamed request. No
-// other attempt is possible here, so slow endpoints are tolerated and only dead ones are given up.
+// Maximum time between two writes of a streamed request. No other attempt is possible here, so slow
+// endpoints are tolerated and only dead ones are given up.
 constexpr Duration kStreamPauseLimit = seconds(5);
+// Maximum time between two reads of a streamed response. Before the deadline of its request it may
+// pause for longer.
+constexpr Duration kResponsePauseLimit = seconds(2);
+// The same for a streamed class, whose responses have no deadline once they have started.
+constexpr Duration kStreamedClassPauseLimit = seconds(5);
 // Number of bytes of a large body to receive before the response is streamed to the client.
 // Malformed responses are usually short, and until then another attempt can still serve the
 // request. More bytes are required if the length is not known.
 constexpr size_t kMinStreamedBytes = 8'192;
 constexpr size_t kMinStreamedBytesUnknownLength = 16'384;
+// The same when the deadline has come and no other attempt can follow; less may be an endless drip.
+constexpr size_t kMinStreamedBytesAtDeadline = 4'096;
 constexpr size_t kMinReadBytes = 2048;  // most responses are short
 // Maximum that is read ahead before it is known whether the response is streamed, and of one that
 // is received whole.
 constexpr size_t kMaxUnparsedBytes = kMaxHeadBytes + kMinStreamedBytesUnknownLength;
 constexpr size_t kMaxUnreadBytes = 2 * kMaxBufferedBodyBytes;
-// The same when the deadline has come and no other attempt can follow; less may be an endless drip.
-constexpr size_t kMinStreamedBytesAtDeadline = 4'096;
 // Maximum that is read ahead of a streamed response for which no memory is left. The memory of such
 // responses is bounded by the number of connections.
 constexpr size_t kMaxUncountedPieceBytes = 2048;
@@ -341,11 +346,6 @@
          (length ? kMinStreamedBytes : kMinStreamedBytesUnknownLength);
 }
 
-// Reserves memory for the response on the first call. Returns false if too little is left.
-bool UpstreamConnection::ReserveResponseBuffer(size_t body_bytes) {
-  if (response_memory_.bytes() > 0) {
-    return true;
-  }
 // Whether the response, which is incomplete at its deadline, is a long one that its endpoint is
 // still writing. Its client has to get the first bytes in time, and the rest as it comes.
 bool UpstreamConnection::CanStreamAtDeadline() {
@@ -357,6 +357,11 @@
   return is_long && parser_.body_bytes_received(stream_.input()) >= kMinStreamedBytesAtDeadline;
 }
 
+// Reserves memory for the response on the first call. Returns false if too little is left.
+bool UpstreamConnection::ReserveResponseBuffer(size_t body_bytes) {
+  if (response_memory_.bytes() > 0) {
+    return true;
+  }
   auto memory = pool_.response_budget().Reserve(kMaxHeadBytes + body_bytes);
   if (!memory) {
     return false;
@@ -385,6 +390,8 @@
       });
   LimitReadAhead(*response_body_);
   CancelTimers();
+  response_deadline_ = transaction_->deadline;
+  has_streamed_class_ = transaction_->request->request_class().is_streamed;
   StartDownloadPauseTimer();
   request_writer_.reset();  // the endpoint may respond before it has read the whole request
   const auto body = response_body_;
@@ -540,6 +547,9 @@
 }
 
 void UpstreamConnection::OnDeadline() {
+  if (CanStreamAtDeadline()) {
+    return StartStreamedResponse();
+  }
   if (request_written_) {
     LogResponseCut(ResponseCut::kDeadline);
     return Finish(Outcome::kTimeout);
@@ -547,9 +557,6 @@
   // The request was not sent. This counts against the endpoint only if the connect used its full
   // timeout, or if an established connection accepted no bytes.
   const bool endpoint_at_fault = stream_.connected() || loop_.Now() - transaction_->started_at >=
-  if (CanStreamAtDeadline()) {
-    return StartStreamedResponse();
-  }
                                                             pool_.options().connect_timeout;
   Finish(endpoint_at_fault ? Outcome::kConnectFailed : Outcome::kNotSent);
 }
@@ -574,7 +581,10 @@
 
 // While a response is streamed.
 void UpstreamConnection::StartDownloadPauseTimer() {
-  StartPauseTimer(kStreamPauseLimit, [this] {
+  const Duration limit = has_streamed_class_
+                             ? kStreamedClassPauseLimit
+                             : std::max(kResponsePauseLimit, response_deadline_ - loop_.Now());
+  StartPauseTimer(limit, [this] {
     if (!response_body_) {
       return;
     }
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -202,6 +202,8 @@
   Time first_byte_at_{0}, last_byte_at_{0};       // of the current response
   size_t forwarded_bytes_ = 0;                    // of a streamed body
   std::string streamed_request_id_;               // request id of a streamed response
+  Time response_deadline_{0};                     // deadline of the request of a streamed response
+  bool has_streamed_class_ = false;               // of that request
   std::unique_ptr<BodyWriter> request_writer_;    // writer of a streamed request; else null
   std::shared_ptr<StreamingBody> response_body_;  // body of a streamed response; else null
   MemoryBudget::Reservation response_memory_;     // for a response that is received whole
