Count a client's time from the arrival of its bytes, not from their reading

Cause: a streamed request had no deadline until the gateway had read its last byte. While a host does not read, the gateway does not read either; only a limit on pauses of 5 s ended it. Requests that wait behind another one were timed from their turn, and their hosts told too long a time.

Change: Stream records when unread bytes arrived (ArrivalTimes). A request's time begins with the arrival of its last byte. The deadline of a streamed request moves on only while the client is awaited, and the attempt has a deadline timer from its start. kStreamPauseLimit and OnRequestComplete are gone.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 
@@ -22,11 +23,17 @@
 // Beyond this limit the input is no longer read, and the peer's send buffer fills up.
 constexpr size_t kMaxDiscardedBytes = 1 << 20;
 constexpr size_t kDiscardBytesPerRead = 1 << 17;
+// With fewer unread bytes the receive window is open, so that the peer's kernel holds nothing back.
+constexpr size_t kMaxUnreadBytesWithOpenWindow = 1 << 16;
 
 }  // namespace
 
 Stream::Stream(EventLoop& loop, Socket socket, Listener* listener, bool connecting)
-    : loop_(loop), socket_(std::move(socket)), listener_(listener), connected_(!connecting) {}
+    : loop_(loop),
+      socket_(std::move(socket)),
+      listener_(listener),
+      connected_(!connecting),
+      newest_arrival_(loop.Now()) {}
 
 Stream::~Stream() {
   Close();
@@ -100,6 +107,7 @@
     if (n > 0) {
       const bool read_all = static_cast<size_t>(n) < input_.Room();
       input_.Commit(static_cast<size_t>(n));
+      arrival_times_.Add(static_cast<size_t>(n), newest_arrival_, input_.size());
       has_new_data = true;
       // A read that does not fill the room has read everything; later bytes cause another edge.
       if (read_all && !hung_up_) {
@@ -182,7 +190,18 @@
   }
 }
 
+bool Stream::HasLittleUnread() const {
+  int kernel_bytes = 0;
+  if (ioctl(socket_.get(), FIONREAD, &kernel_bytes) != 0) {
+    return false;
+  }
+  return input_.size() + static_cast<size_t>(kernel_bytes) <= kMaxUnreadBytesWithOpenWindow;
+}
+
 void Stream::OnReadable(bool hung_up) {
+  if (!readable_ || HasLittleUnread()) {
+    newest_arrival_ = loop_.Now();
+  }
   readable_ = true;
   const bool hung_up_before = hung_up_;
   hung_up_ = hung_up_ || hung_up;
--- a/src/event/stream.h
+++ b/src/event/stream.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <utility>
 
+#include "event/arrival_times.h"
 #include "event/buffer.h"
 #include "event/event_loop.h"
 #include "event/socket.h"
@@ -52,6 +53,15 @@
   [[nodiscard]] bool hung_up() const { return hung_up_ || ended_; }
   [[nodiscard]] bool closed() const { return closed_; }
   [[nodiscard]] bool connected() const { return connected_; }
+  // The time since when unread bytes may have been there: the last arrival of bytes that the peer
+  // cannot have sent earlier, because little was unread and nothing held them back.
+  [[nodiscard]] Time newest_arrival() const { return newest_arrival_; }
+  // The time at which the byte of the input arrived that `bytes_behind` bytes have followed.
+  [[nodiscard]] Time ArrivalOf(size_t bytes_behind) const {
+    return arrival_times_.TimeOf(bytes_behind, newest_arrival_);
+  }
+  // Returns whether all that the peer has sent was read and consumed, so that the peer is awaited.
+  [[nodiscard]] bool awaits_peer() const { return input_.empty() && !readable_; }
   // Returns whether all written data was passed to the kernel.
   [[nodiscard]] bool flushed() const { return output_.empty(); }
 
@@ -92,6 +102,7 @@
   // Returns true if new bytes or the end were read.
   bool ReadAvailable();
   bool DiscardAvailable();
+  [[nodiscard]] bool HasLittleUnread() const;
   bool FinishConnect(uint32_t events);
   void OnReadable(bool hung_up);
   void Flush();
@@ -114,6 +125,8 @@
   size_t discarded_ = 0;
   size_t max_unread_bytes_ = SIZE_MAX;
   size_t min_read_bytes_ = 2048;
+  Time newest_arrival_{0};
+  ArrivalTimes arrival_times_;  // of the bytes of input_
   Buffer input_;
   std::deque<WriteSegment> output_;
 };
--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -36,6 +36,9 @@
 // received, and while the previous request is in progress.
 constexpr size_t kMaxUnparsedBytes = kMaxHeadBytes + kMinStreamedBytes;
 constexpr size_t kMaxPipelinedBytes = 4096;
+// Maximum that the kernels of both sides hold of a body. While more of it is missing, its client
+// cannot have sent the last byte.
+constexpr size_t kMaxBytesInKernels = 16U << 20;
 // The memory of smaller requests is bounded by the number of connections.
 constexpr size_t kMaxUncountedBytes = 4096;
 
@@ -249,8 +252,9 @@
     ++GlobalCounters().health_checks;
     return SendResponse({.status = owner_.lifecycle().healthy() ? 200 : 503});
   }
+  const Time arrived_at = stream_.ArrivalOf(stream_.input().size());
   AdmissionResult admission = owner_.listener().OnRequest(
-      std::move(request), [this](const Response& response) { SendResponse(response); });
+      std::move(request), arrived_at, [this](const Response& response) { SendResponse(response); });
   if (admission.request) {
     request_ = std::move(admission.request);
     return;
@@ -282,6 +286,7 @@
   request_body_ = request.streaming_body = std::make_shared<StreamingBody>(
       length, [this](Buffer& piece) { return ReadBodyPiece(piece); }, nullptr);
   request_body_->HoldMemory(std::move(memory_));
+  request_body_->SetEarliestEnd([this] { return EarliestEndOfBody(); });
   is_http10_ = request.message.is_http10;
   keep_alive_ = request.message.keep_alive;
   state_ = State::kUploading;
@@ -322,14 +327,23 @@
   });
 }
 
+// The client's time begins with the last byte that it sends. While the gateway itself does not
+// read, because it waits for a host, the client may have sent that byte long before it is read.
+Time DownstreamConnection::EarliestEndOfBody() const {
+  const bool is_client_awaited =
+      stream_.awaits_peer() || parser_.body_bytes_left() > kMaxBytesInKernels;
+  return is_client_awaited ? loop_.Now() : stream_.newest_arrival();
+}
+
 void DownstreamConnection::FinishStreamedRequest() {
   loop_.CancelTimer(timer_);
+  if (request_) {
+    const Time sent_at = stream_.ArrivalOf(stream_.input().size());
+    request_->set_deadline(sent_at + request_->client_timeout());
+  }
   ResetForNextRequest();
   state_ = State::kWaiting;
   request_fully_read_ = true;
-  if (request_) {
-    owner_.listener().OnRequestComplete(request_);
-  }
 }
 
 void DownstreamConnection::AbortStreamedRequest(int status, std::string_view reason) {
--- a/src/gateway/downstream_connection.h
+++ b/src/gateway/downstream_connection.h
@@ -99,6 +99,7 @@
   // Requests with a streamed body.
   void StartStreamedRequest();
   ParseProgress ReadBodyPiece(Buffer& piece);
+  [[nodiscard]] Time EarliestEndOfBody() const;
   void FinishStreamedRequest();
   void AbortStreamedRequest(int status, std::string_view reason);
   void AbandonRequest();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -324,10 +324,9 @@
   return std::nullopt;
 }
 
-AdmissionResult Gateway::OnRequest(BufferedMessage message,
+AdmissionResult Gateway::OnRequest(BufferedMessage message, Time arrived_at,
                                    ProxiedRequest::ResponseCallback reply) {
-  const Time now = loop_.Now();
-  ParsedRequest parsed = ParseRequest(message, config_->names, config_->settings, now);
+  ParsedRequest parsed = ParseRequest(message, config_->names, config_->settings, arrived_at);
   if (parsed.error_status != 0) {
     return {nullptr, parsed.error_status, parsed.reason};
   }
@@ -337,29 +336,19 @@
   }
   ++GlobalCounters().requests_admitted;
   ++unanswered_count_;
-  recent_request_ids_.Add(arrival.id, now);
+  recent_request_ids_.Add(arrival.id, loop_.Now());
   // Shares ownership of the configuration that was in force when the request arrived.
   std::shared_ptr<const RequestClass> request_class(
       config_, &config_->settings.classes[arrival.request_class]);
   auto request = std::make_shared<ProxiedRequest>(arrival.id, std::move(message), arrival.deadline,
                                                   std::move(request_class), std::move(reply));
-  request->set_client_timeout(arrival.deadline - now);
+  request->set_client_timeout(arrival.deadline - arrived_at);
   requests_.emplace(arrival.id, request);
-  if (request->message().streaming_body == nullptr) {
-    StartOverdueTimer(request);
-  }
+  StartOverdueTimer(request);
   Enqueue(std::move(arrival));
   return {std::move(request), 0, {}};
 }
 
-void Gateway::OnRequestComplete(const RequestPtr& request) {
-  if (request->done()) {
-    return;
-  }
-  request->set_deadline(loop_.Now() + request->client_timeout());
-  StartOverdueTimer(request);
-}
-
 void Gateway::OnClientDisconnected(const RequestPtr& request) {
   ++GlobalCounters().clients_disconnected;
   --unanswered_count_;
@@ -388,6 +377,10 @@
 // so, the client still gets a response.
 void Gateway::OnOverdue(const RequestPtr& request) {
   overdue_timers_.erase(request.get());
+  const Duration slack = config_->settings.rules.response_slack;
+  if (!request->done() && request->deadline() + slack > loop_.Now()) {
+    return StartOverdueTimer(request);  // the client was still sending
+  }
   if (request->committed_attempt() ||
       !Respond(*request, {.status = 502}, &Counters::responses_overdue)) {
     return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,10 +92,9 @@
   using RequestPtr = std::shared_ptr<ProxiedRequest>;
 
   // Downstream::Listener.
-  AdmissionResult OnRequest(BufferedMessage request,
+  AdmissionResult OnRequest(BufferedMessage request, Time arrived_at,
                             ProxiedRequest::ResponseCallback reply) override;
   void OnClientDisconnected(const RequestPtr& request) override;
-  void OnRequestComplete(const RequestPtr& request) override;
   void TrimIdleUpstream() override;
   // Also of Upstream::Listener.
   bool OnDescriptorsExhausted() override;
--- a/src/gateway/request_listener.h
+++ b/src/gateway/request_listener.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "base/time.h"
 #include "http/proxied_request.h"
 
 namespace paddlestile {
@@ -20,15 +21,13 @@
  public:
   // Called when a request has been read, in full or, if its body is streamed, up to the end of its
   // head. If the request is admitted, `reply` is called at most once, during this call or later,
-  // unless the request is abandoned.
-  virtual AdmissionResult OnRequest(BufferedMessage request,
+  // unless the request is abandoned. `arrived_at`: when its last byte arrived, or the last byte so
+  // far.
+  virtual AdmissionResult OnRequest(BufferedMessage request, Time arrived_at,
                                     ProxiedRequest::ResponseCallback reply) = 0;
   // Called when the client closed its connection or aborted the request before its response. The
   // request has already been abandoned.
   virtual void OnClientDisconnected(const std::shared_ptr<ProxiedRequest>& request) = 0;
-  // Called when the last byte of a streamed request has been read. Its deadline is measured from
-  // here.
-  virtual void OnRequestComplete(const std::shared_ptr<ProxiedRequest>& request) = 0;
 
  protected:
   ~RequestListener() = default;
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -19,9 +19,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// Maximum time between two writes of a streamed request. No other attempt is possible here, so slow
-// endpoints are tolerated and only dead ones are given up.
-constexpr Duration kStreamPauseLimit = seconds(5);
 // Maximum time between two reads of a streamed response. Before the deadline of its request it may
 // pause for longer.
 constexpr Duration kResponsePauseLimit = seconds(2);
@@ -82,10 +79,7 @@
   stream_.set_max_unread_bytes(kMaxUnparsedBytes);
   request_written_ = false;
   first_byte_received_ = false;
-  // The deadline of a streamed request is measured from its last byte.
-  if (transaction_->is_probe() || !transaction_->request->message().streaming_body) {
-    StartDeadlineTimer(WriteDeadline());
-  }
+  StartDeadlineTimer(WriteDeadline());
   if (stream_.connected()) {
     WriteWhenSettled();
   }
@@ -201,14 +195,9 @@
                                                    }
                                                  });
   stream_.Write(RequestHead(request, transaction_->deadline - loop_.Now()));
-  if (request_writer_) {
-    StartUploadPauseTimer();
-  }
 }
 
-// From here on the request has a deadline, like a buffered one.
 void UpstreamConnection::OnRequestBodyWritten() {
-  loop_.CancelTimer(pause_timer_);
   // The writer may be the caller, so it is destroyed later.
   loop_.RunDeferred([retained = std::shared_ptr<BodyWriter>(std::move(request_writer_))] {});
   request_written_ = true;
@@ -219,11 +208,7 @@
 
 void UpstreamConnection::OnWriteComplete() {
   if (request_writer_) {
-    request_writer_->Resume();
-    if (request_writer_) {
-      StartUploadPauseTimer();
-    }
-    return;
+    return request_writer_->Resume();
   }
   request_written_ = true;
   if (transaction_ && WriteDeadline() < transaction_->deadline) {
@@ -231,14 +216,22 @@
   }
 }
 
+bool UpstreamConnection::IsRequestStreamed() const {
+  return !transaction_->is_probe() && transaction_->request->message().streaming_body != nullptr;
+}
+
 // The time by which the last byte of the request must be written. A retry with an idempotency key
 // must be written within the connect timeout: later, endpoints may have forgotten the key and would
-// execute the request again.
+// execute the request again. A streamed request is retried only if no endpoint has got any of it.
 Time UpstreamConnection::WriteDeadline() const {
   const UpstreamTransaction& transaction = *transaction_;
+  const bool is_streamed = IsRequestStreamed();
   const bool is_keyed_retry =
-      !transaction.is_probe() && transaction.attempt > 0 &&
+      !transaction.is_probe() && !is_streamed && transaction.attempt > 0 &&
       transaction.request->request_class().idempotency == Idempotency::kKeyed;
+  if (is_streamed) {
+    return transaction.request->deadline();
+  }
   if (!is_keyed_retry) {
     return transaction.deadline;
   }
@@ -472,8 +465,7 @@
 // responses to streamed requests.
 Outcome UpstreamConnection::OutcomeOf(const BufferedMessage& response) const {
   const Outcome outcome = OutcomeOfResponse(response.message, response.bytes.view());
-  const bool is_buffered =
-      !transaction_->is_probe() && !transaction_->request->message().streaming_body;
+  const bool is_buffered = !transaction_->is_probe() && !IsRequestStreamed();
   if (request_written_ || !is_buffered || outcome != Outcome::kOk) {
     return outcome;
   }
@@ -547,6 +539,9 @@
 }
 
 void UpstreamConnection::OnDeadline() {
+  if (IsRequestStreamed() && !request_written_ && WriteDeadline() > loop_.Now()) {
+    return StartDeadlineTimer(WriteDeadline());  // the client was still sending
+  }
   if (CanStreamAtDeadline()) {
     return StartStreamedResponse();
   }
@@ -569,16 +564,6 @@
   });
 }
 
-// While a request is streamed: an endpoint that reads nothing for this long is treated as dead.
-void UpstreamConnection::StartUploadPauseTimer() {
-  StartPauseTimer(kStreamPauseLimit, [this] {
-    if (stream_.flushed()) {
-      return StartUploadPauseTimer();  // the client is slow, not the endpoint
-    }
-    Finish(Outcome::kConnectFailed);
-  });
-}
-
 // While a response is streamed.
 void UpstreamConnection::StartDownloadPauseTimer() {
   const Duration limit = has_streamed_class_
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -150,6 +150,7 @@
   void WriteProbe();
   void WriteStreamedRequest(const BufferedMessage& request);
   void OnRequestBodyWritten();
+  [[nodiscard]] bool IsRequestStreamed() const;
   [[nodiscard]] Time WriteDeadline() const;
 
   // Reading.
@@ -175,7 +176,6 @@
   void StartDeadlineTimer(Time deadline);
   void OnDeadline();
   void StartPauseTimer(Duration limit, std::function<void()> callback);
-  void StartUploadPauseTimer();
   void StartDownloadPauseTimer();
   void CancelTimers();
 
--- a/src/http/http_parser.h
+++ b/src/http/http_parser.h
@@ -54,6 +54,10 @@
   [[nodiscard]] std::optional<uint64_t> body_length() const;
   // Number of body bytes in `in` that Feed has parsed, without framing.
   [[nodiscard]] size_t body_bytes_received(const Buffer& in) const;
+  // Number of body bytes that TakeBody has not returned yet; 0 if the length is not known.
+  [[nodiscard]] size_t body_bytes_left() const {
+    return state_ == State::kLength ? content_length_ - body_bytes_taken_ : 0;
+  }
   // Moves the head from `in` to `head` and returns it as a message without a body. After that,
   // TakeBody reads the body.
   HttpMessage TakeHead(Buffer& in, Buffer& head);
--- a/src/http/proxied_request.h
+++ b/src/http/proxied_request.h
@@ -2,6 +2,7 @@
 #ifndef PADDLESTILE_HTTP_PROXIED_REQUEST_H_
 #define PADDLESTILE_HTTP_PROXIED_REQUEST_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -55,7 +56,13 @@
 
   [[nodiscard]] const std::string& id() const { return id_; }
   [[nodiscard]] const BufferedMessage& message() const { return message_; }
-  [[nodiscard]] Time deadline() const { return deadline_; }
+  // The time by which the client has to get its response. While a streamed body is being read it
+  // moves on as long as the client may still be sending.
+  [[nodiscard]] Time deadline() const {
+    const auto earliest_end =
+        message_.streaming_body ? message_.streaming_body->EarliestEnd() : std::nullopt;
+    return earliest_end ? std::max(deadline_, *earliest_end + client_timeout_) : deadline_;
+  }
   void set_deadline(Time deadline) { deadline_ = deadline; }
   // How long the client waits for the response, starting at the last byte of its request.
   [[nodiscard]] Duration client_timeout() const { return client_timeout_; }
--- a/src/http/streaming_body.h
+++ b/src/http/streaming_body.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <utility>
 
+#include "base/time.h"
 #include "event/buffer.h"
 #include "event/memory_budget.h"
 #include "event/stream.h"
@@ -27,6 +28,7 @@
 class StreamingBody {
  public:
   using ReadCallback = std::function<ParseProgress(Buffer& piece)>;
+  using ArrivalCallback = std::function<Time()>;
 
   // `read` provides the data received so far, which may be empty. It returns kDone with the last
   // piece, and kMalformed if the body was truncated. `cancel` (may be null) is called at most once,
@@ -40,7 +42,15 @@
   [[nodiscard]] bool begun() const { return begun_; }
   [[nodiscard]] bool has_writer() const { return static_cast<bool>(data_callback_); }
 
+  // Returns the earliest time at which the sender may have sent the last byte, as far as is known
+  // now; nullopt if the body has ended or its reading side does not tell.
+  [[nodiscard]] std::optional<Time> EarliestEnd() const {
+    return read_ && earliest_end_ ? std::optional(earliest_end_()) : std::nullopt;
+  }
+
   // ---- For the reading connection.
+  // Sets what EarliestEnd returns while the body is being read.
+  void SetEarliestEnd(ArrivalCallback earliest_end) { earliest_end_ = std::move(earliest_end); }
   // Holds the memory that is reserved for the transfer until the body has been written to the
   // kernel, or is cancelled or destroyed.
   void HoldMemory(MemoryBudget::Reservation memory) { memory_ = std::move(memory); }
@@ -92,6 +102,7 @@
   std::optional<uint64_t> length_;
   ReadCallback read_;             // null after the end
   std::function<void()> cancel_;  // null after the end
+  ArrivalCallback earliest_end_;  // may be null
   std::function<void()> data_callback_;
   MemoryBudget::Reservation memory_;
   bool begun_ = false;
--- a/tests/gateway/downstream_fixture.h
+++ b/tests/gateway/downstream_fixture.h
@@ -25,7 +25,7 @@
     downstream =
         std::make_unique<Downstream>(loop, budget, Address{INADDR_LOOPBACK, 0}, lifecycle, this);
   }
-  AdmissionResult OnRequest(BufferedMessage request,
+  AdmissionResult OnRequest(BufferedMessage request, Time /*arrived_at*/,
                             ProxiedRequest::ResponseCallback reply) override {
     const std::string_view buffer = request.bytes.view();
     std::string id(request.message.FindHeader(buffer, "X-Call-Id").value_or("none"));
@@ -39,9 +39,6 @@
   void OnClientDisconnected(const std::shared_ptr<ProxiedRequest>& request) override {
     disconnected.push_back(request->id());
   }
-  void OnRequestComplete(const std::shared_ptr<ProxiedRequest>& request) override {
-    completed.push_back(request->id());
-  }
   bool OnDescriptorsExhausted() override { return downstream && downstream->CloseOneIdle(); }
 
   // Opens a client connection.
@@ -70,7 +67,7 @@
   std::shared_ptr<RequestClass> request_class =
       std::make_shared<RequestClass>(MakeClass(Idempotency::kSafe));
   std::vector<std::shared_ptr<ProxiedRequest>> requests;  // in order of arrival
-  std::vector<std::string> disconnected, completed;       // request ids
+  std::vector<std::string> disconnected;                  // request ids
   std::unique_ptr<Downstream> downstream;
 };
 
