Judge a client that reads slowly by what it has acknowledged

Cause: the write timeout starts when a piece is handed to the kernel and ends when the kernel takes the next one. With megabytes in its buffers that takes longer than 10 s for a steady, slow client.

Change: when the timeout expires it starts again if the peer has acknowledged bytes meanwhile (SIOCOUTQ). Where the kernel does not tell, what it has taken counts, as before.

Measured: SlowPeersTest.ClientThatReadsSlowlyIsNotCutOff, 12 s at 64 kB a second, failed before the fix (cut off after 10 s) and passes. The responses were not read to their end here.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <linux/filter.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
@@ -237,6 +238,7 @@
       }
       return OnWriteFailed();
     }
+    written_bytes_ += static_cast<uint64_t>(n);
     ConsumeOutput(static_cast<size_t>(n));
   }
   if (output_.empty() && !broken_) {
@@ -257,6 +259,14 @@
   }
 }
 
+uint64_t Stream::delivered_bytes() const {
+  int unacknowledged_bytes = 0;
+  if (closed_ || ioctl(socket_.get(), SIOCOUTQ, &unacknowledged_bytes) != 0) {
+    return written_bytes_;
+  }
+  return written_bytes_ - static_cast<uint64_t>(unacknowledged_bytes);
+}
+
 // Removes `bytes` bytes from the output queue, and empty segments at its front.
 void Stream::ConsumeOutput(size_t bytes) {
   while (bytes > 0 || (!output_.empty() && output_.front().remaining.empty())) {
--- a/src/event/stream.h
+++ b/src/event/stream.h
@@ -65,6 +65,10 @@
   // Returns whether all written data was passed to the kernel.
   [[nodiscard]] bool flushed() const { return output_.empty(); }
 
+  // Returns how many of the written bytes the peer's kernel has acknowledged; those that the kernel
+  // here has taken if it does not tell.
+  [[nodiscard]] uint64_t delivered_bytes() const;
+
   // Sets the size of input() at which reading stops until ResumeReading is called.
   void set_max_unread_bytes(size_t bytes) { max_unread_bytes_ = bytes; }
   // Sets the minimum room in the buffer for each read.
@@ -129,6 +133,7 @@
   ArrivalTimes arrival_times_;  // of the bytes of input_
   Buffer input_;
   std::deque<WriteSegment> output_;
+  uint64_t written_bytes_ = 0;  // that were passed to the kernel
 };
 
 }  // namespace paddlestile
--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -20,7 +20,7 @@
 // at the first byte for later ones. Further bytes do not extend it; otherwise a client could hold a
 // descriptor indefinitely by sending one byte at a time.
 constexpr Duration kRequestTimeout = milliseconds(2'500);
-// Time limit for the client to read a response, or the next piece of a streamed one.
+// Time limit for the client to read any more of a response.
 constexpr Duration kWriteTimeout = seconds(10);
 constexpr Duration kUploadCheckInterval = milliseconds(250);
 // Clients keep connections open that they do not reuse, and open some that they never use.
@@ -409,7 +409,10 @@
 }
 
 void DownstreamConnection::StartWriteTimer() {
-  SetTimer(kWriteTimeout, [this] {
+  SetTimer(kWriteTimeout, [this, delivered_bytes = stream_.delivered_bytes()] {
+    if (stream_.delivered_bytes() > delivered_bytes) {
+      return StartWriteTimer();
+    }
     LogResponseCut(ResponseCut::kClientTooSlow);
     owner_.Close(*this);
   });
