Answer all requests that were read from a connection before a drain closes it

Cause: SendResponse turned keep-alive off while draining, and Linger discards the input, also where whole requests wait in it. An operator's drain and a hot restart took the same way.

Change: while draining, a connection stays open as long as a request waits behind the current one. 0.45 s after the drain began nothing more is read ahead, and only requests that have been read whole keep a connection open, so that the drain ends in time.

--- a/src/gateway/downstream.cpp
+++ b/src/gateway/downstream.cpp
@@ -64,6 +64,7 @@
   const Time now = loop_.Now();
   const bool shutting_down = static_cast<bool>(on_drained_);
   if (now - drain_started_at_ >= kDrainIdleDelay) {
+    connections_.StopReadingAhead();
     connections_.CloseAllIdle(shutting_down);
   }
   // A new process needs the descriptors at once. An operator's drain may be undone, so it keeps its
--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -74,6 +74,12 @@
   stream_.Close();
 }
 
+void DownstreamConnection::StopReadingAhead() {
+  if (state_ == State::kWaiting || state_ == State::kWriting) {
+    stream_.set_max_unread_bytes(0);
+  }
+}
+
 bool DownstreamConnection::HasUnfinishedWork() {
   const bool buffered = !stream_.input().empty() && !parser_.begun();
   return state_ != State::kReading || buffered || stream_.HasUnreadBytes();
@@ -98,8 +104,8 @@
 // ---- Reading a request ----------------------------------------------------------------------
 
 // Treats a client that has closed its sending side as disconnected, because clients do this only
-// when they disconnect. While a request is waiting for its response, the end of the stream counts
-// even if pipelined requests are still unread.
+// when they disconnect. While a request is in progress, the end of the stream counts even if more
+// of the request, or pipelined requests, are still unread.
 void DownstreamConnection::CloseIfClientDisconnected() {
   if (stream_.closed() || state_ == State::kReading) {
     return;
@@ -241,7 +247,7 @@
   parser_.Reset();
   memory_ = {};
   buffers_large_body_ = false;
-  stream_.set_max_unread_bytes(kMaxPipelinedBytes);
+  stream_.set_max_unread_bytes(owner_.reads_ahead() ? kMaxPipelinedBytes : 0);
   stream_.set_min_read_bytes(kMinReadBytes);
   continue_handled_ = false;
   upload_.Reset();
@@ -408,6 +414,8 @@
   });
 }
 
+// The kernel may hold so much of a response that nothing can be written to it for a long time,
+// while the client reads slowly but steadily.
 void DownstreamConnection::StartWriteTimer() {
   SetTimer(kWriteTimeout, [this, delivered_bytes = stream_.delivered_bytes()] {
     if (stream_.delivered_bytes() > delivered_bytes) {
@@ -458,7 +466,8 @@
   const auto& message = response.upstream_message;
   const auto body = message ? message->streaming_body : nullptr;
   const bool has_length = !body || body->length();
-  keep_alive_ = keep_alive_ && !owner_.draining() && (has_length || !is_http10_);
+  keep_alive_ =
+      keep_alive_ && (!owner_.draining() || HasRequestToAnswer()) && (has_length || !is_http10_);
   StartWriteTimer();
   if (body) {
     response_writer_ =
@@ -472,6 +481,18 @@
   }
 }
 
+// Whether a request waits behind the current one that is lost if the connection closes: one that
+// has been read, or may still be read.
+bool DownstreamConnection::HasRequestToAnswer() {
+  if (owner_.reads_ahead()) {
+    return !stream_.input().empty() || stream_.HasUnreadBytes();
+  }
+  Buffer copy;
+  copy.Append(stream_.input().view());
+  HttpParser parser(HttpParser::Kind::kRequest, kMaxBodyBytes);
+  return parser.Feed(copy) == ParseProgress::kDone;
+}
+
 void DownstreamConnection::LogResponseCut(ResponseCut cut) const {
   if (state_ != State::kWriting || (!response_writer_ && stream_.flushed())) {
     return;
--- a/src/gateway/downstream_connection.h
+++ b/src/gateway/downstream_connection.h
@@ -63,6 +63,9 @@
   // owner, which then removes the connection.
   void Shutdown();
 
+  // Leaves requests unread that arrive while another one is in progress. Called by the owner.
+  void StopReadingAhead();
+
   [[nodiscard]] Stream& stream() { return stream_; }
   [[nodiscard]] Time opened_at() const { return opened_at_; }
   [[nodiscard]] Registration& registration() { return registration_; }
@@ -119,6 +122,7 @@
   void RejectUnread(const Response& response);
   void SendResponse(const Response& response);
   void OnResponseBodyFinished(bool complete);
+  [[nodiscard]] bool HasRequestToAnswer();
   // Logs why a response that is being written ends early; otherwise no effect.
   void LogResponseCut(ResponseCut cut) const;
   void StartNextRequest();
--- a/src/gateway/downstream_connections.cpp
+++ b/src/gateway/downstream_connections.cpp
@@ -144,6 +144,20 @@
   }
 }
 
+void DownstreamConnections::set_draining(bool draining) {
+  draining_ = draining;
+  reads_ahead_ = true;
+}
+
+void DownstreamConnections::StopReadingAhead() {
+  if (!std::exchange(reads_ahead_, false)) {
+    return;
+  }
+  for (const auto& connection : connections_) {
+    connection->StopReadingAhead();
+  }
+}
+
 void DownstreamConnections::CloseAllWithoutUnfinishedWork() {
   for (auto next = connections_.begin(); next != connections_.end();) {
     DownstreamConnection& connection = **next++;
--- a/src/gateway/downstream_connections.h
+++ b/src/gateway/downstream_connections.h
@@ -68,9 +68,13 @@
   [[nodiscard]] Duration retry_after() const { return retry_after_; }
   void set_retry_after(Duration retry_after) { retry_after_ = retry_after; }
 
-  // Whether each connection closes after its current response.
+  // Whether each connection closes after the requests that have been read from it.
   [[nodiscard]] bool draining() const { return draining_; }
-  void set_draining(bool draining) { draining_ = draining; }
+  void set_draining(bool draining);
+  // Whether requests are read while an earlier one on their connection is in progress. Not for the
+  // whole drain: later ones could not be answered before the end of the process.
+  [[nodiscard]] bool reads_ahead() const { return reads_ahead_; }
+  void StopReadingAhead();
 
   [[nodiscard]] size_t size() const { return connections_.size(); }
   [[nodiscard]] bool empty() const { return connections_.empty(); }
@@ -92,6 +96,7 @@
   std::list<DownstreamConnection*> idle_;       // longest idle first
   std::list<DownstreamConnection*> lingering_;  // longest lingering first
   bool draining_ = false;
+  bool reads_ahead_ = true;
   MemoryBudget request_budget_;
   MemoryBudget large_body_budget_;
   Duration retry_after_{0};
