Pass on the first bytes of a long response after a second at the latest

Cause: a response was held back until 8 or 16 KiB of it had come, however long that took. To hold the rest of a response back for 2 s loses the request.

Change: a long response, or one without a length, is passed on from 4 KiB when it has been held for a second.

Measured: SlowPeersTest.FirstBytesOfALongResponseAreNotHeldBack failed before the fix (the limit set to 60 s) and passes.

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -29,8 +29,10 @@
 // request. More bytes are required if the length is not known.
 constexpr size_t kMinStreamedBytes = 8'192;
 constexpr size_t kMinStreamedBytesUnknownLength = 16'384;
-// The same when the deadline has come and no other attempt can follow; less may be an endless drip.
-constexpr size_t kMinStreamedBytesAtDeadline = 4'096;
+// The same when they have been held for kMaxHoldTime, or when the deadline has come and no other
+// attempt can follow; less may be an endless drip.
+constexpr size_t kMinStreamedBytesWhenDue = 4'096;
+constexpr Duration kMaxHoldTime = seconds(1);
 constexpr size_t kMinReadBytes = 2048;  // most responses are short
 // Maximum that is read ahead before it is known whether the response is streamed, and of one that
 // is received whole.
@@ -297,6 +299,7 @@
   if (transaction.is_probe() || transaction.response_started ||
       !transaction.request->request_class().is_streamed) {
     return;
+  StartHoldTimer();
   }
   if (parser_.message().body.at == 0 || parser_.message().status != 200) {
     return;
@@ -339,15 +342,21 @@
          (length ? kMinStreamedBytes : kMinStreamedBytesUnknownLength);
 }
 
-// Whether the response, which is incomplete at its deadline, is a long one that its endpoint is
-// still writing. Its client has to get the first bytes in time, and the rest as it comes.
-bool UpstreamConnection::CanStreamAtDeadline() {
+// Whether an incomplete response is a long one.
+bool UpstreamConnection::IsLongResponse() const {
   if (transaction_->is_probe() || !request_written_ || !parser_.head_done()) {
     return false;
   }
   const auto length = parser_.body_length();
-  const bool is_long = !length || *length > kMaxBufferedBodyBytes;
-  return is_long && parser_.body_bytes_received(stream_.input()) >= kMinStreamedBytesAtDeadline;
+  return !length || *length > kMaxBufferedBodyBytes;
+}
+
+// Whether the response, which is incomplete at its deadline or has been held for long, is a long
+// one that its endpoint is still writing. Its client has to get the first bytes in time, and the
+// rest as it comes.
+bool UpstreamConnection::CanStreamWhenDue() {
+  return IsLongResponse() &&
+         parser_.body_bytes_received(stream_.input()) >= kMinStreamedBytesWhenDue;
 }
 
 // Reserves memory for the response on the first call. Returns false if too little is left.
@@ -542,7 +551,7 @@
   if (IsRequestStreamed() && !request_written_ && WriteDeadline() > loop_.Now()) {
     return StartDeadlineTimer(WriteDeadline());  // the client was still sending
   }
-  if (CanStreamAtDeadline()) {
+  if (CanStreamWhenDue()) {
     return StartStreamedResponse();
   }
   if (request_written_) {
@@ -573,6 +582,19 @@
     if (!response_body_) {
       return;
     }
+// While a long response is held back.
+void UpstreamConnection::StartHoldTimer() {
+  if (pause_timer_.number != 0 || !IsLongResponse()) {
+    return;
+  }
+  StartPauseTimer(kMaxHoldTime, [this] {
+    if (CanStreamWhenDue()) {
+      return StartStreamedResponse();
+    }
+    StartHoldTimer();
+  });
+}
+
     if (!stream_.input().empty()) {
       return StartDownloadPauseTimer();  // the client is slow, not the endpoint
     }
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -159,7 +159,8 @@
   void CommitStreamedResponse();
   void FinishResponse();
   bool ShouldStreamResponse();
-  [[nodiscard]] bool CanStreamAtDeadline();
+  [[nodiscard]] bool IsLongResponse() const;
+  [[nodiscard]] bool CanStreamWhenDue();
   bool ReserveResponseBuffer(size_t body_bytes);
   void StartStreamedResponse();
   void LimitReadAhead(StreamingBody& body);
@@ -179,6 +180,7 @@
   void StartDownloadPauseTimer();
   void CancelTimers();
 
+  void StartHoldTimer();
   void Finish(Outcome outcome);
   void FinishMalformed(ResponseCut cut);
   void ReturnToPool();
--- a/tests/gateway/slow_peers_test.cpp
+++ b/tests/gateway/slow_peers_test.cpp
@@ -137,6 +137,21 @@
   }
 }
 
+// Guards against the first bytes of a long response being held back until its deadline, while its
+// host pauses.
+TEST_F(SlowPeersTest, FirstBytesOfALongResponseAreNotHeldBack) {
+  for (const Framing framing : kFramings) {
+    SendHead("safe", 3000, "Content-Length: 0\r\n");
+    ASSERT_TRUE(AcceptHost());
+    const std::string part = PatternBody(5'000);
+    host.Send(ResponseHeadText(framing, 100'000) + BodyPart(framing, part));
+    EXPECT_TRUE(RunLoopUntil([&] { return client.Has(part); }, Ms(1500)))
+        << static_cast<int>(framing);
+    host.Close();
+    RunFor(loop, Ms(20));
+  }
+}
+
 // Guards against a client that is left waiting where its host ends in the middle of a response,
 // right behind the last bytes that it sends.
 TEST_F(SlowPeersTest, EndRightBehindTheLastBytesReachesTheClient) {
