Do not write a request to an address that its host has left

Cause: a connection that was still being established when its host got another address, or left the list, carried its request all the same; so did one that rests before its next use.

Change: UpstreamConnection::IsConnectedToHost is asked before a request is written. The request goes to the new address of its host, or back to the load balancer as not sent.

--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -102,8 +102,13 @@
 }
 
 bool UpstreamConnection::IsReusable() const {
-  return response_complete_ && host_.listed && address_version_ == host_.address_version &&
-         !stream_.ended() && !stream_.closed() && stream_.flushed();
+  return response_complete_ && IsConnectedToHost() && !stream_.ended() && !stream_.closed() &&
+         stream_.flushed();
+}
+
+// The address of an endpoint that has left may belong to another process by now.
+bool UpstreamConnection::IsConnectedToHost() const {
+  return host_.listed && address_version_ == host_.address_version;
 }
 
 void UpstreamConnection::Finish(Outcome outcome) {
@@ -141,9 +146,13 @@
 
 void UpstreamConnection::OnConnected() {
   loop_.CancelTimer(connect_timer_);
-  if (transaction_) {
-    WriteRequest();
+  if (!transaction_) {
+    return;
   }
+  if (!IsConnectedToHost()) {
+    return owner_.OnConnectionUnusable(*this);
+  }
+  WriteRequest();
 }
 
 void UpstreamConnection::WriteWhenSettled() {
@@ -156,7 +165,7 @@
     if (transaction_->is_probe()) {
       transaction_->started_at = loop_.Now();  // exclude the wait from the measured round-trip time
     }
-    if (stream_.IsIdle()) {
+    if (stream_.IsIdle() && IsConnectedToHost()) {
       WriteRequest();
     } else {
       owner_.OnConnectionUnusable(*this);
@@ -288,8 +297,9 @@
     return OnError();
   }
   if (ShouldStreamResponse()) {
-    StartStreamedResponse();
+    return StartStreamedResponse();
   }
+  StartHoldTimer();
 }
 
 // Once a response of a streamed class has started, it is passed to the client and the deadline no
@@ -299,7 +309,6 @@
   if (transaction.is_probe() || transaction.response_started ||
       !transaction.request->request_class().is_streamed) {
     return;
-  StartHoldTimer();
   }
   if (parser_.message().body.at == 0 || parser_.message().status != 200) {
     return;
@@ -573,15 +582,6 @@
   });
 }
 
-// While a response is streamed.
-void UpstreamConnection::StartDownloadPauseTimer() {
-  const Duration limit = has_streamed_class_
-                             ? kStreamedClassPauseLimit
-                             : std::max(kResponsePauseLimit, response_deadline_ - loop_.Now());
-  StartPauseTimer(limit, [this] {
-    if (!response_body_) {
-      return;
-    }
 // While a long response is held back.
 void UpstreamConnection::StartHoldTimer() {
   if (pause_timer_.number != 0 || !IsLongResponse()) {
@@ -595,6 +595,15 @@
   });
 }
 
+// While a response is streamed.
+void UpstreamConnection::StartDownloadPauseTimer() {
+  const Duration limit = has_streamed_class_
+                             ? kStreamedClassPauseLimit
+                             : std::max(kResponsePauseLimit, response_deadline_ - loop_.Now());
+  StartPauseTimer(limit, [this] {
+    if (!response_body_) {
+      return;
+    }
     if (!stream_.input().empty()) {
       return StartDownloadPauseTimer();  // the client is slow, not the endpoint
     }
--- a/src/gateway/upstream_connection.h
+++ b/src/gateway/upstream_connection.h
@@ -144,6 +144,9 @@
   void OnData() override;
   void OnError() override;
 
+  // Whether the endpoint is still listed with the address to which this connection was opened.
+  [[nodiscard]] bool IsConnectedToHost() const;
+
   // Writing.
   void WriteWhenSettled();
   void WriteRequest();
@@ -177,10 +180,10 @@
   void StartDeadlineTimer(Time deadline);
   void OnDeadline();
   void StartPauseTimer(Duration limit, std::function<void()> callback);
+  void StartHoldTimer();
   void StartDownloadPauseTimer();
   void CancelTimers();
 
-  void StartHoldTimer();
   void Finish(Outcome outcome);
   void FinishMalformed(ResponseCut cut);
   void ReturnToPool();
--- a/tests/gateway/upstream_test.cpp
+++ b/tests/gateway/upstream_test.cpp
@@ -774,6 +774,44 @@
   EXPECT_EQ(upstream->connection_count(), 0u);
 }
 
+// Guards against a request that is sent to another process, which took the address of its host
+// while the connection was being established.
+TEST_F(UpstreamTest, NothingIsWrittenToAnAddressThatItsHostHasLeft) {
+  Upstream::Options options = DefaultOptions();
+  options.connect_timeout = Ms(3000);
+  for (const bool is_moved : {true, false}) {
+    finished.clear();
+    MakeUpstream(options);
+    UnreachableHost old_address(loop);
+    upstream->SetEndpointAddress("h1", old_address.address());
+    StartNewAttempt("id1", Ms(4000));
+    testing::RunFor(loop, Ms(50));
+    if (is_moved) {
+      upstream->SetEndpointAddress("h1", port.address());
+    } else {
+      upstream->RemoveEndpoint("h1");
+    }
+    old_address.StartAccepting();
+    Peer host, other_process;
+    EXPECT_TRUE(RunUntil(loop, [&] {
+      if (Peer peer = old_address.TryAccept()) {
+        other_process = std::move(peer);
+      }
+      if (!host) {
+        host = port.TryAccept();
+      }
+      if (host && host.Has("body")) {
+        host.ClearReceived();
+        host.Send(Http200("served"));
+      }
+      return finished.size() == 1 || (other_process && other_process.Has("POST"));
+    }));
+    EXPECT_FALSE(other_process && other_process.Has("POST")) << is_moved;
+    ASSERT_EQ(finished.size(), 1u);
+    EXPECT_EQ(finished[0].outcome, is_moved ? Outcome::kOk : Outcome::kNotSent);
+  }
+}
+
 // The client disconnects during the write. The host is left with a part of the request, which it
 // never executes.
 TEST_F(UpstreamTest, PartlyWrittenRequestEndsWhenItsClientDisconnects) {
