Reject ids at the new process of a hot restart that the old one has admitted

Cause: a process rejects ids that it has admitted lately; the new process of a hot restart did not know those of the old one.

Change: behind the learned state the old process sends the ids that it has admitted lately, and each further one, as lines `took ID` over the same channel. Builds without them ignore such lines. The other direction is left out: an older build as the old process would end the hot restart at a line that it does not know.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -337,6 +337,9 @@
   ++GlobalCounters().requests_admitted;
   ++unanswered_count_;
   recent_request_ids_.Add(arrival.id, loop_.Now());
+  if (admission_callback_) {
+    admission_callback_(arrival.id);
+  }
   // Shares ownership of the configuration that was in force when the request arrived.
   std::shared_ptr<const RequestClass> request_class(
       config_, &config_->settings.classes[arrival.request_class]);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,17 @@
   // false, without any change, if it is malformed.
   bool ImportLearnedState(const std::string& text);
 
+  // Returns the ids of recently admitted requests, oldest first.
+  [[nodiscard]] std::vector<std::string> AdmittedRequestIds() const {
+    return recent_request_ids_.All();
+  }
+  // Rejects requests with this id from now on, as if it had been admitted here.
+  void AddAdmittedRequestId(const std::string& id) { recent_request_ids_.Add(id, loop_.Now()); }
+  // Sets a callback for the id of each request that is admitted; null removes it.
+  void SetAdmissionCallback(std::function<void(const std::string& id)> callback) {
+    admission_callback_ = std::move(callback);
+  }
+
   // Describes counters and current state on one line.
   [[nodiscard]] std::string DescribeState() const;
 
@@ -165,7 +176,8 @@
   size_t unanswered_count_ = 0;   // requests without a response
   Duration longest_deadline_{0};  // of all request classes
   RecentRequestIds recent_request_ids_;
-  std::deque<Event> events_;        // not yet handled
+  std::function<void(const std::string&)> admission_callback_;  // may be null
+  std::deque<Event> events_;                                    // not yet handled
   bool processing_events_ = false;  // events are being processed or scheduled for it
   std::vector<Action> actions_;     // of the current event
   Time callback_time_ = Time::max();
--- a/src/gateway/hot_restart_new_process.cpp
+++ b/src/gateway/hot_restart_new_process.cpp
@@ -183,6 +183,10 @@
     budget_.set_held_by_other_process(*descriptors_held);
     reported_at_ = loop_.Now();
     needs_answer_ = true;
+  } else if (const auto request_id = hot_restart::ParseTookLine(line)) {
+    if (on_request_taken_) {
+      on_request_taken_(*request_id);
+    }
   } else if (line == hot_restart::kMonitorsLine) {
     is_monitored_ = true;
     needs_answer_ = true;
--- a/src/gateway/hot_restart_new_process.h
+++ b/src/gateway/hot_restart_new_process.h
@@ -41,6 +41,10 @@
   NewProcess(EventLoop& loop, HotRestartState state, DescriptorBudget& budget);
   // `on_revoked` runs if the old process serves again because this process did not answer.
   void set_on_revoked(std::function<void()> on_revoked) { on_revoked_ = std::move(on_revoked); }
+  // `on_request_taken` runs for each id of a request that the old process has admitted.
+  void set_on_request_taken(std::function<void(const std::string& id)> on_request_taken) {
+    on_request_taken_ = std::move(on_request_taken);
+  }
   // `on_old_ended` runs when the old process reports that it was told to exit, and again when it
   // has exited: from then on only this process can accept connections.
   void set_on_old_ended(std::function<void()> on_old_ended) {
@@ -62,6 +66,7 @@
   DescriptorBudget& budget_;
   Stream stream_;
   std::function<void()> on_revoked_, on_old_ended_;
+  std::function<void(const std::string&)> on_request_taken_;
   Time reported_at_;           // time of the old process's last `holds` line
   bool is_monitored_ = false;  // the old process expects answers to its reports
   bool needs_answer_ = false;  // a report has arrived since the last answer
--- a/src/gateway/hot_restart_old_process.cpp
+++ b/src/gateway/hot_restart_old_process.cpp
@@ -29,6 +29,8 @@
 constexpr int kMinUnansweredReports = 2;
 // The old process may still open one upstream connection for each of its clients, up to this limit.
 constexpr size_t kMaxSpareDescriptors = 16;
+// Ids of requests that the new process has not read yet; further ones are not sent.
+constexpr size_t kMaxUnsentIdBytes = 1U << 20;
 // Descriptors of a draining process outside its budget: 24, and those of the connection refuser.
 constexpr size_t kUnbudgetedDescriptors = 24 + ConnectionRefuser::kMaxConnections;
 
@@ -58,7 +60,8 @@
 };
 
 // The connection from a new process.
-class OldProcess::Channel final : public Stream::Listener {
+class OldProcess::Channel final : public Stream::Listener,
+                                  public std::enable_shared_from_this<Channel> {
  public:
   Channel(OldProcess& owner, FileDescriptor fd)
       : owner_(owner),
@@ -68,6 +71,14 @@
   }
   bool Start() { return stream_.Start(); }
   [[nodiscard]] Stream& stream() { return stream_; }
+  // Sends the id of a request that this process has admitted, after the running handler.
+  void ReportRequest(const std::string& id) {
+    if (!handed_over_ || unsent_ids_.size() > kMaxUnsentIdBytes) {
+      return;
+    }
+    unsent_ids_ += hot_restart::TookLine(id) + '\n';
+    owner_.loop_.RunDeferred([self = shared_from_this()] { self->SendIds(); });
+  }
   // Counts a report sent to the new process. Returns false if that process counts as hung: it has
   // answered reports before, took over, and has now left too many reports unanswered.
   bool CountReport() {
@@ -88,8 +99,16 @@
       owner_.OnNewProcessGone();
     }
   }
+  void OnWriteComplete() override { SendIds(); }
   void OnError() override { owner_.OnNewProcessGone(); }
 
+  // Waits until the new process has read earlier lines, so that few are queued here.
+  void SendIds() {
+    if (!unsent_ids_.empty() && !stream_.closed() && stream_.flushed()) {
+      stream_.Write(std::exchange(unsent_ids_, {}));
+    }
+  }
+
   void OnLine(const std::string& line) {
     if (stream_.closed()) {
       return;
@@ -121,7 +140,7 @@
   }
 
   void HandOver() {
-    const std::string learned_state = owner_.export_learned_state_();
+    const std::string learned_state = owner_.exports_.learned_state();
     const std::string line =
         hot_restart::ListenLine(owner_.DescriptorsHeld(), learned_state.size()) + '\n';
     handed_over_ = SendLine(fd_, line, owner_.downstream_.listening_socket());
@@ -132,6 +151,9 @@
     if (stream_.closed()) {
       return;
     }
+    for (const std::string& id : owner_.exports_.recent_request_ids()) {
+      ReportRequest(id);
+    }
     ++GlobalCounters().hot_restarts;
     Log(LogLevel::kInfo, "hot restart: sent the listening socket to a new process");
     owner_.ReportDescriptorsHeld();
@@ -140,20 +162,20 @@
   OldProcess& owner_;
   int fd_;
   Stream stream_;
+  std::string unsent_ids_;     // lines
   bool handed_over_ = false;   // the listening socket was sent
   bool has_answered_ = false;  // the new process has answered a report
   int unanswered_reports_ = 0;
 };
 
 OldProcess::OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle,
-                       Downstream& downstream, DescriptorBudget& budget,
-                       std::function<std::string()> export_learned_state)
+                       Downstream& downstream, DescriptorBudget& budget, Exports exports)
     : loop_(loop),
       path_(std::move(path)),
       lifecycle_(lifecycle),
       downstream_(downstream),
       budget_(budget),
-      export_learned_state_(std::move(export_learned_state)) {
+      exports_(std::move(exports)) {
   if (!path_.empty()) {
     Listen();
   }
@@ -182,6 +204,12 @@
   }
 }
 
+void OldProcess::ReportRequest(const std::string& id) {
+  if (channel_) {
+    channel_->ReportRequest(id);
+  }
+}
+
 void OldProcess::ReportEnding() {
   if (channel_) {
     channel_->stream().Write(std::string(hot_restart::kEndingLine) + '\n');
--- a/src/gateway/hot_restart_old_process.h
+++ b/src/gateway/hot_restart_old_process.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "event/descriptor_budget.h"
 #include "event/event_loop.h"
@@ -19,10 +20,18 @@
 // socket cannot be created.
 class OldProcess {
  public:
+  // What the new process gets of the old one.
+  struct Exports {
+    std::function<std::string()> learned_state;
+    std::function<std::vector<std::string>()> recent_request_ids;
+  };
   // All references must outlive this object.
   OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle, Downstream& downstream,
-             DescriptorBudget& budget, std::function<std::string()> export_learned_state);
+             DescriptorBudget& budget, Exports exports);
   ~OldProcess();
+  // Must be called for each request that this process admits, so that the new one does not admit
+  // its id again.
+  void ReportRequest(const std::string& id);
   // Must be called when this process is told to exit, so that the new process does not hand back
   // to it.
   void ReportEnding();
@@ -51,7 +60,7 @@
   Lifecycle& lifecycle_;
   Downstream& downstream_;
   DescriptorBudget& budget_;
-  std::function<std::string()> export_learned_state_;
+  Exports exports_;
   std::unique_ptr<Acceptor> acceptor_;  // null if this object does nothing
   uint64_t inode_ = 0;                  // of the socket file, which a newer process may replace
   std::shared_ptr<Channel> channel_;    // to the new process; null if there is none
--- a/src/gateway/hot_restart_protocol.cpp
+++ b/src/gateway/hot_restart_protocol.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::string_view kVersion = "paddlestile 1 ";
+constexpr std::string_view kTookPrefix = "took ";
 
 // Returns the number after `prefix`, or nullopt if `text` is not the prefix and a whole number.
 std::optional<uint64_t> NumberAfter(std::string_view text, std::string_view prefix) {
@@ -35,6 +36,10 @@
   return fmt::format("holds {}", descriptors_held);
 }
 
+std::string TookLine(const std::string& request_id) {
+  return std::string(kTookPrefix) + request_id;
+}
+
 std::optional<ListenReply> ParseListenLine(std::string_view line) {
   const size_t space = line.rfind(' ');
   if (space == std::string_view::npos) {
@@ -56,4 +61,11 @@
   return static_cast<size_t>(*descriptors);
 }
 
+std::optional<std::string> ParseTookLine(std::string_view line) {
+  if (!line.starts_with(kTookPrefix)) {
+    return std::nullopt;
+  }
+  return std::string(line.substr(kTookPrefix.size()));
+}
+
 }  // namespace paddlestile::hot_restart
--- a/src/gateway/hot_restart_protocol.h
+++ b/src/gateway/hot_restart_protocol.h
@@ -9,12 +9,16 @@
 //   alive                                                                the answer to `holds`
 //                                        revoked                         instead of `holds`
 //                                        ending                          it was told to exit
+//                                        took 9b1f03aa5c7e2d41           the id of a request
 //                                        paddlestile 1 busy              instead of `listen`
 //
 // The number in `holds`, and the first number in `listen`, is how many descriptors of the shared
 // budget the old process holds. The second number in `listen` is the size of the learned state in
 // bytes.
 //
+// `took` is sent for each id that the old process has admitted lately or admits from then on, so
+// that the new one does not admit it again. Builds without it ignore it.
+//
 // `revoked` means that the new process did not answer and the old one serves again; the new process
 // then exits. A new process that is told to exit closes the channel, and the old one serves again
 // unless it is exiting too.
@@ -47,6 +51,7 @@
 std::string ListenLine(size_t descriptors_held, size_t learned_state_bytes);
 std::string BusyLine();
 std::string HoldsLine(size_t descriptors_held);
+std::string TookLine(const std::string& request_id);
 
 struct ListenReply {
   size_t descriptors_held = 0;
@@ -55,6 +60,7 @@
 // These return nullopt if `line` is malformed or of another kind.
 std::optional<ListenReply> ParseListenLine(std::string_view line);
 std::optional<size_t> ParseHoldsLine(std::string_view line);
+std::optional<std::string> ParseTookLine(std::string_view line);
 
 // Consumes each complete line in `input` and calls `on_line` with it, without its line feed.
 // Returns false if the incomplete rest has kMaxLineBytes or more.
--- a/src/gateway/recent_request_ids.h
+++ b/src/gateway/recent_request_ids.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_set>
 #include <utility>
+#include <vector>
 
 #include "base/time.h"
 
@@ -31,6 +32,15 @@
       RemoveOldest();
     }
   }
+  // Returns the ids, oldest first.
+  [[nodiscard]] std::vector<std::string> All() const {
+    std::vector<std::string> ids;
+    ids.reserve(by_time_.size());
+    for (const auto& [time, id] : by_time_) {
+      ids.push_back(id);
+    }
+    return ids;
+  }
 
  private:
   static constexpr size_t kMaxIds = 8192;
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -325,6 +325,8 @@
   SignalHandler signal_handler(loop, served, signals);
   if (new_process) {
     new_process->set_on_old_ended([&] { lifecycle.set_ready(); });
+    new_process->set_on_request_taken(
+        [&](const std::string& id) { gateway.AddAdmittedRequestId(id); });
     DrainWhenRevoked(*new_process, lifecycle, signal_handler);
   }
   // If this process is told to exit before it is ready, the old process keeps serving.
@@ -334,7 +336,11 @@
   std::optional<OldProcess> old_process;
   if (admin_address && serves) {
     old_process.emplace(loop, hot_restart_path, lifecycle, gateway.downstream(), gateway.budget(),
-                        [&] { return gateway.ExportLearnedState(); });
+                        OldProcess::Exports{[&] { return gateway.ExportLearnedState(); },
+                                            [&] {
+                                              return gateway.AdmittedRequestIds();
+                                            }});
+    gateway.SetAdmissionCallback([&](const std::string& id) { old_process->ReportRequest(id); });
   }
   if (new_process && serves) {
     new_process->ReportReady();
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -546,6 +546,30 @@
   EXPECT_FALSE(revoked);
 }
 
+// Guards against a request that runs twice, because its client sends it again, with the same id, to
+// the new process while the old one still has it: from before the hot restart, and from within it.
+TEST_F(HotRestartTest, IdsThatTheOldProcessHasTakenAreRejected) {
+  WriteConfig(256, kSlowClass);
+  Child first, second;
+  Start(first, 6001);
+  ASSERT_TRUE(first.WaitForOutput("listens on"));
+  Peer early = SendHeldRequest("held-early");
+  ASSERT_TRUE(WaitUntilHeld(early, 1));
+  Start(second, 6002);
+  ASSERT_TRUE(first.WaitForOutput("sent the listening socket"));
+  Peer late = SendHeldRequest("held-late");
+  ASSERT_TRUE(WaitUntilHeld(late, 2));
+  ASSERT_TRUE(first.WaitForOutput("the new process serves"));
+  early.Close();
+  late.Close();
+  usleep(50'000);
+  for (const char* const id : {"held-early", "held-late"}) {
+    Peer again = SendHeldRequest(id);
+    EXPECT_FALSE(WaitUntilHeld(again, 3)) << id;
+    EXPECT_TRUE(again.Has("HTTP/1.1 409 ")) << id;
+  }
+}
+
 // Guards against requests that wait until the new process has its first endpoint list although the
 // old process is exiting.
 TEST_F(HotRestartTest, NewProcessIsReadyAtOnceIfOldProcessIsToldToExit) {
