--- a/tests/gateway/slow_peers_test.cpp
+++ b/tests/gateway/slow_peers_test.cpp
@@ -66,6 +66,17 @@
     constexpr int kReceiveBufferBytes = 4096;
     port.SetReceiveBuffer(kReceiveBufferBytes);
   }
+  // Sends as much of a request as the kernel takes, and removes it from `unsent`.
+  void SendMore(std::string_view& unsent) {
+    const ssize_t n = send(client.fd(), unsent.data(), unsent.size(), MSG_NOSIGNAL);
+    unsent.remove_prefix(static_cast<size_t>(std::max<ssize_t>(n, 0)));
+  }
+  // Accepts a pending connection to the host if it has none.
+  void AcceptPendingHost() {
+    if (!host) {
+      host = port.TryAccept();
+    }
+  }
   // Reads at most `bytes` bytes from the peer's socket.
   static void ReadSome(Peer& peer, size_t bytes) {
     std::string buffer(bytes, ' ');
@@ -222,11 +233,8 @@
       std::string_view unsent = text;
       const bool answered = RunLoopUntil(
           [&] {
-            const ssize_t n = send(client.fd(), unsent.data(), unsent.size(), MSG_NOSIGNAL);
-            unsent.remove_prefix(static_cast<size_t>(std::max<ssize_t>(n, 0)));
-            if (!host) {
-              host = port.TryAccept();
-            }
+            SendMore(unsent);
+            AcceptPendingHost();
             return client.Has("\r\n\r\n");
           },
           Ms(1000) + kResponseSlack);
@@ -247,11 +255,8 @@
   Time read_at{0};
   const bool answered = RunLoopUntil(
       [&] {
-        const ssize_t n = send(client.fd(), unsent.data(), unsent.size(), MSG_NOSIGNAL);
-        unsent.remove_prefix(static_cast<size_t>(std::max<ssize_t>(n, 0)));
-        if (!host) {
-          host = port.TryAccept();
-        }
+        SendMore(unsent);
+        AcceptPendingHost();
         if (host && loop.Now() - read_at >= Ms(50)) {
           ReadSome(host, 4096);
           read_at = loop.Now();
@@ -279,9 +284,7 @@
             kBodyBytes, static_cast<size_t>((loop.Now() - started_at).count()) * 64 / 1000);
         client.Send(std::string_view(body).substr(sent_bytes, due_bytes - sent_bytes));
         sent_bytes = due_bytes;
-        if (!host) {
-          host = port.TryAccept();
-        }
+        AcceptPendingHost();
         if (host && loop.Now() - paused_at >= kPause) {
           host.Received();
           paused_at = sent_bytes < kBodyBytes ? loop.Now() : paused_at;
