Discovery: start calls beside a silent one instead of giving it up

Seen: discovery took 2.5 s to respond, and the gateway gave up each call after 2 s.

Cause: silence (5 s), a response (2 s) and the pause before the next call each had a limit of its own, which closed the call; the sum was never compared with the 6 s that a change may take.

Change: calls have no limit. While no line comes, another is started beside the silent ones 2.2 s after the last line and at that interval from then on, four at most; the first that delivers a list ends the others (CallSchedule, CallGroup; both modes, polls, a new address). A failed watch on request is restarted after 3 s at the latest (5.6 s before). Lists that are transferred slowly are kept, lists that never end hold up one place only.

--- a/src/discovery/discovery_call.cpp
+++ b/src/discovery/discovery_call.cpp
@@ -2,19 +2,15 @@
 
 #include <fmt/format.h>
 
-#include <chrono>
 #include <string>
 #include <utility>
 
+#include "discovery/call_group.h"
+
 namespace paddlestile {
 namespace {
 
-using std::chrono::seconds;
-
-// Between two lines of a watch. The agent sends at least an empty line every 2 s.
-constexpr Duration kLineTimeout = seconds(5);
-constexpr Duration kCallTimeout = seconds(2);  // for connecting, and for a complete list
-constexpr size_t kMaxUnreadBytes = 1 << 17;    // read before yielding to other connections
+constexpr size_t kMaxUnreadBytes = 1 << 17;  // read before yielding to other connections
 constexpr int kContentTooLarge = 413;
 
 }  // namespace
@@ -28,40 +24,11 @@
   stream_.set_max_unread_bytes(kMaxUnreadBytes);
 }
 
-DiscoveryClient::Call::~Call() {
-  loop_.CancelTimer(timer_);
-}
-
-bool DiscoveryClient::Call::Start() {
-  if (!stream_.Start()) {
-    return false;
-  }
-  SetTimer(kCallTimeout);
-  return true;
-}
-
-void DiscoveryClient::Call::Stop() {
-  loop_.CancelTimer(timer_);
-  stream_.Close();
-}
-
-void DiscoveryClient::Call::SetTimer(Duration timeout) {
-  loop_.CancelTimer(timer_);
-  timer_ = loop_.RunAfter(timeout, [this] {
-    timer_ = {};
-    client_.OnCallFailed(*this, "silent");
-  });
-}
-
 void DiscoveryClient::Call::OnConnected() {
   const std::string query =
       is_watch_ ? fmt::format("?follow=1&since={:.0f}", client_.revision_) : std::string();
   stream_.Write(fmt::format("GET /catalog/members{} HTTP/1.1\r\nHost: {}\r\n\r\n", query,
                             ToText(client_.discovery_)));
-  // An agent sends its pending changes as soon as a watch starts. If it accepts the connection and
-  // stays silent, a self-renewing watch is retried early: changes that an earlier silent watch
-  // missed would otherwise arrive too late.
-  SetTimer(is_watch_ && !client_.self_renewing_watch_ ? kLineTimeout : kCallTimeout);
   reachable_at_ = loop_.Now();
 }
 
@@ -70,6 +37,7 @@
 }
 
 void DiscoveryClient::Call::OnData() {
+  progress_.last_bytes_at = loop_.Now();
   if (!is_watch_) {
     ReadPollResponse();
   } else if (head_read_ || ReadWatchHead()) {
@@ -78,6 +46,7 @@
   if (stream_.closed()) {
     return;
   }
+  progress_.unfinished_bytes = line_parser_.size() + stream_.input().size();
   if (stream_.ended()) {
     return client_.OnCallFailed(*this, "connection closed by the agent");
   }
@@ -119,7 +88,7 @@
       !client_.AcceptList(*this, parser, true)) {
     return client_.OnCallFailed(*this, "invalid list");
   }
-  client_.Close(client_.poll_);
+  client_.polls_->End(*this);
 }
 
 // ---- Watch ----------------------------------------------------------------------------------
@@ -190,9 +159,9 @@
            client_.OnMalformed("object truncated before an empty line");
   }
   line_is_blank_ = true;
-  SetTimer(kLineTimeout);
   reachable_at_ = loop_.Now();
-  client_.OnDelivered(*this);
+  progress_.last_line_at = reachable_at_;
+  client_.OnLineReceived(*this);
   const bool is_keep_alive = !line_parser_.begun();
   const bool accepted = is_keep_alive || client_.AcceptList(*this, line_parser_, false);
   line_parser_ = JsonParser();
@@ -201,8 +170,7 @@
   }
   // The agent uses a different revision sequence. Accept it from now on and request the complete
   // list with the next watch.
-  client_.revision_ = 0;
-  client_.stale_since_ = Time(-1);
+  client_.ForgetRevision(*this);
   return false;
 }
 
--- a/src/discovery/discovery_call.h
+++ b/src/discovery/discovery_call.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "config/json.h"
+#include "discovery/call_schedule.h"
 #include "discovery/discovery_client.h"
 #include "event/event_loop.h"
 #include "event/socket.h"
@@ -17,19 +18,21 @@
 // A poll reads one response that contains the complete list. A watch reads an endless chunked
 // response: a sequence of JSON objects, each followed by a line end, with empty lines as
 // keep-alive. A call ends by calling OnCallFailed or OnOversizedList of the client; a poll also
-// ends when its list has been accepted. Owned by the client, which destroys it after the current
-// event handler.
+// ends when its list has been accepted. It has no time limit of its own: CallSchedule compares its
+// progress with that of other calls. Owned by the client, which destroys it after the current event
+// handler.
 class DiscoveryClient::Call final : public Stream::Listener {
  public:
   Call(DiscoveryClient& client, Socket socket, bool watch);
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
-  virtual ~Call();
+  virtual ~Call() = default;
 
-  // Starts the connection and its timeout. Returns false if epoll rejects the socket.
-  bool Start();
-  // Closes the connection and cancels the timeout.
-  void Stop();
+  // Starts the connection. Returns false if epoll rejects the socket.
+  bool Start() { return stream_.Start(); }
+  // Closes the connection.
+  void Stop() { stream_.Close(); }
+  [[nodiscard]] const CallProgress& progress() const { return progress_; }
   [[nodiscard]] bool is_watch() const { return is_watch_; }
   // The latest time at which the agent was reachable; the start of the call until it connects.
   [[nodiscard]] Time reachable_at() const { return reachable_at_; }
@@ -48,7 +51,6 @@
   // Handles the end of a line. Returns false if the line is malformed or the watch must restart.
   bool OnLineEnd();
   void ResumeReadingAfterRound();
-  void SetTimer(Duration timeout);
 
   DiscoveryClient& client_;
   EventLoop& loop_;  // kept separately: deferred tasks may outlive the client
@@ -63,7 +65,7 @@
   JsonParser line_parser_;
   bool at_line_start_ = true;
   bool line_is_blank_ = true;  // only white space since the last line end
-  EventLoop::TimerId timer_;
+  CallProgress progress_{.started_at = loop_.Now()};
   Time reachable_at_ = loop_.Now();
 };
 
--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -1,16 +1,14 @@
 #include "discovery/discovery_client.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <chrono>
-#include <optional>
 #include <utility>
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "discovery/call_group.h"
+#include "discovery/call_schedule.h"
 #include "discovery/discovery_call.h"
-#include "event/socket.h"
 
 namespace paddlestile {
 namespace {
@@ -20,12 +18,10 @@
 // Retry delay of a self-renewing watch, doubled up to kMaxRetryDoublings times: at most 0.4 s.
 constexpr Duration kFirstRetryDelay = milliseconds(100);
 constexpr int kMaxRetryDoublings = 2;
-// When the client restarts a watch on request, counted from the time that the agent was last known
-// to be reachable. The load balancer's own retry delay grows up to 6 s, after a call that may have
-// been silent for 5 s, which is too late: changes must be in effect within 6 s. This leaves 0.4 s
-// for the response.
-constexpr Duration kRenewalDelay = milliseconds(5'600);
-constexpr int kReceiveBufferBytes = 1 << 18;  // limits unread data held by the kernel
+// When the client restarts a failed watch on request at the latest, counted from the time that the
+// agent was last known to be reachable. The load balancer's own retry delay grows up to 6 s, which
+// would leave the agent no time to respond within CallSchedule::kMaxChangeDelay.
+constexpr Duration kRenewalDelay = CallSchedule::kMaxChangeDelay / 2;
 
 }  // namespace
 
@@ -36,21 +32,19 @@
       names_(&names),
       revision_(revision),
       self_renewing_watch_(self_renewing_watch),
-      listener_(listener) {}
+      listener_(listener),
+      watches_(std::make_unique<CallGroup>(*this, true)),
+      polls_(std::make_unique<CallGroup>(*this, false)) {}
 
 DiscoveryClient::~DiscoveryClient() {
-  loop_.CancelTimer(retry_timer_);
-  loop_.CancelTimer(poll_retry_timer_);
-  for (Call* const call : {watch_.get(), previous_watch_.get(), poll_.get()}) {
-    if (call != nullptr) {
-      call->Stop();
-    }
+  if (previous_watch_) {
+    previous_watch_->Stop();
   }
 }
 
 void DiscoveryClient::Start() {
   if (self_renewing_watch_) {
-    Open(watch_, true);
+    StartCall(*watches_);
   }
 }
 
@@ -61,20 +55,20 @@
     return;
   }
   discovery_ = discovery;
-  const bool watching = watch_ != nullptr || retry_timer_.number != 0;
-  if (watch_ && watch_has_delivered_) {
-    Close(previous_watch_);
-    previous_watch_ = std::move(watch_);
+  const bool watching = !watches_->empty() || watches_->start_is_scheduled();
+  if (std::unique_ptr<Call> delivering = watches_->TakeLatestDelivering()) {
+    Destroy(std::exchange(previous_watch_, std::move(delivering)));
   }
+  watches_->EndAll();
   consecutive_watch_failures_ = 0;
   ResetBackoff();
-  loop_.CancelTimer(retry_timer_);
+  watches_->CancelScheduledStart();
   if (self_renewing_watch_ || watching) {
-    Open(watch_, true);
+    StartCall(*watches_);
   }
-  if (poll_retry_timer_.number != 0) {
-    loop_.CancelTimer(poll_retry_timer_);
-    Open(poll_, false);
+  if (polls_->start_is_scheduled()) {
+    polls_->CancelScheduledStart();
+    StartCall(*polls_);
   }
 }
 
@@ -82,60 +76,43 @@
   if (self_renewing_watch_) {
     return;
   }
-  loop_.CancelTimer(retry_timer_);
+  watches_->CancelScheduledStart();
   const bool renewed = std::exchange(failure_reported_, false);
-  if (on && renewed && watch_) {
+  if (!on) {
+    watches_->EndAll();
+    Destroy(std::move(previous_watch_));
+    return;
+  }
+  if (renewed && !watches_->NeedsCall()) {
     return;  // the client has already restarted the watch
   }
-  if (!on) {
-    Close(watch_);
-    Close(previous_watch_);
-  } else if (const Duration wait = watch_backoff_.until - loop_.Now(); wait > Duration(0)) {
-    ScheduleWatch(wait);
+  if (const Duration wait = watches_->backoff().until - loop_.Now(); wait > Duration(0)) {
+    watches_->ScheduleStart(wait);
   } else {
-    Open(watch_, true);
+    StartCall(*watches_);
   }
 }
 
 void DiscoveryClient::Poll() {
-  if (poll_ || poll_retry_timer_.number != 0) {
+  if (!polls_->empty() || polls_->start_is_scheduled()) {
     return;
   }
-  const Duration wait = poll_backoff_.until - loop_.Now();
-  if (wait <= Duration(0)) {
-    return Open(poll_, false);
+  if (const Duration wait = polls_->backoff().until - loop_.Now(); wait > Duration(0)) {
+    polls_->ScheduleStart(wait);
+  } else {
+    StartCall(*polls_);
   }
-  poll_retry_timer_ = loop_.RunAfter(wait, [this] {
-    poll_retry_timer_ = {};
-    Open(poll_, false);
-  });
 }
 
-void DiscoveryClient::Open(std::unique_ptr<Call>& call, bool watch) {
-  Close(call);
-  ++(watch ? GlobalCounters().discovery_watches : GlobalCounters().discovery_polls);
-  if (watch) {
-    watch_has_delivered_ = false;
-  }
-  bool refused = false;
-  std::optional<Socket> socket = Connect(discovery_, nullptr, refused);
-  if (socket) {
-    setsockopt(socket->get(), SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
-               sizeof(kReceiveBufferBytes));
-    call = std::make_unique<Call>(*this, std::move(*socket), watch);
-    if (call->Start()) {
-      return;
-    }
-    Close(call);
-  }
-  const Duration retry_delay = RetryDelay(loop_.Now());
-  if (watch) {
-    ++consecutive_watch_failures_;
+bool DiscoveryClient::StartCall(CallGroup& group) {
+  if (group.Start()) {
+    return true;
   }
-  ReportFailure(watch, retry_delay);
+  RetryAfterFailure(group, CountFailure(group, loop_.Now()));
+  return false;
 }
 
-void DiscoveryClient::Close(std::unique_ptr<Call>& call) {
+void DiscoveryClient::Destroy(std::unique_ptr<Call> call) {
   if (!call) {
     return;
   }
@@ -143,51 +120,63 @@
   loop_.RunDeferred([kept = std::shared_ptr<Call>(std::move(call))] {});
 }
 
+DiscoveryClient::CallGroup& DiscoveryClient::GroupOf(const Call& call) {
+  return call.is_watch() ? *watches_ : *polls_;
+}
+
+// ---- Called by CallGroup --------------------------------------------------------------------
+
+void DiscoveryClient::OnSilence(CallGroup& group) {
+  Log(LogLevel::kWarning, "discovery {}: silent, starting another beside it",
+      group.is_watch() ? "watch" : "poll");
+  if (StartCall(group)) {
+    ++GlobalCounters().discovery_failures;
+    ReportFailure(group);
+  }
+}
+
 // ---- Called by Call -------------------------------------------------------------------------
 
-void DiscoveryClient::OnDelivered(const Call& call) {
-  if (&call != watch_.get()) {
+void DiscoveryClient::OnLineReceived(const Call& call) {
+  if (&call == previous_watch_.get()) {
     return;
   }
   consecutive_watch_failures_ = 0;
-  watch_has_delivered_ = true;
-  Close(previous_watch_);
+  Destroy(std::move(previous_watch_));
 }
 
 void DiscoveryClient::OnCallFailed(Call& call, std::string_view reason) {
-  const bool watch = call.is_watch();
-  Log(LogLevel::kWarning, "discovery {}: {}", watch ? "watch" : "poll", reason);
+  Log(LogLevel::kWarning, "discovery {}: {}", call.is_watch() ? "watch" : "poll", reason);
   if (&call == previous_watch_.get()) {
-    return Close(previous_watch_);  // not restarted
+    return Destroy(std::move(previous_watch_));  // not restarted
   }
+  CallGroup& group = GroupOf(call);
   const Time reachable_at = call.reachable_at();
-  Close(watch ? watch_ : poll_);
-  const Duration retry_delay = RetryDelay(reachable_at);
-  if (watch) {
-    ++consecutive_watch_failures_;
-  }
-  ReportFailure(watch, retry_delay);
+  group.End(call);
+  RetryAfterFailure(group, CountFailure(group, reachable_at));
 }
 
 void DiscoveryClient::OnOversizedList(Call& call) {
   ++GlobalCounters().discovery_too_long;
-  const bool watch = call.is_watch();
   if (&call == previous_watch_.get()) {
     return OnCallFailed(call, "list too long");
   }
-  Backoff& backoff = watch ? watch_backoff_ : poll_backoff_;
+  CallGroup& group = GroupOf(call);
+  Backoff& backoff = group.backoff();
   if (backoff.tries == 0) {
     Log(LogLevel::kWarning,
         "discovery {}: list too long (over {} bytes); keeping the current list and retrying with "
         "exponential backoff up to {:.0f} s",
-        watch ? "watch" : "poll", max_list_bytes_,
+        group.is_watch() ? "watch" : "poll", max_list_bytes_,
         static_cast<double>(oversize_backoff_max_.count()) / 1e6);
   }
   const Duration delay = NextOversizeDelay(backoff);
   const Time reachable_at = call.reachable_at();
-  Close(watch ? watch_ : poll_);
+  group.End(call);
+  group.EndUnanswered();  // they would receive the same list
   // In on-request mode, SetWatching may start the watch as soon as the backoff has expired.
-  ReportFailure(watch, self_renewing_watch_ ? delay : std::max(delay, RetryDelay(reachable_at)));
+  RetryAfterFailure(group,
+                    self_renewing_watch_ ? delay : std::max(delay, RetryDelay(reachable_at)));
 }
 
 bool DiscoveryClient::OnMalformed(std::string_view reason) {
@@ -222,6 +211,7 @@
     if (is_new && &source != previous_watch_.get()) {
       ResetBackoff();
     }
+    EndSupersededCalls(source);
     revision_ = list.revision;
     ++GlobalCounters().discovery_updates;
     listener_->OnEndpointList(std::move(list));
@@ -252,6 +242,19 @@
   return stale_since_ >= Time(0) && loop_.Now() - stale_since_ >= max_staleness_;
 }
 
+// The other watches must end too: what they deliver is not relative to the next list.
+void DiscoveryClient::ForgetRevision(const Call& current) {
+  revision_ = 0;
+  stale_since_ = Time(-1);
+  EndSupersededCalls(current);
+}
+
+void DiscoveryClient::EndSupersededCalls(const Call& source) {
+  if (&source != previous_watch_.get()) {
+    GroupOf(source).EndAllExcept(source);
+  }
+}
+
 // ---- Retries --------------------------------------------------------------------------------
 
 Duration DiscoveryClient::RetryDelay(Time reachable_at) const {
@@ -261,6 +264,14 @@
   return kFirstRetryDelay * (1 << std::min(consecutive_watch_failures_, kMaxRetryDoublings));
 }
 
+Duration DiscoveryClient::CountFailure(const CallGroup& group, Time reachable_at) {
+  const Duration delay = RetryDelay(reachable_at);
+  if (group.is_watch()) {
+    ++consecutive_watch_failures_;
+  }
+  return delay;
+}
+
 Duration DiscoveryClient::NextOversizeDelay(Backoff& backoff) const {
   Duration delay = oversize_backoff_first_;
   for (int i = 0; i < backoff.tries && delay < oversize_backoff_max_; ++i) {
@@ -272,33 +283,34 @@
   return delay;
 }
 
+void DiscoveryClient::RetryAfterFailure(CallGroup& group, Duration retry_delay) {
+  ++GlobalCounters().discovery_failures;
+  if (group.is_watch()) {
+    if (group.HasLiveCall()) {
+      return;
+    }
+    group.ScheduleStart(retry_delay);
+  } else if (!group.empty()) {
+    return;
+  }
+  ReportFailure(group);
+}
+
 // The load balancer responds to each reported watch failure with a new SetWatching call, possibly
 // immediately. Further watch failures are not reported until that call.
-void DiscoveryClient::ReportFailure(bool watch, Duration retry_delay) {
-  ++GlobalCounters().discovery_failures;
-  const bool already_reported = watch && failure_reported_;
-  if (watch) {
+void DiscoveryClient::ReportFailure(const CallGroup& group) {
+  const bool already_reported = group.is_watch() && failure_reported_;
+  if (group.is_watch()) {
     failure_reported_ = !self_renewing_watch_;
-    ScheduleWatch(retry_delay);
   }
   if (!already_reported) {
     listener_->OnDiscoveryFailed();
   }
 }
 
-void DiscoveryClient::ScheduleWatch(Duration delay) {
-  if (retry_timer_.number != 0) {
-    return;
-  }
-  retry_timer_ = loop_.RunAfter(delay, [this] {
-    retry_timer_ = {};
-    Open(watch_, true);
-  });
-}
-
 void DiscoveryClient::ResetBackoff() {
-  watch_backoff_ = Backoff{};
-  poll_backoff_ = Backoff{};
+  watches_->backoff() = Backoff{};
+  polls_->backoff() = Backoff{};
 }
 
 }  // namespace paddlestile
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -24,6 +24,10 @@
 //   on request    | SetWatching starts and restarts the watch. If it is not called in time after
 //                 | a failure, the client restarts the watch once, to keep the list fresh.
 //
+// In both modes, a watch that is silent stays open while further ones are started beside it, at
+// most CallSchedule::kMaxCalls at a time. The first that delivers a list ends the others. The same
+// holds for polls.
+//
 // Connections use the descriptor reserve, so that client connections cannot block discovery.
 class DiscoveryClient {
  public:
@@ -31,7 +35,8 @@
    public:
     // Called with a complete list, or with changes to the current one.
     virtual void OnEndpointList(EndpointList list) = 0;
-    // Called when a watch or a poll has failed. The current list stays in effect.
+    // Called when a watch or a poll has failed, or is silent so that another was started beside it.
+    // The current list stays in effect.
     virtual void OnDiscoveryFailed() = 0;
 
    protected:
@@ -74,6 +79,7 @@
 
  private:
   class Call;
+  class CallGroup;
 
   // Exponential backoff after oversized lists. Each attempt transfers megabytes, and the list is
   // unlikely to shrink soon, so the short retry delay of other failures would cause permanent heavy
@@ -83,13 +89,19 @@
     Time until{0};  // no retry before this time
   };
 
-  void Open(std::unique_ptr<Call>& call, bool watch);
+  // Starts a call. If the connection fails immediately, reports that and returns false.
+  bool StartCall(CallGroup& group);
   // Stops the call and destroys it after the current event handler, which may be its own.
-  void Close(std::unique_ptr<Call>& call);
+  void Destroy(std::unique_ptr<Call> call);
+  CallGroup& GroupOf(const Call& call);
+
+  // ---- Called by CallGroup.
+  // All calls of the group are silent.
+  void OnSilence(CallGroup& group);
 
   // ---- Called by Call.
   // A watch has received a complete line.
-  void OnDelivered(const Call& call);
+  void OnLineReceived(const Call& call);
   void OnCallFailed(Call& call, std::string_view reason);
   void OnOversizedList(Call& call);
   // These return false if the text is not a valid list, which is counted and logged.
@@ -99,13 +111,20 @@
   // Returns true if the list is not older than the current one. Otherwise counts and logs it.
   bool RecordStaleness(double list_revision);
   [[nodiscard]] bool StaleForTooLong() const;
+  // Accepts any revision from the next watch on, and ends those that are open except `current`.
+  void ForgetRevision(const Call& current);
+  // Ends the other calls of the same kind, after `source` has delivered a list.
+  void EndSupersededCalls(const Call& source);
 
   // ---- Retries.
   // The delay before the next watch. `reachable_at`: when the agent was last known to be reachable.
   [[nodiscard]] Duration RetryDelay(Time reachable_at) const;
+  // Counts a failure that is not an oversized list. Returns the delay before the next watch.
+  Duration CountFailure(const CallGroup& group, Time reachable_at);
   Duration NextOversizeDelay(Backoff& backoff) const;
-  void ReportFailure(bool watch, Duration retry_delay);
-  void ScheduleWatch(Duration delay);
+  // Schedules the next watch and reports the failure, unless another call of the group continues.
+  void RetryAfterFailure(CallGroup& group, Duration retry_delay);
+  void ReportFailure(const CallGroup& group);
   void ResetBackoff();
 
   EventLoop& loop_;
@@ -114,16 +133,13 @@
   double revision_;
   bool self_renewing_watch_;
   Listener* listener_;
-  std::unique_ptr<Call> watch_, poll_;    // null if none is in progress
-  std::unique_ptr<Call> previous_watch_;  // at the previous address, until watch_ has delivered
-  bool watch_has_delivered_ = false;      // watch_ has received a line
+  std::unique_ptr<CallGroup> watches_, polls_;
+  std::unique_ptr<Call> previous_watch_;  // at the previous address, until a new one has delivered
   Time stale_since_{-1};  // when received lists became older than the current one; -1: never
   Duration max_staleness_ = std::chrono::seconds(15);  // agents may lag by several seconds
   int consecutive_watch_failures_ = 0;
-  EventLoop::TimerId retry_timer_, poll_retry_timer_;
   // On-request mode: a failure was reported and SetWatching has not been called since.
   bool failure_reported_ = false;
-  Backoff watch_backoff_, poll_backoff_;
   size_t max_list_bytes_ = size_t{4} << 20;  // enough for tens of thousands of endpoints
   Duration oversize_backoff_first_ = std::chrono::milliseconds(100);
   Duration oversize_backoff_max_ = std::chrono::seconds(30);
