Cluster links: bytes of a frame on its way count as received

Cause: only whole frames counted as received. Now bytes count, as long as the frame arrives at 16 KiB a second or more; one that drips is cut off as before.

--- a/src/peer/connection.cpp
+++ b/src/peer/connection.cpp
@@ -11,6 +11,9 @@
 constexpr size_t kMaxUnreadBytes = kMaxFrameBytes + 64;
 // Frames read from one connection per round of the event loop, so that others are not delayed.
 constexpr int kMaxFramesPerRound = 32;
+// The lowest rate at which a frame of a member may arrive beyond the timeout. A snapshot on a slow
+// link would otherwise be cut off each time, and the member would never catch up.
+constexpr size_t kMinBytesPerSecond = 16 << 10;
 
 }  // namespace
 
@@ -22,7 +25,8 @@
       max_queued_bytes_(max_queued_bytes),
       statistics_(statistics),
       owner_(owner),
-      last_received_at_(loop.Now()) {
+      last_frame_at_(loop.Now()),
+      last_bytes_at_(last_frame_at_) {
   stream_.set_max_unread_bytes(kMaxUnreadBytes);
 }
 
@@ -71,6 +75,20 @@
   is_member_ = true;
 }
 
+bool Connection::IsSilent(Time now, Duration timeout) {
+  if (!is_member_) {
+    return now - last_frame_at_ > timeout;
+  }
+  const auto unfinished_bytes = static_cast<int64_t>(stream_.input().size());
+  const Duration transfer_time(unfinished_bytes * 1'000'000 / int64_t{kMinBytesPerSecond});
+  return now - last_bytes_at_ > timeout || now - last_frame_at_ > timeout + transfer_time;
+}
+
+void Connection::OnData() {
+  last_bytes_at_ = loop_.Now();
+  ReadFrames();
+}
+
 void Connection::OnWriteComplete() {
   queued_bytes_ = 0;
   if (ends_after_write_) {
@@ -127,7 +145,7 @@
       break;
   }
   ++statistics_.frames_in;
-  last_received_at_ = loop_.Now();
+  last_frame_at_ = loop_.Now();
   owner_.OnFrame(*this, value);
   return true;
 }
--- a/src/peer/connection.h
+++ b/src/peer/connection.h
@@ -79,11 +79,12 @@
 
   [[nodiscard]] bool is_dialed() const { return !dialed_name_.empty(); }
   [[nodiscard]] const std::string& dialed_name() const { return dialed_name_; }
-  // When the last frame arrived; initially when the connection was created.
-  [[nodiscard]] Time last_received_at() const { return last_received_at_; }
+  // Returns whether nothing has been received for longer than `timeout`. Bytes of a member's frame
+  // that is not complete count as long as the frame arrives at a minimum rate.
+  [[nodiscard]] bool IsSilent(Time now, Duration timeout);
 
  private:
-  void OnData() override { ReadFrames(); }
+  void OnData() override;
   void OnWriteComplete() override;
   void OnError() override { owner_.OnEnd(*this, "socket error"); }
   [[nodiscard]] std::string Encode(const nlohmann::json& value) const;
@@ -109,8 +110,8 @@
   bool is_unidentified_ = false;
   bool closed_ = false;
   bool ends_after_write_ = false;
-  Time last_received_at_;
-  size_t queued_bytes_ = 0;  // upper bound of the unsent bytes; reset once all are sent
+  Time last_frame_at_, last_bytes_at_;  // initially when the connection was created
+  size_t queued_bytes_ = 0;             // upper bound of the unsent bytes; reset once all are sent
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // expires with the connection
 };
 
--- a/src/peer/peer_connections.cpp
+++ b/src/peer/peer_connections.cpp
@@ -209,7 +209,7 @@
 void PeerConnections::MaintainConnection(Time now, Connection& connection) {
   const bool is_identified = connection.is_member() || connection.call() != 0;
   const Duration timeout = is_identified ? options_.silence_timeout : options_.hello_timeout;
-  if (now - connection.last_received_at() > timeout) {
+  if (connection.IsSilent(now, timeout)) {
     if (connection.is_member()) {
       ++statistics_.timed_out;
     }
--- a/src/peer/peer_connections.h
+++ b/src/peer/peer_connections.h
@@ -37,7 +37,8 @@
   std::map<std::string, Address> members;  // all members by name, including this one
   uint64_t seed = 1;                       // for the jitter between attempts to connect
   Duration heartbeat_interval{1'000'000};  // between two heartbeats to a member
-  // An identified connection on which nothing was received for longer is closed.
+  // An identified connection on which nothing was received for longer is closed (see
+  // Connection::IsSilent).
   Duration silence_timeout{3'500'000};
   // Delay between two attempts to connect, before jitter; doubles with each failure.
   Duration min_reconnect_delay{50'000};
--- a/tests/peer/peer_connections_test.cpp
+++ b/tests/peer/peer_connections_test.cpp
@@ -199,6 +199,31 @@
   EXPECT_TRUE(RunUntil([&] { return silent.Ended(); }));
 }
 
+// A frame that takes longer than the silence timeout was cut off each time, so that a member on a
+// slow link never received a snapshot. One that drips must not keep a connection open.
+TEST_F(PeerConnectionsTest, AwaitsAFrameThatArrivesSlowlyButNotOneThatDrips) {
+  TestMember b(loop, "b", Options("b", 2, 1));
+  const std::string frame = EncodeFrame({{"x", std::string(100'000, 'y')}});
+  for (const size_t piece_bytes : {size_t{2'000}, size_t{1}}) {
+    ASSERT_TRUE(RunUntil([&] { return b.connected.empty(); }));
+    Peer slow = Peer::To(At('b'));
+    slow.Send(Hello("north", "a", "b", kProtocolVersion, 7, 1));
+    ASSERT_TRUE(RunUntil([&] { return b.connected.contains("a"); }));
+    b.received.clear();
+    size_t sent = 0;
+    while (sent < frame.size() && !slow.Ended()) {
+      slow.Send(frame.substr(sent, piece_bytes));
+      sent += piece_bytes;
+      RunUntil([&] { return false; }, 20);
+    }
+    RunUntil([&] { return !b.received.empty(); }, 100);
+    EXPECT_EQ(b.received.empty(), piece_bytes == 1);
+    EXPECT_EQ(slow.Ended(), piece_bytes == 1);
+    EXPECT_LT(sent, frame.size() + piece_bytes);
+  }
+  EXPECT_EQ(b.connections.statistics().timed_out, 1U);
+}
+
 // Guards against a use-after-free: the connection ends while the reply to its hello is written. If
 // it were then registered as connected, the process would access freed memory.
 TEST_F(PeerConnectionsTest, APeerThatResetsAfterItsHelloIsNotConnected) {
