--- a/src/lab/directory.cpp
+++ b/src/lab/directory.cpp
@@ -21,6 +21,9 @@
 // us; until an old agent closes its connections
 constexpr Duration kMovedAgentCloseDelay{1'500'000};
 
+// A change counts as told at the latest this long after discovery had it and was reachable.
+constexpr Duration kMaxChangeDelay{6'000'000};  // us
+
 constexpr std::string_view kMalformedLines[] = {
     "{\"revision\":,\"members\":[\n", "{\"revision\":9999999,\"members\":[{\"id\":\"x\"}]}\n",
     "not a list at all\n", "{\"revision\":9999998,\"complete\":true}\n"};
@@ -60,6 +63,7 @@
   void OnError() override;
 
   bool is_watch = false, head_sent = false;
+  bool responds = false;         // the time to respond has passed, and no list is being sent
   uint64_t since = 0;            // the last revision that was sent
   bool needs_full_list = false;  // the complete list still has to be sent
   std::list<std::shared_ptr<Connection>>::iterator position;
@@ -97,11 +101,7 @@
       since = revision;
       needs_full_list = revision > directory_.revision_ ||
                         revision < directory_.initial_revision_ || directory_.stale_;
-      directory_.loop_.RunDeferred([kept = *position] {
-        if (!kept->closed()) {
-          kept->directory_.SendUpdates(*kept);
-        }
-      });
+      directory_.RespondLater(*position);
     } else if (!directory_.silent_) {
       const std::string list = directory_.FullList(agent_.gateway);
       stream_.Write(
@@ -145,6 +145,7 @@
 }
 
 void Directory::MoveAgents() {
+  disturbed_at_ = Now();
   for (auto& agent : agents_) {
     agent->listener.reset();
     loop_.RunAfter(kMovedAgentCloseDelay, [was = agent.get(), alive = std::weak_ptr(alive_)] {
@@ -176,16 +177,38 @@
   ++moves_;
 }
 
-void Directory::OnHostChange(const ListedHost& host, Duration lag) {
-  loop_.RunAfter(lag + lag_, [this, host, alive = std::weak_ptr(alive_)] {
-    if (alive.expired()) {
-      return;
+void Directory::RunAfter(Duration delay, std::function<void()> task) {
+  loop_.RunAfter(delay, [task = std::move(task), alive = std::weak_ptr(alive_)] {
+    if (!alive.expired()) {
+      task();
     }
+  });
+}
+
+void Directory::OnHostChange(const ListedHost& host, Duration lag) {
+  RunAfter(lag + lag_, [this, host] {
     history_.push_back({++revision_, host});
+    if (host.phase != Phase::kActive) {
+      RecordWhenDue(Now(), host.host_index);
+    }
     SendUpdatesToAll();
   });
 }
 
+void Directory::RecordWhenDue(Time known_at, size_t host_index) {
+  RunAfter(known_at + kMaxChangeDelay - Now(), [this, known_at, host_index] {
+    if (silent_ || malformed_ || stale_) {
+      return RecordWhenDue(Now(), host_index);
+    }
+    if (disturbed_at_ > known_at) {
+      return RecordWhenDue(disturbed_at_, host_index);
+    }
+    for (size_t gateway = 0; gateway < gateways_; ++gateway) {
+      ledger_.OnGatewayNotified(Now(), gateway, host_index);
+    }
+  });
+}
+
 std::vector<const ListedHost*> Directory::HostsAt(uint64_t revision) const {
   std::map<std::string_view, const ListedHost*> latest;
   for (const Version& version : history_) {
@@ -255,39 +278,111 @@
   return MembersJson(HostsAt(initial_revision_), initial_revision_, true);
 }
 
+// ---- Watches ----------------------------------------------------------------------------------
+
+void Directory::SetResponseTime(UniformRange response_ms, size_t pieces, uint64_t seed) {
+  response_ms_ = response_ms;
+  response_pieces_ = pieces;
+  random_.seed(seed);
+}
+
+void Directory::RespondLater(const std::shared_ptr<Connection>& connection) {
+  const auto respond = [this, connection] {
+    if (!connection->closed()) {
+      connection->responds = true;
+      SendUpdates(*connection);
+    }
+  };
+  if (response_ms_.high <= 0) {
+    return loop_.RunDeferred(respond);
+  }
+  const double response_ms =
+      std::uniform_real_distribution(response_ms_.low, response_ms_.high)(random_);
+  const Duration response_time(static_cast<int64_t>(response_ms * 1000));
+  if (response_pieces_ == 1) {
+    return RunAfter(response_time, respond);
+  }
+  RunAfter(response_time / 2, [this, connection, response_time, respond] {
+    if (silent_ || connection->closed()) {
+      return respond();
+    }
+    const Duration interval = response_time / 2 / static_cast<int>(response_pieces_);
+    SendPiece(connection, TakeUpdate(*connection), 1, interval);
+  });
+}
+
+void Directory::SendPiece(const std::shared_ptr<Connection>& connection, Update update,
+                          size_t number, Duration interval) {
+  RunAfter(interval, [this, connection, update = std::move(update), number, interval]() mutable {
+    if (connection->closed()) {
+      return;
+    }
+    const size_t size = update.text.size();
+    const size_t begin = size * (number - 1) / response_pieces_;
+    const size_t end = size * number / response_pieces_;
+    connection->Write(update.text.substr(begin, end - begin));
+    if (number < response_pieces_) {
+      return SendPiece(connection, std::move(update), number + 1, interval);
+    }
+    update.record();
+    connection->head_sent = connection->responds = true;
+    SendUpdates(*connection);
+  });
+}
+
 void Directory::SendUpdates(Connection& connection) {
-  if (silent_) {
+  if (silent_ || !connection.responds) {
     return;
   }
-  std::string text;
+  Update update = TakeUpdate(connection);
+  connection.head_sent = true;
+  if (!update.text.empty()) {
+    update.record();
+    connection.Write(std::move(update.text));
+  }
+}
+
+Directory::Update Directory::TakeUpdate(Connection& connection) {
+  Update update{"", [] {
+                }};
+  const size_t gateway = connection.agent().gateway;
   if (std::exchange(connection.needs_full_list, false)) {
-    text = Chunk(FullList(connection.agent().gateway) + "\n");
-    connection.since = stale_ ? initial_revision_ : revision_;
-  } else if (!stale_) {
-    std::vector<const ListedHost*> changed;
-    uint64_t latest = connection.since;
-    for (size_t i = connection.since; i < history_.size(); ++i) {  // ordered by revision
-      changed.push_back(&history_[i].host);
-      latest = history_[i].revision;
-    }
-    if (!changed.empty()) {
-      RecordNotifications(connection.agent().gateway, changed, false);
-      text = Chunk(MembersJson(changed, latest, false) + "\n");
-      connection.since = latest;
+    const uint64_t revision = stale_ ? initial_revision_ : revision_;
+    update.text = Chunk(MembersJson(HostsAt(revision), revision, true) + "\n");
+    connection.since = revision;
+    if (!stale_) {
+      update.record = [this, gateway, revision] {
+        RecordNotifications(gateway, HostsAt(revision), true);
+      };
     }
+  } else if (!stale_ && connection.since < history_.size()) {
+    const uint64_t since = std::exchange(connection.since, history_.back().revision);
+    update.text = Chunk(MembersJson(ChangesSince(since), connection.since, false) + "\n");
+    update.record = [this, gateway, changes = history_.size() - since, since] {
+      std::vector<const ListedHost*> changed = ChangesSince(since);
+      changed.resize(changes);
+      RecordNotifications(gateway, changed, false);
+    };
   }
   if (malformed_) {
-    text += Chunk(kMalformedLines[lists_sent_++ % std::size(kMalformedLines)]);
+    update.text += Chunk(kMalformedLines[lists_sent_++ % std::size(kMalformedLines)]);
   }
-  if (connection.is_watch && !std::exchange(connection.head_sent, true)) {
-    text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + text;
-    if (text.ends_with("\r\n\r\n")) {
-      text += Chunk("\n");
+  if (!connection.head_sent) {
+    update.text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + update.text;
+    if (update.text.ends_with("\r\n\r\n")) {
+      update.text += Chunk("\n");
     }
   }
-  if (!text.empty()) {
-    connection.Write(std::move(text));
+  return update;
+}
+
+// The history is ordered by revision, from 1.
+std::vector<const ListedHost*> Directory::ChangesSince(uint64_t revision) const {
+  std::vector<const ListedHost*> changed;
+  for (size_t i = revision; i < history_.size(); ++i) {
+    changed.push_back(&history_[i].host);
   }
+  return changed;
 }
 
 void Directory::SendUpdatesToAll() {
@@ -325,6 +420,7 @@
 
 void Directory::SetSilent(bool on) {
   silent_ = on;
+  disturbed_at_ = Now();
   if (!on) {
     SendUpdatesToAll();
   }
@@ -332,6 +428,7 @@
 
 void Directory::SetMalformed(bool on) {
   malformed_ = on;
+  disturbed_at_ = Now();
   if (on) {
     SendUpdatesToAll();
   }
@@ -339,6 +436,7 @@
 
 void Directory::SetStale(bool on) {
   stale_ = on;
+  disturbed_at_ = Now();
   CloseWatches();  // gateways reconnect to what looks like another agent
 }
 
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -320,6 +320,9 @@
   table.ReadMillis("connect_timeout_ms", experiment.connect_timeout);
   table.ReadSeconds("idle_close_s", experiment.idle_connection_timeout);
   table.ReadSeconds("list_every_s", experiment.discovery_keepalive_interval);
+  table.ReadRange("list_response_ms", experiment.discovery_response_ms.low,
+                  experiment.discovery_response_ms.high, 0, 60'000);
+  table.Read<size_t>("list_pieces", experiment.discovery_response_pieces, 1, 1000);
   table.Read("probes", experiment.probes);
   table.Read("retry_after", experiment.retry_after);
   table.Read("marks_retry", experiment.marks_retries);
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -283,6 +283,8 @@
   Duration connect_timeout{250'000};
   Duration idle_connection_timeout{60'000'000};
   Duration discovery_keepalive_interval{2'000'000};  // interval between empty lines on a watch
+  UniformRange discovery_response_ms{0, 0};  // from a watch call until its first list is sent
+  size_t discovery_response_pieces = 1;      // in which that list is sent
   bool probes = true;
   bool retry_after = true;
   bool marks_retries = false;
--- a/src/lab/runner.cpp
+++ b/src/lab/runner.cpp
@@ -104,6 +104,8 @@
     RaiseLimits();
     gateway_random_.seed(seed_ ^ 0x6a7e);
     fleet_.Start();
+    directory_.SetResponseTime(experiment_.discovery_response_ms,
+                               experiment_.discovery_response_pieces, seed_);
     directory_.Start(fleet_.ListHosts());
     std::vector<Address> targets;
     if (options_.straight) {
--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -37,6 +37,11 @@
 constexpr UniformRange kLongWaitMs{3500, 5200};
 constexpr UniformRange kLongShare{0.02, 0.12};  // up to more than the gateways can hold
 constexpr uint64_t kLongShareStream = 1;
+// Discovery that is slow. A change has 6 s, of which a silent watch may take over 2 s to be
+// noticed.
+constexpr double kMaxDiscoveryResponseMs = 3000;
+constexpr size_t kMaxDiscoveryPieces = 8;
+constexpr uint64_t kDiscoveryStream = 2;
 constexpr double kMisbehavingClientsPerSecond = 2;  // misbehaving clients of each kind
 constexpr Duration kQuiesceDuration{6'000'000};     // from quiesce until the gateway is resumed
 constexpr Duration kReloadAt{300'000};              // before any other fault
@@ -48,6 +53,7 @@
   SoakScript(uint64_t seed, SoakMix mix)
       : random_(seed * kSeedMultiplier + 1),
         long_share_random_(seed * kSeedMultiplier + 1 + kLongShareStream),
+        discovery_random_(seed * kSeedMultiplier + 1 + kDiscoveryStream),
         is_wide_(mix == SoakMix::kWide) {
     experiment_.name = "soak";
     experiment_.about = "Faults in series, drawn from the seed.";
@@ -65,6 +71,7 @@
       AddGateways(seed % kIdleClientsEvery == 0);
     }
     AddDiscoveryFault();
+    AddSlowDiscovery();
     if (is_wide_) {
       AddWideFaults();
     }
@@ -354,9 +361,22 @@
     }
   }
 
+  // In two of three experiments, discovery takes time to respond to a watch.
+  void AddSlowDiscovery() {
+    const auto draw = [this](double low, double high) {
+      return std::uniform_real_distribution(low, high)(discovery_random_);
+    };
+    if (draw(0, 3) < 1) {
+      return;
+    }
+    experiment_.discovery_response_ms = {0, draw(0, kMaxDiscoveryResponseMs)};
+    experiment_.discovery_response_pieces =
+        std::uniform_int_distribution<size_t>(1, kMaxDiscoveryPieces)(discovery_random_);
+  }
+
   std::mt19937_64 random_;
-  // A separate generator, so that these draws do not change the faults of a seed.
-  std::mt19937_64 long_share_random_;
+  // Separate generators, so that these draws do not change the faults of a seed.
+  std::mt19937_64 long_share_random_, discovery_random_;
   bool is_wide_;
   Experiment experiment_;
 };
--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -36,6 +36,19 @@
   EXPECT_NE(Describe(DrawSoakExperiment(7)), Describe(DrawSoakExperiment(8)));
 }
 
+// review/9 went unnoticed while the emulated discovery always answered at once.
+TEST(SoakExperiment, DiscoveryIsSlowInSomeAndInPieces) {
+  size_t slow = 0, in_pieces = 0;
+  for (uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    const Experiment experiment = DrawSoakExperiment(seed);
+    slow += experiment.discovery_response_ms.high > 2000 ? 1 : 0;
+    in_pieces += experiment.discovery_response_pieces > 1 ? 1 : 0;
+  }
+  EXPECT_GT(slow, kSeedCount / 10);
+  EXPECT_GT(in_pieces, kSeedCount / 4);
+  EXPECT_LT(in_pieces, kSeedCount);
+}
+
 // Guards against a kind of fault that is no longer generated and thus no longer tested.
 TEST(SoakExperiment, GeneratesEachKindOfFault) {
   std::set<std::string> names;
