Discovery: no further watch on request while one is live; test messages in one header

A request for a watch started another one although one was live or just started, unless a failure had been reported before; a poll that fails was reported too, so that each failed poll cost a watch. Now nothing is started then.

--- a/src/discovery/discovery_client.cpp
+++ b/src/discovery/discovery_client.cpp
@@ -77,14 +77,14 @@
     return;
   }
   watches_->CancelScheduledStart();
-  const bool renewed = std::exchange(failure_reported_, false);
+  failure_reported_ = false;
   if (!on) {
     watches_->EndAll();
     Destroy(std::move(previous_watch_));
     return;
   }
-  if (renewed && !watches_->NeedsCall()) {
-    return;  // the client has already restarted the watch
+  if (!watches_->NeedsCall()) {
+    return;  // a watch is live, or the client has already started another one
   }
   if (const Duration wait = watches_->backoff().until - loop_.Now(); wait > Duration(0)) {
     watches_->ScheduleStart(wait);
--- a/src/discovery/discovery_client.h
+++ b/src/discovery/discovery_client.h
@@ -60,7 +60,7 @@
   // Switches to another agent address. The watch there starts immediately. The watch at the
   // previous address is kept until the new one has delivered a line, and is not restarted.
   void Redirect(const Address& discovery);
-  // On-request mode: starts or stops the watch.
+  // On-request mode: starts the watch unless one is live or has just been started, or stops it.
   void SetWatching(bool on);
   // Requests the complete list. Has no effect while a poll is in progress or scheduled.
   void Poll();
--- a/tests/discovery/discovery_client_test.cpp
+++ b/tests/discovery/discovery_client_test.cpp
@@ -16,28 +16,20 @@
 #include <vector>
 
 #include "base/metrics.h"
+#include "discovery/agent_messages.h"
 #include "gateway/test_peers.h"
 
 namespace paddlestile {
 namespace {
 
+using testing::Chunk;
+using testing::Entry;
+using testing::kHead;
+using testing::Line;
 using testing::Ms;
 using testing::Peer;
 using testing::RunUntil;
 
-std::string Entry(const std::string& id, const std::string& phase = "active") {
-  return R"({"id":")" + id + R"(","host_port":"127.0.0.1:81","locality":"a","phase":")" + phase +
-         R"(","up_since_ms":0,"new_field":[1]})";
-}
-std::string Line(int revision, bool complete, const std::string& members) {
-  return R"({"revision":)" + std::to_string(revision) + R"(,"complete":)" +
-         (complete ? "true" : "false") + R"(,"members":[)" + members + "]}\n";
-}
-std::string Chunk(const std::string& text) {
-  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
-}
-const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
 class DiscoveryClientTest : public ::testing::Test, public DiscoveryClient::Listener {
  protected:
   DiscoveryClientTest() { names.zones.Add("a"); }
--- a/tests/discovery/slow_agent_test.cpp
+++ b/tests/discovery/slow_agent_test.cpp
@@ -1,6 +1,5 @@
 // Tests of the discovery client with agents that respond late, in pieces or not at all
 // (docs/incidents/slow-discovery-never-heard.md).
-#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -10,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "base/metrics.h"
+#include "discovery/agent_messages.h"
 #include "discovery/call_schedule.h"
 #include "discovery/discovery_client.h"
 #include "gateway/test_peers.h"
@@ -18,17 +17,14 @@
 namespace paddlestile {
 namespace {
 
+using testing::Chunk;
+using testing::kHead;
 using testing::Ms;
 using testing::Peer;
 using testing::RunUntil;
 
-const std::string kHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-
-std::string Chunk(const std::string& text) {
-  return fmt::format("{:x}\r\n{}\r\n", text.size(), text);
-}
 std::string ListChunk(int revision) {
-  return Chunk(fmt::format("{{\"revision\":{},\"complete\":true,\"members\":[]}}\n", revision));
+  return Chunk(testing::Line(revision, true, ""));
 }
 
 // What an agent sends on a call, at times counted from the call.
@@ -237,8 +233,7 @@
 
 TEST(SlowAgentTest, SlowPollIsAnswered) {
   const auto list = [](size_t) {
-    return std::vector<Piece>{
-        {Ms(2500), testing::Http200(R"({"revision":42,"complete":true,"members":[]})")}};
+    return std::vector<Piece>{{Ms(2500), testing::Http200(testing::Line(42, true, ""))}};
   };
   EventLoop loop;
   ScriptedAgent agent(loop, false, list);
