--- a/tests/discovery/slow_agent_test.cpp
+++ b/tests/discovery/slow_agent_test.cpp
@@ -59,6 +59,13 @@
   return {{delay, kHead + ListChunk(revision)}};
 }
 
+// An agent that answers each call with revision 42 after `delay`.
+Script AnswerAfter(Duration delay) {
+  return [delay](size_t) {
+    return After(delay, 42);
+  };
+}
+
 // An agent that follows a script, and its client.
 struct ScriptedAgent final : DiscoveryClient::Listener {
   struct Call {
@@ -131,24 +138,11 @@
 TEST(SlowAgentTest, ChangeIsReceivedInTimeWhateverHappenedToCallsInBetween) {
   const std::string list = ListChunk(42);
   const std::vector<Case> cases = {
-      {"2.1 s",
-       [](size_t) {
-         return After(Ms(2100), 42);
-       }},
-      {"2.5 s",
-       [](size_t) {
-         return After(Ms(2500), 42);
-       }},
-      {"3.5 s",
-       [](size_t) {
-         return After(Ms(3500), 42);
-       }},
-      {"5 s",
-       [](size_t) {
-         return After(Ms(5000), 42);
-       }},
-      {"longer than any change may take, but not never", [](size_t) { return After(Ms(8000), 42); },
-       Ms(8500)},
+      {"2.1 s", AnswerAfter(Ms(2100))},
+      {"2.5 s", AnswerAfter(Ms(2500))},
+      {"3.5 s", AnswerAfter(Ms(3500))},
+      {"5 s", AnswerAfter(Ms(5000))},
+      {"longer than any change may take, but not never", AnswerAfter(Ms(8000)), Ms(8500)},
       {"a list in pieces over 4 s",
        [&](size_t) {
          return InPieces(list, 20, Ms(4000));
