Open the first process's Unix socket before it logs that it listens

A process that is started at that moment does not find the running one: it gets no learned state and both listen by themselves.

Cause: the process logged "listens on" first and opened the Unix socket some steps later.

The new test compares the order of two log lines: it failed on the former code.

Fix: a process that serves at once opens the socket first. One that takes over still does so when it is ready, as an old process that serves again replaces the file.

--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -272,6 +272,19 @@
   });
 }
 
+// Sets `old_process`: from now on a newer process can take over from this one.
+void AllowHotRestart(EventLoop& loop, const std::string& path, Lifecycle& lifecycle,
+                     Gateway& gateway, std::optional<OldProcess>& old_process) {
+  const auto recent_request_ids = [&gateway] {
+    return gateway.AdmittedRequestIds();
+  };
+  old_process.emplace(
+      loop, path, lifecycle, gateway.downstream(), gateway.budget(),
+      OldProcess::Exports{[&gateway] { return gateway.ExportLearnedState(); }, recent_request_ids});
+  gateway.SetAdmissionCallback(
+      [&old_process](const std::string& id) { old_process->ReportRequest(id); });
+}
+
 // Reports to the other processes of a hot restart that this process was told to exit.
 void ReportEndOfProcess(Lifecycle& lifecycle, std::optional<NewProcess>& new_process,
                         std::optional<OldProcess>& old_process) {
@@ -320,6 +333,12 @@
         MakeClusterAgent(options, loop, std::move(*cluster), gateway, lifecycle, std::move(file));
   }
   const ServedGateway served{gateway, cluster_agent};
+  std::optional<OldProcess> old_process;
+  // A new process may be started as soon as this one is known to listen.
+  const bool serves_at_once = lifecycle.accepts();
+  if (admin_address && serves_at_once) {
+    AllowHotRestart(loop, hot_restart_path, lifecycle, gateway, old_process);
+  }
   Log(LogLevel::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()),
       known_endpoints);
   SignalHandler signal_handler(loop, served, signals);
@@ -331,16 +350,10 @@
   }
   // If this process is told to exit before it is ready, the old process keeps serving.
   const bool serves = WaitUntilReady(loop, lifecycle);
-  // From now on a newer process can take over from this one. The Unix socket must exist before
-  // ReportReady, because an old process that serves again replaces it.
-  std::optional<OldProcess> old_process;
-  if (admin_address && serves) {
-    old_process.emplace(loop, hot_restart_path, lifecycle, gateway.downstream(), gateway.budget(),
-                        OldProcess::Exports{[&] { return gateway.ExportLearnedState(); },
-                                            [&] {
-                                              return gateway.AdmittedRequestIds();
-                                            }});
-    gateway.SetAdmissionCallback([&](const std::string& id) { old_process->ReportRequest(id); });
+  // The Unix socket must exist before ReportReady, because an old process that serves again
+  // replaces it.
+  if (admin_address && serves && !serves_at_once) {
+    AllowHotRestart(loop, hot_restart_path, lifecycle, gateway, old_process);
   }
   if (new_process && serves) {
     new_process->ReportReady();
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -313,6 +313,18 @@
   EXPECT_TRUE(draining_host.counts_by_id.empty()) << draining_host.counts_by_id.size();
 }
 
+// A new process that was started as soon as the first one had logged that it listens did not find
+// its Unix socket.
+TEST_F(HotRestartTest, UnixSocketIsOpenedBeforeListeningIsLogged) {
+  tmpdir_ = folder_ + "/none";
+  Child first;
+  Start(first, 6001);
+  ASSERT_TRUE(first.WaitForOutput("listens on"));
+  ASSERT_TRUE(first.WaitForOutput("hot restart: cannot listen on Unix socket"));
+  const std::string log = first.Text();
+  EXPECT_LT(log.find("cannot listen on Unix socket"), log.find("listens on")) << log;
+}
+
 // Without a Unix socket both processes listen on the address, and the newer one gets the
 // connections.
 TEST_F(HotRestartTest, NoRequestFailsWithoutUnixSocket) {
