Keep an id that is added again before its earlier entry was removed

RecentRequestIds held each id once and its entries by time. A second entry of an id was removed from the set with the first, so that the id was admitted again within its window. A process adds an id twice once another process of a hot restart reports ids whose earlier entries have passed the window and were not removed yet.

The map now has the time of the last addition, and only the entry of that time removes the id. IdThatIsAddedAgainStaysForTheWindow fails without the change by construction: the entry of 100 s removed the id of 103 s.

--- a/src/gateway/recent_request_ids.h
+++ b/src/gateway/recent_request_ids.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <deque>
 #include <string>
-#include <unordered_set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -22,11 +22,11 @@
     while (!by_time_.empty() && now - by_time_.front().first > window) {
       RemoveOldest();
     }
-    return ids_.contains(id);
+    return added_at_.contains(id);
   }
   // Adds an id; removes the oldest one if there are more than kMaxIds.
   void Add(const std::string& id, Time now) {
-    ids_.insert(id);
+    added_at_.insert_or_assign(id, now);
     by_time_.emplace_back(now, id);
     if (by_time_.size() > kMaxIds) {
       RemoveOldest();
@@ -46,12 +46,16 @@
   static constexpr size_t kMaxIds = 8192;
 
   void RemoveOldest() {
-    ids_.erase(by_time_.front().second);
+    const auto& [time, id] = by_time_.front();
+    const auto newest = added_at_.find(id);
+    if (newest != added_at_.end() && newest->second == time) {
+      added_at_.erase(newest);
+    }
     by_time_.pop_front();
   }
 
-  std::deque<std::pair<Time, std::string>> by_time_;  // oldest first
-  std::unordered_set<std::string> ids_;               // the ids in by_time_
+  std::deque<std::pair<Time, std::string>> by_time_;  // oldest first; an id may be there repeatedly
+  std::unordered_map<std::string, Time> added_at_;    // when each id in by_time_ was added last
 };
 
 }  // namespace paddlestile
--- a/tests/gateway/recent_request_ids_test.cpp
+++ b/tests/gateway/recent_request_ids_test.cpp
@@ -27,5 +27,15 @@
   EXPECT_TRUE(ids.Contains("1", seconds(100), seconds(2)));
 }
 
+// Guards against an id that is admitted twice: another process reports ids, so that one may be added
+// again before it was removed, and its first removal removed both.
+TEST(RecentRequestIdsTest, IdThatIsAddedAgainStaysForTheWindow) {
+  RecentRequestIds ids;
+  ids.Add("a", seconds(100));
+  ids.Add("a", seconds(103));
+  EXPECT_TRUE(ids.Contains("a", seconds(104), seconds(2)));
+  EXPECT_FALSE(ids.Contains("a", seconds(106), seconds(2)));
+}
+
 }  // namespace
 }  // namespace paddlestile
