Tell the old process of a hot restart the ids that the new one has taken

Callers would see: a request runs twice, because its client sends it again with the same id while it is still at a host. It came to the new process first, and then to the old one: on a connection that still drained there, or at the address once the new process had died and the old one served again.

Fix: a build that reads `took` as the old process sends `accepts-ids` before `monitors`; new processes that do not know the line ignore it. The new process queues ids until it has read that line, and drops them if `monitors` comes without it. Each process passes on what it is told, so that three of them know each other's ids. The old process goes on reading after 256 bytes of lines.

--- a/src/gateway/hot_restart_new_process.cpp
+++ b/src/gateway/hot_restart_new_process.cpp
@@ -152,7 +152,8 @@
 NewProcess::NewProcess(EventLoop& loop, HotRestartState state, DescriptorBudget& budget)
     : loop_(loop),
       budget_(budget),
-      stream_(loop, Socket(std::move(state.channel), nullptr), this, false) {
+      stream_(loop, Socket(std::move(state.channel), nullptr), this, false),
+      id_sender_(loop, stream_) {
   stream_.set_max_unread_bytes(hot_restart::kMaxLineBytes);
   budget_.set_held_by_other_process(state.descriptors_held);
   if (!stream_.Start()) {
@@ -187,7 +188,10 @@
     if (on_request_taken_) {
       on_request_taken_(*request_id);
     }
+  } else if (line == hot_restart::kAcceptsIdsLine) {
+    id_sender_.Allow();
   } else if (line == hot_restart::kMonitorsLine) {
+    id_sender_.Forbid();
     is_monitored_ = true;
     needs_answer_ = true;
   } else if (line == hot_restart::kRevokedLine) {
--- a/src/gateway/hot_restart_new_process.h
+++ b/src/gateway/hot_restart_new_process.h
@@ -12,6 +12,7 @@
 #include "event/descriptor_budget.h"
 #include "event/event_loop.h"
 #include "event/stream.h"
+#include "gateway/hot_restart_request_ids.h"
 
 namespace paddlestile {
 
@@ -50,6 +51,9 @@
   void set_on_old_ended(std::function<void()> on_old_ended) {
     on_old_ended_ = std::move(on_old_ended);
   }
+  // Must be called for each request that this process admits, or a process that takes over from it,
+  // so that the old process does not admit its id again.
+  void ReportRequest(const std::string& id) { id_sender_.Send(id); }
   // Must be called once this process can serve.
   void ReportReady();
   // Must be called when this process is told to exit while it serves. Returns true if the old
@@ -59,12 +63,14 @@
 
  private:
   void OnData() override;
+  void OnWriteComplete() override { id_sender_.OnWriteComplete(); }
   void OnError() override;
   void OnLine(const std::string& line);
 
   EventLoop& loop_;
   DescriptorBudget& budget_;
   Stream stream_;
+  hot_restart::RequestIdSender id_sender_;
   std::function<void()> on_revoked_, on_old_ended_;
   std::function<void(const std::string&)> on_request_taken_;
   Time reported_at_;           // time of the old process's last `holds` line
--- a/src/gateway/hot_restart_old_process.cpp
+++ b/src/gateway/hot_restart_old_process.cpp
@@ -1,6 +1,7 @@
 #include "gateway/hot_restart_old_process.h"
 
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +12,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "gateway/hot_restart_protocol.h"
+#include "gateway/hot_restart_request_ids.h"
 #include "gateway/unix_socket.h"
 
 namespace paddlestile {
@@ -29,8 +31,6 @@
 constexpr int kMinUnansweredReports = 2;
 // The old process may still open one upstream connection for each of its clients, up to this limit.
 constexpr size_t kMaxSpareDescriptors = 16;
-// Ids of requests that the new process has not read yet; further ones are not sent.
-constexpr size_t kMaxUnsentIdBytes = 1U << 20;
 // Descriptors of a draining process outside its budget: 24, and those of the connection refuser.
 constexpr size_t kUnbudgetedDescriptors = 24 + ConnectionRefuser::kMaxConnections;
 
@@ -66,18 +66,17 @@
   Channel(OldProcess& owner, FileDescriptor fd)
       : owner_(owner),
         fd_(fd.get()),
-        stream_(owner.loop_, Socket(std::move(fd), nullptr), this, false) {
+        stream_(owner.loop_, Socket(std::move(fd), nullptr), this, false),
+        id_sender_(owner.loop_, stream_) {
     stream_.set_max_unread_bytes(hot_restart::kMaxLineBytes);
   }
   bool Start() { return stream_.Start(); }
   [[nodiscard]] Stream& stream() { return stream_; }
-  // Sends the id of a request that this process has admitted, after the running handler.
+  // Sends the id of an admitted request, after the running handler.
   void ReportRequest(const std::string& id) {
-    if (!handed_over_ || unsent_ids_.size() > kMaxUnsentIdBytes) {
-      return;
+    if (handed_over_) {
+      id_sender_.Send(id);
     }
-    unsent_ids_ += hot_restart::TookLine(id) + '\n';
-    owner_.loop_.RunDeferred([self = shared_from_this()] { self->SendIds(); });
   }
   // Counts a report sent to the new process. Returns false if that process counts as hung: it has
   // answered reports before, took over, and has now left too many reports unanswered.
@@ -96,18 +95,14 @@
     const bool valid = hot_restart::ConsumeLines(stream_.input(),
                                                  [this](const std::string& line) { OnLine(line); });
     if (!valid || stream_.ended()) {
-      owner_.OnNewProcessGone();
+      return owner_.OnNewProcessGone();
     }
-  }
-  void OnWriteComplete() override { SendIds(); }
-  void OnError() override { owner_.OnNewProcessGone(); }
-
-  // Waits until the new process has read earlier lines, so that few are queued here.
-  void SendIds() {
-    if (!unsent_ids_.empty() && !stream_.closed() && stream_.flushed()) {
-      stream_.Write(std::exchange(unsent_ids_, {}));
+    if (!stream_.closed()) {
+      stream_.ResumeReading();
     }
   }
+  void OnWriteComplete() override { id_sender_.OnWriteComplete(); }
+  void OnError() override { owner_.OnNewProcessGone(); }
 
   void OnLine(const std::string& line) {
     if (stream_.closed()) {
@@ -122,6 +117,10 @@
       owner_.downstream_.StopRefusingForNewProcess();
       return;
     }
+    if (const auto request_id = hot_restart::ParseTookLine(line); request_id && handed_over_) {
+      owner_.exchange_.add_request_id(*request_id);
+      return;
+    }
     const bool is_request = line == hot_restart::RequestLine(owner_.downstream_.address());
     if (!is_request || handed_over_ || owner_.downstream_.listening_socket() < 0) {
       Log(LogLevel::kWarning, "hot restart: rejected a malformed or unexpected request");
@@ -140,18 +139,20 @@
   }
 
   void HandOver() {
-    const std::string learned_state = owner_.exports_.learned_state();
+    const std::string learned_state = owner_.exchange_.learned_state();
     const std::string line =
         hot_restart::ListenLine(owner_.DescriptorsHeld(), learned_state.size()) + '\n';
     handed_over_ = SendLine(fd_, line, owner_.downstream_.listening_socket());
     if (!handed_over_) {
       return owner_.OnNewProcessGone();
     }
-    stream_.Write(learned_state + std::string(hot_restart::kMonitorsLine) + '\n');
+    stream_.Write(fmt::format("{}{}\n{}\n", learned_state, hot_restart::kAcceptsIdsLine,
+                              hot_restart::kMonitorsLine));
     if (stream_.closed()) {
       return;
     }
-    for (const std::string& id : owner_.exports_.recent_request_ids()) {
+    id_sender_.Allow();
+    for (const std::string& id : owner_.exchange_.recent_request_ids()) {
       ReportRequest(id);
     }
     ++GlobalCounters().hot_restarts;
@@ -162,20 +163,20 @@
   OldProcess& owner_;
   int fd_;
   Stream stream_;
-  std::string unsent_ids_;     // lines
+  hot_restart::RequestIdSender id_sender_;
   bool handed_over_ = false;   // the listening socket was sent
   bool has_answered_ = false;  // the new process has answered a report
   int unanswered_reports_ = 0;
 };
 
 OldProcess::OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle,
-                       Downstream& downstream, DescriptorBudget& budget, Exports exports)
+                       Downstream& downstream, DescriptorBudget& budget, Exchange exchange)
     : loop_(loop),
       path_(std::move(path)),
       lifecycle_(lifecycle),
       downstream_(downstream),
       budget_(budget),
-      exports_(std::move(exports)) {
+      exchange_(std::move(exchange)) {
   if (!path_.empty()) {
     Listen();
   }
--- a/src/gateway/hot_restart_old_process.h
+++ b/src/gateway/hot_restart_old_process.h
@@ -20,17 +20,19 @@
 // socket cannot be created.
 class OldProcess {
  public:
-  // What the new process gets of the old one.
-  struct Exports {
+  // What the processes learn from each other.
+  struct Exchange {
     std::function<std::string()> learned_state;
     std::function<std::vector<std::string>()> recent_request_ids;
+    // Called with the id of each request that the new process has admitted.
+    std::function<void(const std::string& id)> add_request_id;
   };
   // All references must outlive this object.
   OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle, Downstream& downstream,
-             DescriptorBudget& budget, Exports exports);
+             DescriptorBudget& budget, Exchange exchange);
   ~OldProcess();
-  // Must be called for each request that this process admits, so that the new one does not admit
-  // its id again.
+  // Must be called for each request that this process admits, or the process from which it took
+  // over, so that the new process does not admit its id again.
   void ReportRequest(const std::string& id);
   // Must be called when this process is told to exit, so that the new process does not hand back
   // to it.
@@ -60,7 +62,7 @@
   Lifecycle& lifecycle_;
   Downstream& downstream_;
   DescriptorBudget& budget_;
-  Exports exports_;
+  Exchange exchange_;
   std::unique_ptr<Acceptor> acceptor_;  // null if this object does nothing
   uint64_t inode_ = 0;                  // of the socket file, which a newer process may replace
   std::shared_ptr<Channel> channel_;    // to the new process; null if there is none
--- a/src/gateway/hot_restart_protocol.h
+++ b/src/gateway/hot_restart_protocol.h
@@ -4,20 +4,22 @@
 //   new process                          old process
 //   paddlestile 1 take 10.0.0.4:5000     paddlestile 1 listen 180 7012   with the listening socket
 //                                        7012 bytes of learned state, JSON
+//                                        accepts-ids                     it reads `took`
 //                                        monitors                        it expects answers
 //   ready                                holds 164                       sent periodically
 //   alive                                                                the answer to `holds`
 //                                        revoked                         instead of `holds`
 //                                        ending                          it was told to exit
-//                                        took 9b1f03aa5c7e2d41           the id of a request
+//   took 9b1f03aa5c7e2d41                took 9b1f03aa5c7e2d41           the id of a request
 //                                        paddlestile 1 busy              instead of `listen`
 //
 // The number in `holds`, and the first number in `listen`, is how many descriptors of the shared
 // budget the old process holds. The second number in `listen` is the size of the learned state in
 // bytes.
 //
-// `took` is sent for each id that the old process has admitted lately or admits from then on, so
-// that the new one does not admit it again. Builds without it ignore it.
+// `took` is sent for each id that a process has admitted lately or admits from then on, so that the
+// other one does not admit it again. New processes without it ignore it. Old processes without it
+// do not send `accepts-ids`, which precedes `monitors`, and get none.
 //
 // `revoked` means that the new process did not answer and the old one serves again; the new process
 // then exits. A new process that is told to exit closes the channel, and the old one serves again
@@ -41,6 +43,7 @@
 
 constexpr size_t kMaxLineBytes = 256;
 constexpr std::string_view kReadyLine = "ready";
+constexpr std::string_view kAcceptsIdsLine = "accepts-ids";
 constexpr std::string_view kMonitorsLine = "monitors";
 constexpr std::string_view kAliveLine = "alive";
 constexpr std::string_view kRevokedLine = "revoked";
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -272,28 +272,57 @@
   });
 }
 
-// Sets `old_process`: from now on a newer process can take over from this one.
+// The processes of the hot restarts that this process takes part in. Both may be there at once.
+struct HotRestartPeers {
+  std::optional<NewProcess> new_process;  // this process, if it took over from another one
+  std::optional<OldProcess> old_process;  // this process, once another one can take over from it
+
+  void ReportRequest(const std::string& id) {
+    if (new_process) {
+      new_process->ReportRequest(id);
+    }
+    if (old_process) {
+      old_process->ReportRequest(id);
+    }
+  }
+};
+
+// Sets `peers.old_process`: from now on a newer process can take over from this one.
 void AllowHotRestart(EventLoop& loop, const std::string& path, Lifecycle& lifecycle,
-                     Gateway& gateway, std::optional<OldProcess>& old_process) {
-  const auto recent_request_ids = [&gateway] {
-    return gateway.AdmittedRequestIds();
+                     Gateway& gateway, HotRestartPeers& peers) {
+  const auto add_request_id = [&](const std::string& id) {
+    gateway.AddAdmittedRequestId(id);
+    if (peers.new_process) {
+      peers.new_process->ReportRequest(id);
+    }
   };
-  old_process.emplace(
+  peers.old_process.emplace(
       loop, path, lifecycle, gateway.downstream(), gateway.budget(),
-      OldProcess::Exports{[&gateway] { return gateway.ExportLearnedState(); }, recent_request_ids});
-  gateway.SetAdmissionCallback(
-      [&old_process](const std::string& id) { old_process->ReportRequest(id); });
+      OldProcess::Exchange{[&gateway] { return gateway.ExportLearnedState(); },
+                           [&gateway] { return gateway.AdmittedRequestIds(); }, add_request_id});
+}
+
+// Takes part in the hot restart as the new process.
+void ConnectNewProcess(Lifecycle& lifecycle, Gateway& gateway, SignalHandler& signal_handler,
+                       HotRestartPeers& peers) {
+  peers.new_process->set_on_old_ended([&] { lifecycle.set_ready(); });
+  peers.new_process->set_on_request_taken([&](const std::string& id) {
+    gateway.AddAdmittedRequestId(id);
+    if (peers.old_process) {
+      peers.old_process->ReportRequest(id);
+    }
+  });
+  DrainWhenRevoked(*peers.new_process, lifecycle, signal_handler);
 }
 
 // Reports to the other processes of a hot restart that this process was told to exit.
-void ReportEndOfProcess(Lifecycle& lifecycle, std::optional<NewProcess>& new_process,
-                        std::optional<OldProcess>& old_process) {
+void ReportEndOfProcess(Lifecycle& lifecycle, HotRestartPeers& peers) {
   // Once handed back, new connections wait in the accept queue for the old process.
-  if (new_process && !lifecycle.replaced() && new_process->HandBack()) {
+  if (peers.new_process && !lifecycle.replaced() && peers.new_process->HandBack()) {
     lifecycle.set_replaced(true);
   }
-  if (old_process) {
-    old_process->ReportEnding();
+  if (peers.old_process) {
+    peers.old_process->ReportEnding();
   }
 }
 
@@ -323,9 +352,9 @@
   if (admin_address) {
     admin.emplace(loop, *admin_address, lifecycle);
   }
-  std::optional<NewProcess> new_process;
+  HotRestartPeers peers;
   if (inherited.channel) {
-    new_process.emplace(loop, std::move(inherited), gateway.budget());
+    peers.new_process.emplace(loop, std::move(inherited), gateway.budget());
   }
   std::unique_ptr<ClusterAgent> cluster_agent;
   if (cluster) {
@@ -333,32 +362,29 @@
         MakeClusterAgent(options, loop, std::move(*cluster), gateway, lifecycle, std::move(file));
   }
   const ServedGateway served{gateway, cluster_agent};
-  std::optional<OldProcess> old_process;
+  gateway.SetAdmissionCallback([&](const std::string& id) { peers.ReportRequest(id); });
   // A new process may be started as soon as this one is known to listen.
   const bool serves_at_once = lifecycle.accepts();
   if (admin_address && serves_at_once) {
-    AllowHotRestart(loop, hot_restart_path, lifecycle, gateway, old_process);
+    AllowHotRestart(loop, hot_restart_path, lifecycle, gateway, peers);
   }
   Log(LogLevel::kInfo, "{} listens on {}, {} hosts known", name, ToText(gateway.address()),
       known_endpoints);
   SignalHandler signal_handler(loop, served, signals);
-  if (new_process) {
-    new_process->set_on_old_ended([&] { lifecycle.set_ready(); });
-    new_process->set_on_request_taken(
-        [&](const std::string& id) { gateway.AddAdmittedRequestId(id); });
-    DrainWhenRevoked(*new_process, lifecycle, signal_handler);
+  if (peers.new_process) {
+    ConnectNewProcess(lifecycle, gateway, signal_handler, peers);
   }
   // If this process is told to exit before it is ready, the old process keeps serving.
   const bool serves = WaitUntilReady(loop, lifecycle);
   // The Unix socket must exist before ReportReady, because an old process that serves again
   // replaces it.
   if (admin_address && serves && !serves_at_once) {
-    AllowHotRestart(loop, hot_restart_path, lifecycle, gateway, old_process);
+    AllowHotRestart(loop, hot_restart_path, lifecycle, gateway, peers);
   }
-  if (new_process && serves) {
-    new_process->ReportReady();
+  if (peers.new_process && serves) {
+    peers.new_process->ReportReady();
   }
-  signal_handler.set_before_drain([&] { ReportEndOfProcess(lifecycle, new_process, old_process); });
+  signal_handler.set_before_drain([&] { ReportEndOfProcess(lifecycle, peers); });
   const CounterLogger counter_logger(loop, served, options.counters_every);
   loop.Run();
   LogCounters(served);
--- a/tests/gateway/hot_restart_protocol_test.cpp
+++ b/tests/gateway/hot_restart_protocol_test.cpp
@@ -15,6 +15,8 @@
   EXPECT_EQ(BusyLine(), "paddlestile 1 busy");
   EXPECT_EQ(HoldsLine(164), "holds 164");
   EXPECT_EQ(kReadyLine, "ready");
+  EXPECT_EQ(kAcceptsIdsLine, "accepts-ids");
+  EXPECT_EQ(TookLine("9b1f03aa"), "took 9b1f03aa");
 }
 
 TEST(HotRestartProtocolTest, ParsesFormattedLines) {
@@ -23,6 +25,7 @@
   EXPECT_EQ(reply->descriptors_held, 180u);
   EXPECT_EQ(reply->learned_state_bytes, 7012u);
   EXPECT_EQ(ParseHoldsLine(HoldsLine(164)), 164u);
+  EXPECT_EQ(ParseTookLine(TookLine("9b1f03aa")), "9b1f03aa");
 }
 
 TEST(HotRestartProtocolTest, RejectsMalformedAndOtherLines) {
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -582,6 +582,54 @@
   }
 }
 
+// Guards against a request that runs twice, because its client sends it again, with the same id, to
+// the old process: on a connection that still drains, and once it serves again in place of the new.
+TEST_F(HotRestartTest, IdsThatTheNewProcessHasTakenAreRejected) {
+  WriteConfig(256, kSlowClass);
+  Child first, second;
+  Start(first, 6001);
+  ASSERT_TRUE(first.WaitForOutput("listens on"));
+  Peer draining = Peer::To(address);  // accepted by the first process
+  draining.Send("GET /read HTTP/1.1\r\n");
+  usleep(20'000);
+  Start(second, 6002);
+  ASSERT_TRUE(first.WaitForOutput("the new process serves"));
+  Peer held = SendHeldRequest("held");
+  ASSERT_TRUE(WaitUntilHeld(held, 1)) << held.Received();
+  held.Close();
+  usleep(50'000);
+  draining.Send("X-Call-Id: held\r\nX-Class: slow\r\nX-Budget-Ms: 3000\r\n\r\n");
+  EXPECT_FALSE(WaitUntilHeld(draining, 2));
+  EXPECT_TRUE(draining.Has("HTTP/1.1 409 ")) << draining.Received();
+  second.Kill();
+  ASSERT_TRUE(first.WaitForOutput("this process serves again"));
+  Peer again = SendHeldRequest("held");
+  EXPECT_FALSE(WaitUntilHeld(again, 2));
+  EXPECT_TRUE(again.Has("HTTP/1.1 409 ")) << again.Received();
+}
+
+// Guards against ids that reach only the next process while three of them run beside each other.
+TEST_F(HotRestartTest, IdsReachAllProcessesOfTwoHotRestarts) {
+  WriteConfig(256, kSlowClass);
+  Child first, second, third;
+  Start(first, 6001);
+  ASSERT_TRUE(first.WaitForOutput("listens on"));
+  Peer draining = Peer::To(address);  // accepted by the first process
+  draining.Send("GET /read HTTP/1.1\r\n");
+  usleep(20'000);
+  Start(second, 6002);
+  ASSERT_TRUE(first.WaitForOutput("the new process serves"));
+  Start(third, 6003);
+  ASSERT_TRUE(second.WaitForOutput("the new process serves"));
+  Peer held = SendHeldRequest("held");
+  ASSERT_TRUE(WaitUntilHeld(held, 1)) << held.Received();
+  held.Close();
+  usleep(50'000);
+  draining.Send("X-Call-Id: held\r\nX-Class: slow\r\nX-Budget-Ms: 3000\r\n\r\n");
+  EXPECT_FALSE(WaitUntilHeld(draining, 2));
+  EXPECT_TRUE(draining.Has("HTTP/1.1 409 ")) << draining.Received();
+}
+
 // Guards against requests that wait until the new process has its first endpoint list although the
 // old process is exiting.
 TEST_F(HotRestartTest, NewProcessIsReadyAtOnceIfOldProcessIsToldToExit) {
