Count a request's time from its arrival in the accept queue

Cause: the arrival of bytes is when they are read, and a connection's first bytes may have lain in the kernel while the connection waited in the accept queue.

Fix: the first bytes of an accepted connection arrived when the kernel received them (tcpi_last_data_recv), less a tick of its clock, so that no request is taken to be older than it is.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <chrono>
 #include <utility>
 
 #include "base/metrics.h"
@@ -26,6 +27,7 @@
 constexpr size_t kDiscardBytesPerRead = 1 << 17;
 // With fewer unread bytes the receive window is open, so that the peer's kernel holds nothing back.
 constexpr size_t kMaxUnreadBytesWithOpenWindow = 1 << 16;
+constexpr Duration kKernelClockTick = std::chrono::milliseconds(10);  // at most, by CONFIG_HZ
 
 }  // namespace
 
@@ -33,6 +35,7 @@
     : loop_(loop),
       socket_(std::move(socket)),
       listener_(listener),
+      awaits_first_bytes_(!connecting),
       connected_(!connecting),
       newest_arrival_(loop.Now()) {}
 
@@ -199,8 +202,16 @@
   return input_.size() + static_cast<size_t>(kernel_bytes) <= kMaxUnreadBytesWithOpenWindow;
 }
 
+// The first bytes of a connection may have arrived while it waited in the accept queue.
+Time Stream::FirstArrival() const {
+  const Duration age = TimeSinceLastData(socket_.get()).value_or(Duration(0));
+  return loop_.Now() - std::max(age - kKernelClockTick, Duration(0));
+}
+
 void Stream::OnReadable(bool hung_up) {
-  if (!readable_ || HasLittleUnread()) {
+  if (std::exchange(awaits_first_bytes_, false)) {
+    newest_arrival_ = FirstArrival();
+  } else if (!readable_ || HasLittleUnread()) {
     newest_arrival_ = loop_.Now();
   }
   readable_ = true;
--- a/src/event/stream.h
+++ b/src/event/stream.h
@@ -107,6 +107,7 @@
   bool ReadAvailable();
   bool DiscardAvailable();
   [[nodiscard]] bool HasLittleUnread() const;
+  [[nodiscard]] Time FirstArrival() const;
   bool FinishConnect(uint32_t events);
   void OnReadable(bool hung_up);
   void Flush();
@@ -119,6 +120,7 @@
   Listener* listener_;
   uint64_t token_ = 0;
   bool watched_ = false;
+  bool awaits_first_bytes_;  // of an accepted connection, which may have waited to be accepted
   bool connected_;
   bool closed_ = false;
   bool ended_ = false;
--- a/tests/gateway/downstream_fixture.h
+++ b/tests/gateway/downstream_fixture.h
@@ -25,9 +25,10 @@
     downstream =
         std::make_unique<Downstream>(loop, budget, Address{INADDR_LOOPBACK, 0}, lifecycle, this);
   }
-  AdmissionResult OnRequest(BufferedMessage request, Time /*arrived_at*/,
+  AdmissionResult OnRequest(BufferedMessage request, Time arrived_at,
                             ProxiedRequest::ResponseCallback reply) override {
     const std::string_view buffer = request.bytes.view();
+    arrivals.push_back(arrived_at);
     std::string id(request.message.FindHeader(buffer, "X-Call-Id").value_or("none"));
     if (id == "bad") {
       return {nullptr, 400, "bad"};
@@ -67,6 +68,7 @@
   std::shared_ptr<RequestClass> request_class =
       std::make_shared<RequestClass>(MakeClass(Idempotency::kSafe));
   std::vector<std::shared_ptr<ProxiedRequest>> requests;  // in order of arrival
+  std::vector<Time> arrivals;                             // of requests, in the same order
   std::vector<std::string> disconnected;                  // request ids
   std::unique_ptr<Downstream> downstream;
 };
--- a/tests/gateway/downstream_test.cpp
+++ b/tests/gateway/downstream_test.cpp
@@ -663,6 +663,33 @@
   }
 }
 
+// Guards against answers that are late, and hosts that are told too much time, because a request's
+// time was counted from its accept and not from its arrival in the accept queue.
+TEST_F(DownstreamFewDescriptorsTest, TimeInTheAcceptQueueCounts) {
+  constexpr Duration kMaxError = Ms(150);  // what a host may be told too much
+  std::vector<Peer> busy;
+  for (int i = 0; i < 33; ++i) {
+    busy.push_back(Connect());
+    busy.back().Send(GetRequest("id" + std::to_string(i)));
+  }
+  ASSERT_TRUE(HasRequests(33));
+  Peer early = Connect(), late = Connect();
+  const Time early_sent_at = loop.Now();
+  early.Send(GetRequest("early"));
+  RunFor(loop, Ms(600));
+  const Time late_sent_at = loop.Now();
+  late.Send(GetRequest("late"));
+  RunFor(loop, Ms(30));
+  ASSERT_EQ(requests.size(), 33u);
+  requests[0]->Respond({.status = 502});
+  requests[1]->Respond({.status = 502});
+  ASSERT_TRUE(HasRequests(35));
+  EXPECT_GE(arrivals[33], early_sent_at);
+  EXPECT_LE(arrivals[33], early_sent_at + kMaxError);
+  EXPECT_GE(arrivals[34], late_sent_at);
+  EXPECT_LE(arrivals[34], late_sent_at + kMaxError);
+}
+
 // The client disconnected while it waited in the accept queue for a descriptor, so its connection
 // is accepted and closed in one turn.
 TEST_F(DownstreamFewDescriptorsTest, ClientThatLeftInTheAcceptQueueIsReported) {
