Share the memory for messages in place of fixed parts, and count parsed fields

Cause: a third of the memory for requests, a sixth for responses, each fixed; up to 6 MiB of the former for large bodies alone. The parsed fields of a head, 3.2 KB at most, counted nowhere.

Fix: the budgets of a process join a MemoryPool of the same size in all. A third of it is guaranteed to requests and a sixth to responses; each may use what the others' guaranteed parts leave. Large bodies have no guarantee, and their limit as before. The second process's half stays untouched.

--- a/src/event/memory_budget.h
+++ b/src/event/memory_budget.h
@@ -7,6 +7,8 @@
 #include <optional>
 #include <utility>
 
+#include "event/memory_pool.h"
+
 namespace paddlestile {
 
 // Used on one thread. A reservation may outlive the budget.
@@ -54,9 +56,16 @@
 
   explicit MemoryBudget(size_t limit_bytes) : limit_bytes_(limit_bytes) {}
 
+  // Shares the memory of `pool` from now on: reserves only what the pool allows as well.
+  void JoinPool(std::shared_ptr<MemoryPool> pool, size_t guaranteed_bytes) {
+    pool_ = std::move(pool);
+    pool_->Add(reserved_bytes_, guaranteed_bytes);
+  }
+
   // Returns nullopt if fewer than `bytes` are left.
   [[nodiscard]] std::optional<Reservation> Reserve(size_t bytes) {
-    if (*reserved_bytes_ + bytes > limit_bytes_) {
+    const bool is_within_pool = pool_ == nullptr || pool_->Allows(reserved_bytes_, bytes);
+    if (!is_within_pool || *reserved_bytes_ + bytes > limit_bytes_) {
       return std::nullopt;
     }
     return Reservation(reserved_bytes_, bytes);
@@ -82,6 +91,7 @@
  private:
   size_t limit_bytes_;
   std::shared_ptr<size_t> reserved_bytes_ = std::make_shared<size_t>(0);
+  std::shared_ptr<MemoryPool> pool_;  // null if the memory is not shared
 };
 
 }  // namespace paddlestile
--- a/src/gateway/downstream.h
+++ b/src/gateway/downstream.h
@@ -62,8 +62,10 @@
     acceptor_.SetMaxWait(max_wait, retry_after);
     connections_.set_retry_after(retry_after);
   }
-  // Sets the memory for requests that are being received or wait for a response.
-  void SetRequestMemory(size_t bytes) { connections_.SetRequestMemory(bytes); }
+  // Takes the memory for requests that are being received or wait for a response from `pool`.
+  void ShareMemory(const std::shared_ptr<MemoryPool>& pool, size_t guaranteed_bytes) {
+    connections_.ShareMemory(pool, guaranteed_bytes);
+  }
   [[nodiscard]] Duration max_accept_wait() const { return acceptor_.max_wait(); }
   // Refuses connections that the new process of a hot restart should accept, because it does not
   // answer.
--- a/src/gateway/downstream_connection.cpp
+++ b/src/gateway/downstream_connection.cpp
@@ -40,7 +40,7 @@
 // cannot have sent the last byte.
 constexpr size_t kMaxBytesInKernels = 16U << 20;
 // The memory of smaller requests is bounded by the number of connections.
-constexpr size_t kMaxUncountedBytes = 4096;
+constexpr size_t kMaxUncountedBytes = 5120;
 
 }  // namespace
 
@@ -189,7 +189,7 @@
 
 // Reserves memory for what has been received of the request. Returns false if too little is left.
 bool DownstreamConnection::ReserveInput() {
-  const size_t bytes = stream_.input().capacity();
+  const size_t bytes = stream_.input().capacity() + parser_.message().HeaderListBytes();
   return bytes <= kMaxUncountedBytes || buffers_large_body_ ||
          owner_.request_budget().Enlarge(memory_, bytes);
 }
@@ -279,7 +279,7 @@
 void DownstreamConnection::StartStreamedRequest() {
   MemoryBudget& budget = owner_.request_budget();
   BufferedMessage request;
-  const size_t head_bytes = parser_.message().body.at;
+  const size_t head_bytes = parser_.message().body.at + parser_.message().HeaderListBytes();
   const bool is_head_reserved =
       head_bytes <= kMaxUncountedBytes || budget.Enlarge(request.memory, head_bytes);
   if (!is_head_reserved || !budget.Enlarge(memory_, kStreamingBodyBytes)) {
--- a/src/gateway/downstream_connections.cpp
+++ b/src/gateway/downstream_connections.cpp
@@ -22,6 +22,7 @@
 // gateway is idle.
 constexpr double kMaxOpenShare = 0.25;
 constexpr size_t kMaxReservedBodyBytes = 6U << 20;  // for all large bodies together
+constexpr size_t kLargeBodyDivisor = 3;             // they get this part of the pool at most
 constexpr size_t kMaxReservedBytesPerBody = 1U << 20;
 
 }  // namespace
@@ -174,10 +175,12 @@
   return large_body_budget_.Reserve(bytes);
 }
 
-void DownstreamConnections::SetRequestMemory(size_t bytes) {
-  const size_t for_large_bodies = std::min(bytes / 2, kMaxReservedBodyBytes);
-  large_body_budget_.set_limit(for_large_bodies);
-  request_budget_.set_limit(bytes - for_large_bodies);
+void DownstreamConnections::ShareMemory(const std::shared_ptr<MemoryPool>& pool,
+                                        size_t guaranteed_bytes) {
+  request_budget_.JoinPool(pool, guaranteed_bytes);
+  large_body_budget_.JoinPool(pool, 0);
+  large_body_budget_.set_limit(
+      std::min(pool->limit_bytes() / kLargeBodyDivisor, kMaxReservedBodyBytes));
 }
 
 }  // namespace paddlestile
--- a/src/gateway/downstream_connections.h
+++ b/src/gateway/downstream_connections.h
@@ -12,6 +12,7 @@
 #include "event/descriptor_budget.h"
 #include "event/event_loop.h"
 #include "event/memory_budget.h"
+#include "event/memory_pool.h"
 #include "event/socket.h"
 #include "gateway/downstream_connection.h"
 #include "gateway/lifecycle.h"
@@ -57,8 +58,9 @@
   void CloseAllWithoutUnfinishedWork();
 
   // ---- Memory of requests, from the first byte until the last attempt has ended.
-  // Sets the total, part of which is for bodies larger than kMaxBufferedBodyBytes.
-  void SetRequestMemory(size_t bytes);
+  // Takes the memory from `pool`. The guaranteed part is not available to bodies larger than
+  // kMaxBufferedBodyBytes.
+  void ShareMemory(const std::shared_ptr<MemoryPool>& pool, size_t guaranteed_bytes);
   // The budget of requests that are not buffered by ReserveBodyBuffer.
   [[nodiscard]] MemoryBudget& request_budget() { return request_budget_; }
   // Reserves memory to buffer one body larger than kMaxBufferedBodyBytes, so that its request can
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -31,7 +31,11 @@
 // Memory of a process without requests. Two processes run during a hot restart.
 constexpr size_t kIdleProcessBytes = 8U << 20;
 constexpr size_t kMaxProcesses = 2;
-constexpr size_t kMinMessageMemoryBytes = 1U << 20;
+constexpr size_t kMinMessageMemoryBytes = 2U << 20;
+// Parts of the memory for messages that are kept for requests and for responses. Either may use the
+// rest.
+constexpr size_t kGuaranteedRequestDivisor = 3;
+constexpr size_t kGuaranteedResponseDivisor = 6;
 constexpr size_t kMaxIdleUpstreamWhileEnding = 16;  // while draining or replaced
 constexpr size_t kMaxNameBytes = 64;                // of the gateway's name in the counters line
 
@@ -66,17 +70,12 @@
   return text;
 }
 
-struct MessageMemory {
-  size_t for_requests = 0, for_responses = 0;  // bytes
-};
-
-// Returns the parts of the memory limit for the messages of this process. Of what two idle
-// processes leave, each process gets one third for its requests and one sixth for its responses.
-MessageMemory MessageMemoryOf(const GatewayConfig& config) {
+// Returns the part of the memory limit for the messages of this process: half of what two idle
+// processes leave.
+size_t MessageMemoryOf(const GatewayConfig& config) {
   constexpr size_t kIdleBytes = kMaxProcesses * kIdleProcessBytes;
   const size_t shared = config.max_memory_bytes - std::min(config.max_memory_bytes, kIdleBytes);
-  return {std::max(shared / 3, kMinMessageMemoryBytes),
-          std::max(shared / 6, kMinMessageMemoryBytes)};
+  return std::max(shared / kMaxProcesses, kMinMessageMemoryBytes);
 }
 
 Upstream::Options UpstreamOptionsOf(const GatewayConfig& config) {
@@ -111,9 +110,9 @@
   // Created last, so that clients are accepted only when everything else works.
   downstream_ = std::make_unique<Downstream>(loop_, budget_, config_->listen, lifecycle_, this,
                                              std::move(inherited), shared);
-  const MessageMemory memory = MessageMemoryOf(*config_);
-  downstream_->SetRequestMemory(memory.for_requests);
-  upstream_->SetResponseMemory(memory.for_responses);
+  const auto memory = std::make_shared<MemoryPool>(MessageMemoryOf(*config_));
+  downstream_->ShareMemory(memory, memory->limit_bytes() / kGuaranteedRequestDivisor);
+  upstream_->ShareMemory(memory, memory->limit_bytes() / kGuaranteedResponseDivisor);
   UpdateDeadlines();
   lifecycle_.SetChangeCallback([this] { OnLifecycleChanged(); });
   if (!lifecycle_.accepts()) {
--- a/src/gateway/upstream.h
+++ b/src/gateway/upstream.h
@@ -54,8 +54,10 @@
   // The options apply to attempts and probes that start from now on.
   void set_options(Options options) { options_ = std::move(options); }
 
-  // Sets the memory for responses that are received whole; others are streamed.
-  void SetResponseMemory(size_t bytes) { pool_.response_budget().set_limit(bytes); }
+  // Takes the memory for responses that are received whole from `memory`; others are streamed.
+  void ShareMemory(std::shared_ptr<MemoryPool> memory, size_t guaranteed_bytes) {
+    pool_.response_budget().JoinPool(std::move(memory), guaranteed_bytes);
+  }
 
   // Sets the address of an endpoint of the endpoint list. If it changed, new requests use new
   // connections.
--- a/src/http/http_message.h
+++ b/src/http/http_message.h
@@ -35,6 +35,10 @@
   // Returns the value of the first header named `name`, or nullopt if there is none.
   [[nodiscard]] std::optional<std::string_view> FindHeader(std::string_view base,
                                                            std::string_view name) const;
+  // Returns the memory that `headers` takes.
+  [[nodiscard]] size_t HeaderListBytes() const {
+    return headers.capacity() * sizeof(decltype(headers)::value_type);
+  }
   // Returns the number of headers named `name`.
   [[nodiscard]] size_t CountHeader(std::string_view base, std::string_view name) const;
 };
--- a/tests/event/memory_budget_test.cpp
+++ b/tests/event/memory_budget_test.cpp
@@ -56,5 +56,29 @@
   EXPECT_EQ(reservation->bytes(), 100u);
 }
 
+// Guards against fixed shares: requests were refused while the memory for responses lay idle.
+TEST(MemoryBudgetTest, BudgetsOfAPoolUseAllButTheGuaranteedPartsOfOthers) {
+  const auto pool = std::make_shared<MemoryPool>(100);
+  MemoryBudget requests(1000), responses(1000), large_bodies(30);
+  requests.JoinPool(pool, 40);
+  responses.JoinPool(pool, 20);
+  large_bodies.JoinPool(pool, 0);
+  {
+    const auto held = requests.Reserve(80);
+    ASSERT_TRUE(held);
+    EXPECT_FALSE(requests.Reserve(1));
+    EXPECT_FALSE(large_bodies.Reserve(1));
+    EXPECT_TRUE(responses.Reserve(20));
+    EXPECT_FALSE(responses.Reserve(21));
+  }
+  EXPECT_FALSE(responses.Reserve(61));
+  EXPECT_FALSE(large_bodies.Reserve(31));  // its own limit
+  const auto large = large_bodies.Reserve(30);
+  const auto held = responses.Reserve(30);
+  ASSERT_TRUE(large && held);
+  EXPECT_TRUE(requests.Reserve(40));
+  EXPECT_FALSE(requests.Reserve(41));
+}
+
 }  // namespace
 }  // namespace paddlestile
--- a/tests/gateway/downstream_test.cpp
+++ b/tests/gateway/downstream_test.cpp
@@ -816,7 +816,7 @@
 // A request keeps its memory until it has ended, also once its client has disconnected while an
 // attempt is in flight. Others are refused meanwhile, and served afterwards.
 TEST_F(DownstreamTest, RequestsBeyondTheMemoryAreRefused) {
-  downstream->SetRequestMemory(200'000);  // half of it is for larger bodies
+  downstream->ShareMemory(std::make_shared<MemoryPool>(100'000), 0);
   downstream->SetMaxAcceptWait(Ms(250), Ms(250));
   Peer first = Connect();
   first.Send(PostRequest("first", 60'000));
@@ -839,7 +839,7 @@
 
 // A body that is still being received counts too, and so does one that is streamed.
 TEST_F(DownstreamTest, UnfinishedRequestsCountInTheMemory) {
-  downstream->SetRequestMemory(160'000);
+  downstream->ShareMemory(std::make_shared<MemoryPool>(80'000), 0);
   for (const size_t body_bytes : {60'000U, 3'000'000U}) {
     Peer slow = Connect();
     slow.Send(PostRequest("slow", body_bytes).substr(0, 50'000));
@@ -863,7 +863,7 @@
 // Guards against the memory of a streamed body being available again as soon as the last piece has
 // been received: a host that does not read leaves it unwritten.
 TEST_F(DownstreamTest, StreamedBodyCountsInTheMemoryUntilItIsWritten) {
-  downstream->SetRequestMemory(160'000);
+  downstream->ShareMemory(std::make_shared<MemoryPool>(80'000), 0);
   for (const bool is_written : {true, false}) {
     Peer slow = Connect();
     slow.Send(PostRequest("slow", 150'000));
@@ -892,7 +892,7 @@
 
 // While a request is in progress, little is read of those that follow on its connection.
 TEST_F(DownstreamTest, PipelinedRequestsOfAnySizeAreServedInOrder) {
-  downstream->SetRequestMemory(400'000);
+  downstream->ShareMemory(std::make_shared<MemoryPool>(200'000), 0);
   Peer peer = Connect();
   std::string text;
   for (const size_t body_bytes : {0U, 3'000U, 30'000U, 60'000U, 0U, 65'536U, 5'000U}) {
