Lab: hosts that pause or end within a response, clients that read slowly, a soak mix of them

Faults slow-writes and ends-early (lab/response_plan), slow_read_share for clients, and the mix slow-peers of the soak, which draws from a generator of its own: other mixes and seeds stay as they are. The ledger holds a gateway to have lost a request that it refuses over 0.15 s before its time after it cut off a response that its host was still writing. Of over 64 KiB the first bytes are due in time and the rest within 2 s. A response that its host ends midway excuses a client that had its first bytes. The line of a lost request tells sizes and the hosts that had it.

--- a/src/cli/lab_soak_command.cpp
+++ b/src/cli/lab_soak_command.cpp
@@ -2,6 +2,7 @@
 #include <fmt/format.h>
 
 #include <cstdio>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -14,14 +15,12 @@
 
 constexpr uint64_t kMaxSeeds = 100'000;
 
-struct SoakCommandOptions {
-  SoakOptions soak;
-  std::string mix = "base";
-};
+const std::map<std::string, SoakMix> kMixes = {
+    {std::string(NameOf(SoakMix::kBase)), SoakMix::kBase},
+    {std::string(NameOf(SoakMix::kWide)), SoakMix::kWide},
+    {std::string(NameOf(SoakMix::kSlowPeers)), SoakMix::kSlowPeers}};
 
-int Soak(SoakCommandOptions& command) {
-  SoakOptions& options = command.soak;
-  options.mix = command.mix == "wide" ? SoakMix::kWide : SoakMix::kBase;
+int Soak(const SoakOptions& options) {
   const SoakCounts counts = PlaySoak(options, [&options](const Result& result) {
     fmt::print("{}\n", SoakLine(result, options.mix));
     for (const std::string& log : result.logs) {
@@ -37,8 +36,7 @@
 }  // namespace
 
 Subcommand AddSoakCommand(CLI::App& lab) {
-  const auto command = std::make_shared<SoakCommandOptions>();
-  SoakOptions* const options = &command->soak;
+  const auto options = std::make_shared<SoakOptions>();
   CLI::App* const soak = lab.add_subcommand(
       "soak", "Run random experiments from seeds, with a series of faults of all kinds");
   soak->add_option("--seed", options->first_seed, "random seed of the first experiment")
@@ -48,11 +46,12 @@
       ->check(CLI::Range(uint64_t{1}, kMaxSeeds))
       ->capture_default_str();
   soak->add_option(
-          "--mix", command->mix,
+          "--mix", options->mix,
           "wide: also long requests, invalid clients, faulty lists and settings, and hot restarts "
-          "in a cluster, about 30 s each")
-      ->check(CLI::IsMember({"base", "wide"}))
-      ->capture_default_str();
+          "in a cluster, about 30 s each; slow-peers: also hosts that pause or end within a "
+          "response, and clients that write and read slowly")
+      ->transform(CLI::Transformer(kMixes))
+      ->default_str("base");
   soak->add_option("--logs", options->logs, "keep the gateways' logs in this folder")
       ->check(CLI::ExistingDirectory);
   soak->add_option("--gateway", options->gateway,
@@ -62,8 +61,8 @@
       "Exit codes: 0 all held, 1 one was broken or had no verdict, 2 wrong usage.\n\n"
       "Examples:\n  paddlestile lab soak --seed 100 --seeds 50\n"
       "  seq 100 149 | xargs -P 4 -I{} paddlestile lab soak --seed {} --seeds 1");
-  return {soak, [command] {
-            return Soak(*command);
+  return {soak, [options] {
+            return Soak(*options);
           }};
 }
 
--- a/src/lab/arrivals.h
+++ b/src/lab/arrivals.h
@@ -18,6 +18,7 @@
   bool client_aborts = false;   // the client disconnects at `abort_position` of its timeout
   double abort_position = 0;
   bool sends_slowly = false;           // sent in pieces
+  bool reads_slowly = false;           // the response is read in pieces
   bool closes_after_response = false;  // the client closes the connection after the response
   std::vector<Duration> retry_delays;
 };
--- a/src/lab/experiment.cpp
+++ b/src/lab/experiment.cpp
@@ -42,6 +42,8 @@
                                           {"turned-away", FaultKind::kRejections},
                                           {"spoilt", FaultKind::kTamperedResponses},
                                           {"half-dead", FaultKind::kPartlyUnresponsive},
+                                          {"slow-writes", FaultKind::kSlowResponses},
+                                          {"ends-early", FaultKind::kTruncatedResponses},
                                           {"cut-off", FaultKind::kPartitioned},
                                           {"restart", FaultKind::kRestart},
                                           {"drain", FaultKind::kDrain},
@@ -266,6 +268,7 @@
   table.ReadRange("retry_wait_ms", load.retry_delay_ms.low, load.retry_delay_ms.high, 0, 60'000);
   table.Read("leave_share", load.client_abort_share, 0, 1);
   table.Read("trickle_share", load.slow_send_share, 0, 1);
+  table.Read("slow_read_share", load.slow_read_share, 0, 1);
   table.Read("once_share", load.close_after_response_share, 0, 1);
   table.Read("keeps_connections", load.keeps_open_connections);
   table.ReadEach("bad", [&](TomlTable& entry) {
--- a/src/lab/experiment.h
+++ b/src/lab/experiment.h
@@ -89,6 +89,7 @@
   UniformRange retry_delay_ms{50, 100};
   double client_abort_share = 0;  // share of requests whose client disconnects before the response
   double slow_send_share = 0;     // share of requests sent in three pieces, 20 ms apart
+  double slow_read_share = 0;     // share of responses read in pieces, 20 ms apart
   // Share of requests after which the client closes the connection.
   double close_after_response_share = 0;
   // Clients still use open connections to a gateway that is out of rotation.
@@ -107,6 +108,8 @@
   kRejections,
   kTamperedResponses,
   kPartlyUnresponsive,
+  kSlowResponses,
+  kTruncatedResponses,
   kPartitioned,
   kRestart,
   kDrain,
@@ -184,7 +187,8 @@
   double request_share = 1;  // share of the requests affected
   Duration downtime{0};      // kRestart, kGatewayTerm, kGatewayKill: time until the restart
   Duration exit_delay{0};    // kDrain: delay until the process exits; 0: it keeps running
-  // kStall: duration and interval of the stalls; kGatewayHangup: interval of `count` signals.
+  // kStall: duration and interval of the stalls; kSlowResponses: the longest time for writing one;
+  // kGatewayHangup: interval of `count` signals.
   Duration stall_duration{300'000}, interval{2'000'000};
   Duration discovery_lag{0};  // delay of discovery: kDiscoveryLag, kRestart, kDrain, kKill
   ResponseTampering tampering = ResponseTampering::kAny;
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -15,11 +15,12 @@
 #include "http/http_parser.h"
 #include "lab/host_model.h"
 #include "lab/listener.h"
+#include "lab/response_plan.h"
 
 namespace paddlestile::lab {
 namespace {
 
-constexpr size_t kMaxUnreadBytes = 1 << 17;
+constexpr size_t kMaxUnreadBytes = (1 << 20) + (1 << 16);  // the largest request that is parsed
 constexpr size_t kFloodWriteBytes = 1 << 18;             // bytes per write of an endless response
 constexpr Duration kResetDelay{5'000};                   // us; from a request to the reset
 constexpr Duration kErrorDelay{2'000};                   // us; from a request to the error response
@@ -86,6 +87,8 @@
   void OnData() override;
   void OnError() override;
   void OnWriteComplete() override;
+  // The gateway has closed or reset the connection.
+  void OnEndedByGateway();
 
   static constexpr uint64_t kNoReceipt = UINT64_MAX;
   std::list<std::shared_ptr<Connection>>::iterator position;
@@ -101,6 +104,7 @@
   Time last_used_{0};      // when it was opened or last sent a response
   uint64_t receipt_ = kNoReceipt;
   size_t attempt_ = 0;
+  std::optional<Time> response_complete_at_;  // while a response is written in pieces
 };
 
 // ---- A host -------------------------------------------------------------------------------------
@@ -311,7 +315,8 @@
 
   int unresponsive_faults = 0, stall_generation = 0;
   double unresponsive_share = 0, rejection_share = 0, error_share = 0, reset_share = 0,
-         tampering_share = 0;
+         tampering_share = 0, slow_response_share = 0, truncation_share = 0;
+  Duration max_writing_time{0};  // of a slow response
   ResponseTampering tampering = ResponseTampering::kAny;
   bool is_partitioned = false;
 
@@ -349,12 +354,41 @@
     });
   }
 
+  // Writes piece `index` of the response, and schedules the next one.
+  void WritePiece(Connection& connection, const std::shared_ptr<std::string>& response,
+                  const ResponsePlan& plan, size_t index) {
+    const size_t begin = index == 0 ? 0 : plan.piece_ends[index - 1];
+    connection.Respond(response->substr(begin, plan.piece_ends[index] - begin), false);
+    if (index + 1 < plan.piece_ends.size()) {
+      return RunLater(plan.pause, connection, [this, response, plan, index](Connection& later) {
+        WritePiece(later, response, plan, index + 1);
+      });
+    }
+    if (plan.end == ResponsePlan::End::kComplete) {
+      return connection.FinishResponse();
+    }
+    if (plan.end == ResponsePlan::End::kReset) {
+      connection.Reset();
+    }
+    CloseConnection(connection);
+  }
+
   void SendResponse(Connection& connection) {
     const size_t attempt = connection.attempt_;
     Ledger& ledger = fleet_.ledger_;
     const std::string body = MakeResponseBody(ledger.AttemptId(attempt), connection.receipt(),
                                               ledger.RequestOf(attempt).response_bytes);
     const std::string response = ResponseHead(200, body.size()) + body;
+    if (IsAffected(attempt, truncation_share, 6)) {
+      ledger.OnHostTruncated(connection.receipt());
+      const auto plan = DrawTruncatedResponse(response.size(), fleet_.seed_ ^ attempt);
+      return WritePiece(connection, std::make_shared<std::string>(response), plan, 0);
+    }
+    if (IsAffected(attempt, slow_response_share, 7)) {
+      const auto plan = DrawSlowResponse(response.size(), max_writing_time, fleet_.seed_ ^ attempt);
+      connection.response_complete_at_ = Now() + plan.WritingTime();
+      return WritePiece(connection, std::make_shared<std::string>(response), plan, 0);
+    }
     if (!IsAffected(attempt, tampering_share, 5)) {
       return connection.Respond(response);
     }
@@ -418,6 +452,7 @@
 void Fleet::Connection::FinishResponse() {
   request_started_ = waits_for_host_ = false;
   last_used_ = host_.Now();
+  response_complete_at_.reset();
   if (receipt_ != kNoReceipt) {
     host_.fleet_.ledger_.OnHostFinished(host_.Now(), std::exchange(receipt_, kNoReceipt), true);
   }
@@ -433,7 +468,7 @@
   if (host_.is_partitioned || busy() || stream_.closed()) {
     // A request whose connection ends is finished for its host.
     if (!host_.is_partitioned && busy() && stream_.ended()) {
-      host_.CloseConnection(*this);
+      OnEndedByGateway();
     }
     return;
   }
@@ -479,6 +514,13 @@
 }
 
 void Fleet::Connection::OnError() {
+  OnEndedByGateway();
+}
+
+void Fleet::Connection::OnEndedByGateway() {
+  if (response_complete_at_ && busy()) {
+    host_.fleet_.ledger_.OnResponseCut(receipt_, *response_complete_at_);
+  }
   host_.CloseConnection(*this);
 }
 
@@ -629,6 +671,13 @@
       case FaultKind::kPartlyUnresponsive:
         host.unresponsive_share = fault.request_share;
         break;
+      case FaultKind::kSlowResponses:
+        host.slow_response_share = fault.request_share;
+        host.max_writing_time = fault.stall_duration;
+        break;
+      case FaultKind::kTruncatedResponses:
+        host.truncation_share = fault.request_share;
+        break;
       case FaultKind::kPartitioned:
         host.SetPartitioned(true);
         break;
@@ -718,6 +767,12 @@
       case FaultKind::kPartlyUnresponsive:
         host.unresponsive_share = 0;
         break;
+      case FaultKind::kSlowResponses:
+        host.slow_response_share = 0;
+        break;
+      case FaultKind::kTruncatedResponses:
+        host.truncation_share = 0;
+        break;
       case FaultKind::kPartitioned:
         host.SetPartitioned(false);
         break;
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr Duration kSlowSendInterval{20'000};  // us; between the pieces of a slowly sent request
+constexpr Duration kSlowReadInterval{20'000};  // us; between the pieces of a slowly read response
+constexpr size_t kSlowReadBytes = 32'768;      // of such a piece
 constexpr Duration kClientTimeoutMargin{300'000};  // us; that a client waits beyond the deadline
 // us; within which the gateway has to end the connection
 constexpr Duration kMisbehavingClientTimeout{3'000'000};
@@ -91,6 +93,7 @@
         Abort();
       });
     }
+    stream_.set_max_unread_bytes(arrival.reads_slowly ? kSlowReadBytes : kMaxResponseBytes);
     if (arrival.sends_slowly && text.size() > 8) {
       return SendSlowly(std::make_shared<std::string>(std::move(text)), 3);
     }
@@ -127,6 +130,7 @@
     stream_.Write(text->substr(0, size));
     text->erase(0, size);
     if (!is_sending_slowly_) {
+      load_.ledger_.OnSlowRequestSent(load_.Now(), attempt_->number);
       return CheckRequestSent();
     }
     load_.loop_.RunAfter(kSlowSendInterval, [kept = *position, text, pieces, n = attempt_->number] {
@@ -136,6 +140,15 @@
       kept->SendSlowly(text, pieces - 1);
     });
   }
+  // Reads another piece of the response after a while.
+  void ReadMoreLater() {
+    load_.loop_.RunAfter(kSlowReadInterval, [kept = *position, n = attempt_->number] {
+      if (!kept->closed() && kept->HasAttempt(n)) {
+        kept->stream_.set_max_unread_bytes(kept->stream_.input().size() + kSlowReadBytes);
+        kept->stream_.ResumeReading();
+      }
+    });
+  }
   void FinishRequest(int status, Duration retry_after, bool keep_open) {
     load_.loop_.CancelTimer(timer_);
     load_.loop_.CancelTimer(abort_timer_);
@@ -197,8 +210,12 @@
       }
       return load_.CloseConnection(*this);
     }
+    load_.ledger_.OnResponseBegun(load_.Now(), attempt_->number);
     const ParseProgress progress = parser_.Feed(stream_.input());
     if (progress == ParseProgress::kNeedMore) {
+      if (attempt_->request->arrival.reads_slowly) {
+        ReadMoreLater();
+      }
       break;
     }
     if (progress == ParseProgress::kMalformed) {
@@ -238,6 +255,10 @@
     load_.ledger_.ExcuseAttempt(attempt->number, Excuse::kProcessKilled);
     return load_.FinishAttempt(attempt, 0, Duration(0));
   }
+  if (response_started && load_.ledger_.IsTruncatedByHost(attempt->number)) {
+    load_.ledger_.ExcuseAttempt(attempt->number, Excuse::kHostTruncated);
+    return load_.FinishAttempt(attempt, 0, Duration(0));
+  }
   // The gateway closed the idle connection as this request was written: resend it once on another
   // connection.
   const Duration since_sent = load_.Now() - request_sent_at_;
--- a/src/lab/soak.h
+++ b/src/lab/soak.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "lab/experiment.h"
@@ -19,9 +20,15 @@
   // In addition: long requests, so that a process that is replaced has requests in progress for
   // seconds; hosts that drain and restart; discovery that is malformed, stale, late or moved;
   // reloads; misbehaving clients; in a cluster also hot restarts, drains and full disks.
-  kWide
+  kWide,
+  // In addition to kBase: hosts that write responses in pieces with pauses or end them midway, long
+  // messages, and clients that write and read slowly.
+  kSlowPeers
 };
 
+// The name of a mix on the command line.
+std::string_view NameOf(SoakMix mix);
+
 struct SoakOptions {
   SoakMix mix = SoakMix::kBase;
   uint64_t first_seed = 1;
--- a/tests/cli/program_test.cpp
+++ b/tests/cli/program_test.cpp
@@ -450,7 +450,7 @@
     refused += client.Has("HTTP/1.1 503") ? 1 : 0;
     EXPECT_EQ(client.Has("HTTP/1.1 503"), client.Has("Retry-After: "));
   }
-  // Five sixths of the 8 MiB for messages hold 100 such requests of 64 KiB; fixed shares held 45.
+  // Five sixths of the 8 MiB for messages hold 100 such requests of 64 KiB.
   EXPECT_GT(hosts.size(), 90u);
   EXPECT_GT(refused, 200u);
   Peer health = Peer::To(address);
--- a/tests/lab/ledger_test.cpp
+++ b/tests/lab/ledger_test.cpp
@@ -53,6 +53,48 @@
   EXPECT_EQ(ledger.BreachCount(Rule::kWrongResponse), 1u);
 }
 
+// A gateway that ends a response which its host is still writing is at fault, unless little of the
+// client's time was left then or the host would have been too late.
+TEST(Ledger, RefusalAfterACutResponseIsLost) {
+  TestLedger ledger(MakeRules(Idempotency::kSafe));
+  const auto refuse_after_cut = [&](Duration complete_at, Duration refused_at) {
+    const size_t attempt = ledger.StartAttempt(Ms(0));
+    const uint64_t receipt = ledger.OnHostReceived(Ms(1), attempt, 0, 0, 0, Ms(1));
+    ledger.OnResponseCut(receipt, complete_at);
+    ledger.OnHostFinished(Ms(300), receipt, false);
+    ledger.OnResponse(refused_at, attempt, 503, "");
+  };
+  refuse_after_cut(Ms(700), Ms(860));
+  refuse_after_cut(Ms(860), Ms(400));
+  EXPECT_EQ(ledger.BreachCount(Rule::kLost), 0u);
+  refuse_after_cut(Ms(840), Ms(840));
+  EXPECT_EQ(ledger.BreachCount(Rule::kLost), 1u);
+}
+
+TEST(Ledger, LongResponseThatHasBegunMayBeCompletedLater) {
+  TestLedger ledger(MakeRules(Idempotency::kSafe));
+  for (const size_t bytes : {65'536U, 65'537U}) {
+    const size_t request = ledger.AddRequest(Ms(0), {.response_bytes = bytes});
+    const size_t attempt = ledger.AddAttempt(Ms(0), request, 0, Ms(1000));
+    ledger.OnRequestSent(attempt);
+    ledger.OnResponseBegun(Ms(990), attempt);
+  }
+  ledger.Advance(Ms(3090), Ms(0));
+  EXPECT_EQ(ledger.BreachCount(Rule::kLost), 1u);
+  ledger.Advance(Ms(3110), Ms(0));
+  EXPECT_EQ(ledger.BreachCount(Rule::kLost), 2u);
+}
+
+TEST(Ledger, TimeOfASlowlySentRequestBeginsWithItsLastByte) {
+  TestLedger ledger(MakeRules(Idempotency::kSafe));
+  const size_t attempt = ledger.StartAttempt(Ms(0));
+  ledger.OnSlowRequestSent(Ms(40), attempt);
+  ledger.Advance(Ms(1130), Ms(0));
+  EXPECT_EQ(ledger.BreachCount(Rule::kLost), 0u);
+  ledger.Advance(Ms(1150), Ms(0));
+  EXPECT_EQ(ledger.BreachCount(Rule::kLost), 1u);
+}
+
 TEST(Ledger, RequestWithoutResponseIsLostAfterItsDeadline) {
   TestLedger ledger(MakeRules(Idempotency::kSafe));
   ledger.StartAttempt(Ms(0));
--- a/tests/lab/soak_test.cpp
+++ b/tests/lab/soak_test.cpp
@@ -98,6 +98,22 @@
   }
 }
 
+// The draws of the slow peers leave the other faults of a seed as they are.
+TEST(SoakExperiment, SlowPeersAreAddedToTheBaseMix) {
+  for (uint64_t seed = 1; seed <= kSeedCount; ++seed) {
+    const Experiment base = DrawSoakExperiment(seed);
+    const Experiment slow = DrawSoakExperiment(seed, SoakMix::kSlowPeers);
+    EXPECT_GT(slow.load.slow_read_share, 0);
+    EXPECT_EQ(slow.classes.size(), base.classes.size() + 2);
+    ASSERT_EQ(slow.faults.size(), base.faults.size() + 2);
+    for (size_t i = 0; i < base.faults.size(); ++i) {
+      const size_t in_slow = base.faults[i].name == "list-silent" ? i + 2 : i;
+      EXPECT_EQ(slow.faults[in_slow].name, base.faults[i].name);
+      EXPECT_EQ(slow.faults[in_slow].at, base.faults[i].at);
+    }
+  }
+}
+
 TEST(SoakExperiment, HasIdleClientsClustersAndPersistentConnections) {
   size_t crowds = 0, clusters = 0;
   for (uint64_t seed = 1; seed <= kSeedCount; ++seed) {
