Read what has arrived before a timer that was due meanwhile runs

Cause: timers ran after the events of the round's poll, but that poll may be long past: SIGCONT interrupts it (EINTR, no event), or the process is stopped, or a handler takes long, after it.

--- a/src/event/event_loop.cpp
+++ b/src/event/event_loop.cpp
@@ -95,6 +95,15 @@
   // Runs only the timers due at the start, so that one that restarts itself cannot starve the
   // sockets.
   const Time now = Now();
+  if (timers_.empty() || timers_.begin()->first.first > now) {
+    return;
+  }
+  // What arrived before a timer was due is handled before it, even if the process was stopped after
+  // the sockets were polled, or the wait for them was interrupted.
+  ReadyEvents events;
+  const int count = Poll(events, 0);
+  RunUrgent();
+  RunEvents(events, count);
   while (!timers_.empty() && timers_.begin()->first.first <= now) {
     auto node = timers_.extract(timers_.begin());
     node.mapped()();
@@ -136,22 +145,11 @@
   }
 }
 
-void EventLoop::RunOnce(Duration max_wait) {
-  RunDeferredTasks();
-  Duration wait = after_round_tasks_.empty() ? std::max(max_wait, Duration(0)) : Duration(0);
-  if (!timers_.empty()) {
-    wait = std::clamp(timers_.begin()->first.first - Now(), Duration(0), wait);
-  }
-  // Rounded up to avoid busy-waiting during the last fraction of a millisecond.
-  const auto wait_ms = static_cast<int>(std::min<int64_t>((wait.count() + 999) / 1000, 60'000));
-  std::array<epoll_event, 256> events;
-  constexpr auto kMaxEvents = static_cast<int>(events.size());
-  int count = epoll_wait(epoll_.get(), events.data(), kMaxEvents, wait_ms);
-  const Time started_at = Now();
-  round_time_.Start(started_at);
-  RunUrgent();
-  RunAfterRoundTasks();
-  round_time_.EndStep(RoundStep::kTasks, Now());
+int EventLoop::Poll(ReadyEvents& events, int wait_ms) {
+  return epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), wait_ms);
+}
+
+void EventLoop::RunEvents(ReadyEvents& events, int count) {
   for (int polls = 1;; ++polls) {
     for (int i = 0; i < count; ++i) {
       const epoll_event& event = events[static_cast<size_t>(i)];
@@ -164,11 +162,29 @@
         RunUrgent();
       }
     }
-    if (count < kMaxEvents || polls == kMaxPollsPerRound) {
-      break;
+    if (count < static_cast<int>(events.size()) || polls == kMaxPollsPerRound) {
+      return;
     }
-    count = epoll_wait(epoll_.get(), events.data(), kMaxEvents, 0);  // more may be ready
+    count = Poll(events, 0);  // more may be ready
+  }
+}
+
+void EventLoop::RunOnce(Duration max_wait) {
+  RunDeferredTasks();
+  Duration wait = after_round_tasks_.empty() ? std::max(max_wait, Duration(0)) : Duration(0);
+  if (!timers_.empty()) {
+    wait = std::clamp(timers_.begin()->first.first - Now(), Duration(0), wait);
   }
+  // Rounded up to avoid busy-waiting during the last fraction of a millisecond.
+  const auto wait_ms = static_cast<int>(std::min<int64_t>((wait.count() + 999) / 1000, 60'000));
+  ReadyEvents events;
+  const int count = Poll(events, wait_ms);
+  const Time started_at = Now();
+  round_time_.Start(started_at);
+  RunUrgent();
+  RunAfterRoundTasks();
+  round_time_.EndStep(RoundStep::kTasks, Now());
+  RunEvents(events, count);
   // Timers run after the sockets, so that data received before a timeout is still processed.
   RunTimers();
   const Time ended_at = Now();
--- a/src/event/event_loop.h
+++ b/src/event/event_loop.h
@@ -3,6 +3,9 @@
 #ifndef PADDLESTILE_EVENT_EVENT_LOOP_H_
 #define PADDLESTILE_EVENT_EVENT_LOOP_H_
 
+#include <sys/epoll.h>
+
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -71,6 +74,11 @@
     bool urgent = false;
     uint32_t generation = 0;  // incremented by Unwatch; events with an older one are stale
   };
+  using ReadyEvents = std::array<epoll_event, 256>;
+  // Returns the number of ready events, or -1 if the wait was interrupted.
+  int Poll(ReadyEvents& events, int wait_ms);
+  // Handles the first `count` events, and if there is no room for more, those that are ready too.
+  void RunEvents(ReadyEvents& events, int count);
   void RunDeferredTasks();
   void RunEvent(uint64_t token, uint32_t events);
   void RunUrgent();
--- a/tests/event/event_loop_test.cpp
+++ b/tests/event/event_loop_test.cpp
@@ -2,7 +2,11 @@
 
 #include <gtest/gtest.h>
 #include <sys/epoll.h>
+#include <sys/time.h>
+#include <unistd.h>
 
+#include <csignal>
+#include <ctime>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -48,6 +52,67 @@
   EXPECT_GE(fired_at - started_at, Ms(7));
 }
 
+int peer_of_handler = -1;
+
+// Data arrives, and the timer of the test becomes due, while this handler interrupts the wait.
+void SendAndWait(int) {
+  const timespec past_timer{0, 60'000'000};
+  static_cast<void>(write(peer_of_handler, "x", 1));
+  nanosleep(&past_timer, nullptr);
+}
+
+// Guards against responses that are cut off as silent when a stopped process continues: its wait
+// was interrupted, and timers ran before what had arrived meanwhile was read.
+TEST(EventLoop, TimersRunAfterPendingEventsOfAnInterruptedWait) {
+  EventLoop loop;
+  auto [socket, peer] = Pair();
+  Recorder recorder;
+  uint64_t token = 0;
+  ASSERT_TRUE(loop.Watch(socket.get(), &recorder, token));
+  loop.RunOnce(Duration(0));  // writable
+  recorder.seen_events = 0;
+  bool was_read_before = false, has_fired = false;
+  loop.RunAfter(Ms(50), [&] {
+    was_read_before = (recorder.seen_events & EPOLLIN) != 0;
+    has_fired = true;
+  });
+  peer_of_handler = peer.fd();
+  struct sigaction action {
+  }, previous{};
+  action.sa_handler = SendAndWait;
+  sigaction(SIGALRM, &action, &previous);
+  const itimerval once{{0, 0}, {0, 20'000}};
+  setitimer(ITIMER_REAL, &once, nullptr);
+  EXPECT_TRUE(testing::RunUntil(loop, [&] { return has_fired; }));
+  sigaction(SIGALRM, &previous, nullptr);
+  EXPECT_TRUE(was_read_before);
+  loop.Unwatch(socket.get(), token);
+}
+
+// The same for a process that is stopped after it has polled its sockets.
+TEST(EventLoop, TimersRunAfterEventsThatArriveWithinTheRound) {
+  EventLoop loop;
+  auto [first_socket, first_peer] = Pair();
+  auto [second_socket, second_peer] = Pair();
+  Recorder first, second;
+  uint64_t first_token = 0, second_token = 0;
+  ASSERT_TRUE(loop.Watch(first_socket.get(), &first, first_token));
+  ASSERT_TRUE(loop.Watch(second_socket.get(), &second, second_token));
+  loop.RunOnce(Duration(0));  // writable
+  second.seen_events = 0;
+  bool was_read_before = false;
+  loop.RunAfter(Ms(20), [&] { was_read_before = (second.seen_events & EPOLLIN) != 0; });
+  first.on_events = [&] {
+    second_peer.Send("x");
+    usleep(30'000);  // until the timer is due
+  };
+  first_peer.Send("x");
+  loop.RunOnce(Ms(10));
+  EXPECT_TRUE(was_read_before);
+  loop.Unwatch(first_socket.get(), first_token);
+  loop.Unwatch(second_socket.get(), second_token);
+}
+
 // More sockets are ready than one epoll_wait call returns, and a timer is due. The events of all of
 // them must be handled before the timer.
 TEST(EventLoop, TimersRunAfterAllPendingEvents) {
