Check the nesting of a version before it is parsed

Cause: only the size was checked before the parser; the functions that visit the parsed value call themselves for each level, and the depth was checked where the settings are read, later.

Fix: ValidateNesting counts the brackets of the text first, for versions as it did for deltas, with the limit of the settings' own reader (32).

--- a/src/cluster/config_document.cpp
+++ b/src/cluster/config_document.cpp
@@ -72,6 +72,10 @@
   if (!errors.empty()) {
     return {};
   }
+  errors = ValidateNesting(text);
+  if (!errors.empty()) {
+    return {};
+  }
   json value = json::parse(text, nullptr, false);
   if (value.is_discarded() || !value.is_object()) {
     errors = {"expected one JSON object"};
--- a/src/cluster/delta_validation.cpp
+++ b/src/cluster/delta_validation.cpp
@@ -13,8 +13,6 @@
 
 using nlohmann::json;
 
-constexpr int kMaxNestingDepth = 32;
-
 void ValidateKeys(const json& delta, std::vector<std::string>& errors) {
   constexpr std::array kKeys = {kSettingsKey, kReplaceKey, kExcludedKey, kDrainingKey,
                                 kZoneOnlyKey};
@@ -121,31 +119,6 @@
   }
 }
 
-// Returns the maximum nesting depth of the brackets outside of strings in `text`.
-int MaxNestingDepth(std::string_view text) {
-  int depth = 0;
-  int max_depth = 0;
-  bool in_string = false;
-  for (size_t i = 0; i < text.size(); ++i) {
-    const char character = text[i];
-    if (in_string) {
-      if (character == '\\') {
-        ++i;  // the escaped character
-      }
-      if (character == '"') {
-        in_string = false;
-      }
-    } else if (character == '"') {
-      in_string = true;
-    } else if (character == '{' || character == '[') {
-      max_depth = std::max(max_depth, ++depth);
-    } else if (character == '}' || character == ']') {
-      --depth;
-    }
-  }
-  return max_depth;
-}
-
 }  // namespace
 
 json ParseDelta(std::string_view text, std::vector<std::string>& errors) {
@@ -155,8 +128,8 @@
     return {};
   }
   // Checked before parsing: the parser's callback for each depth would iterate over all siblings.
-  if (MaxNestingDepth(text) > kMaxNestingDepth) {
-    errors = {"nested more than " + std::to_string(kMaxNestingDepth) + " deep, expected less"};
+  errors = ValidateNesting(text);
+  if (!errors.empty()) {
     return {};
   }
   json delta = json::parse(text, nullptr, false);
--- a/src/cluster/document_json.h
+++ b/src/cluster/document_json.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace paddlestile::cluster {
 
@@ -27,6 +28,10 @@
 
 bool IsNamedList(std::string_view settings_key);
 
+// Returns an error if `text`, which need not be valid JSON, is nested too deep. Must be called
+// before a text of an operator is parsed: the functions that visit a value call themselves.
+std::vector<std::string> ValidateNesting(std::string_view text);
+
 // Whether `value` is a list of non-empty host IDs.
 bool IsHostIdList(const nlohmann::json& value);
 
--- a/tests/cluster/config_document_test.cpp
+++ b/tests/cluster/config_document_test.cpp
@@ -9,6 +9,17 @@
 namespace {
 
 // Each error is one line with the key and the expected value.
+// Guards against gateways that end by SIGSEGV, because a version that is nested 100,000 deep, as
+// one of the operators' requests can be, was visited by functions that call themselves.
+TEST(ValidateDocument, RejectsDeepNesting) {
+  const std::string deep =
+      R"({"settings":{"a":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}}";
+  EXPECT_EQ(ValidateDocument(deep),
+            std::vector<std::string>{"nested more than 32 deep, expected less"});
+  EXPECT_THROW(static_cast<void>(ParseDocument(deep)), std::invalid_argument);
+  EXPECT_THROW(static_cast<void>(ParseVersion(deep)), std::invalid_argument);
+}
+
 TEST(ValidateDocument, ReportsEveryError) {
   const auto errors = ValidateDocument(
       R"({"bared":[],"barred":[""],"drain":3,"zone_only":{"h":1},"settings":{"Classes":[
