Refuse a file that cannot be applied before it replaces the former one

Cause: the cluster agent took the file first.

Fix: set_file tries the file's own settings and throws before it changes anything, as the reload says. A fallback that cannot be applied keeps the settings in force, without retries.

--- a/src/config/versioned_settings.cpp
+++ b/src/config/versioned_settings.cpp
@@ -58,14 +58,6 @@
          previous.tenants.has_value() == version.tenants.has_value();
 }
 
-// Disables retries, as a strict version requires.
-void DisableRetries(Settings& settings) {
-  for (RequestClass& request_class : settings.classes) {
-    request_class.idempotency = Idempotency::kUnsafe;
-  }
-  settings.allowed.max_attempts = 1;
-}
-
 void ApplyTenantChange(const TenantChange& change, Time now, GatewayConfig& config) {
   NameTable& names = config.names.tenants;
   std::vector<Time>& expire_at = config.names.tenants_expire_at;
@@ -122,6 +114,13 @@
   }
 }
 
+void DisableRetries(Settings& settings) {
+  for (RequestClass& request_class : settings.classes) {
+    request_class.idempotency = Idempotency::kUnsafe;
+  }
+  settings.allowed.max_attempts = 1;
+}
+
 VersionedSettings::VersionedSettings(const GatewayConfig& file) : discovery_(file.discovery) {
   try {
     settings_ = nlohmann::json::parse(file.file_text).at("settings");
--- a/src/config/versioned_settings.h
+++ b/src/config/versioned_settings.h
@@ -30,6 +30,9 @@
 // accepted for a while. Throws ConfigError; then nothing is changed.
 void ApplyTenantChanges(const std::vector<TenantChange>& changes, Time now, GatewayConfig& config);
 
+// Disables retries, as a strict version requires.
+void DisableRetries(Settings& settings);
+
 // The parsed settings of a gateway's file, to which versions are applied. A version that differs
 // from the previous one only in some tenants is applied by parsing only these tenants.
 class VersionedSettings {
--- a/src/gateway/version_applier.cpp
+++ b/src/gateway/version_applier.cpp
@@ -15,7 +15,9 @@
     : loop_(loop), gateway_(gateway), file_settings_(file) {}
 
 void VersionApplier::set_file(const GatewayConfig& file) {
-  file_settings_ = VersionedSettings(file);
+  VersionedSettings settings(file);
+  static_cast<void>(FileSettings(settings));
+  file_settings_ = std::move(settings);
   applied_content_.reset();
   settings_match_content_ = false;
 }
@@ -53,15 +55,22 @@
   }
 }
 
+GatewayConfig VersionApplier::FileSettings(const VersionedSettings& settings) const {
+  const VersionContent without_settings = cluster::StrictestFor({});
+  return settings.ApplyVersion(without_settings, gateway_.config(), nullptr, loop_.Now());
+}
+
 void VersionApplier::ApplyFallback(const VersionContent& content, bool exclude_all_hosts) {
-  VersionContent fallback = cluster::StrictestFor(content);
-  fallback.settings = {};
-  fallback.classes.reset();
-  fallback.tenants.reset();
-  gateway_.ApplyConfig(
-      file_settings_.ApplyVersion(fallback, gateway_.config(), nullptr, loop_.Now()));
+  try {
+    gateway_.ApplyConfig(FileSettings(file_settings_));
+  } catch (const std::exception& error) {
+    Log(LogLevel::kError, "bank: settings in force kept, without retries: {}", error.what());
+    GatewayConfig config = gateway_.config();
+    DisableRetries(config.settings);
+    gateway_.ApplyConfig(std::move(config));
+  }
   std::set<std::string> excluded;
-  fallback.excluded.ForEach([&](const MapEntry& entry) { excluded.insert(entry.name); });
+  content.excluded.ForEach([&](const MapEntry& entry) { excluded.insert(entry.name); });
   gateway_.ExcludeHosts(std::move(excluded), exclude_all_hosts);
 }
 
--- a/src/gateway/version_applier.h
+++ b/src/gateway/version_applier.h
@@ -22,7 +22,8 @@
   VersionApplier(EventLoop& loop, Gateway& gateway, const GatewayConfig& file);
 
   // Must be called when the platform's configuration file has been reloaded. The content must then
-  // be applied again.
+  // be applied again. Throws ConfigError, without effect, if not even the file's own settings can
+  // be applied.
   void set_file(const GatewayConfig& file);
 
   // Returns the content that was last applied, or null if none was applied since the file was set.
@@ -35,7 +36,8 @@
   // Applies `content` before the gateway's next event. Does nothing if it is applied already. If
   // `exclude_all_hosts` is true, no host gets a request, whatever the content says. If the content
   // cannot be applied, logs the reason with the number `version`, and applies the file's settings
-  // with retries disabled and the excluded hosts of the content.
+  // (or if they cannot be applied either, those in force) with retries disabled, and the excluded
+  // hosts of the content.
   void Apply(cluster::VersionContent content, uint64_t version, bool exclude_all_hosts);
 
   // Returns why the gateway cannot apply this content, or an empty string if it can.
@@ -47,6 +49,10 @@
   [[nodiscard]] std::optional<std::vector<TenantChange>> TenantChangesTo(
       const cluster::VersionContent& content) const;
   void ApplyContent(const cluster::VersionContent& content, bool exclude_all_hosts);
+  // Returns the settings of a file without those of a version, with retries disabled. Throws
+  // ConfigError if this gateway cannot apply them.
+  [[nodiscard]] GatewayConfig FileSettings(const VersionedSettings& settings) const;
+  // Never throws for reasons of the configuration.
   void ApplyFallback(const cluster::VersionContent& content, bool exclude_all_hosts);
   [[nodiscard]] bool ExcludedHostsMayDiffer(const cluster::VersionContent& content) const;
   // Returns the hosts that get no requests from this gateway: those that are excluded or draining,
