Exclude a version's drained hosts also where its settings cannot be applied

Cause: the fallback of a version that cannot be applied excluded the barred hosts alone, not those that the version drains or keeps to another zone.

Fix: it excludes the hosts that the version would (ExcludedHosts).

--- a/src/gateway/version_applier.cpp
+++ b/src/gateway/version_applier.cpp
@@ -69,9 +69,7 @@
     DisableRetries(config.settings);
     gateway_.ApplyConfig(std::move(config));
   }
-  std::set<std::string> excluded;
-  content.excluded.ForEach([&](const MapEntry& entry) { excluded.insert(entry.name); });
-  gateway_.ExcludeHosts(std::move(excluded), exclude_all_hosts);
+  gateway_.ExcludeHosts(ExcludedHosts(content), exclude_all_hosts);
 }
 
 std::string VersionApplier::WhyNotApplicable(const VersionContent& content) const {
--- a/tests/gateway/version_applier_test.cpp
+++ b/tests/gateway/version_applier_test.cpp
@@ -73,5 +73,33 @@
   EXPECT_EQ(applier.applied_count(), 3u);
 }
 
+// Guards against requests to hosts that a version drains, or keeps to another zone, at a gateway
+// that cannot apply the version's settings.
+TEST_F(VersionApplierTest, ContentThatCannotBeAppliedExcludesItsHosts) {
+  const auto serve = [](const std::string&) {
+    return testing::Http200("served");
+  };
+  Host& drained = AddHost("drained", serve);
+  Host& elsewhere = AddHost("elsewhere", serve);
+  Host& barred = AddHost("barred", serve);
+  Host& usable = AddHost("usable", serve);
+  Start();
+  VersionApplier applier(loop, *gateway, FileWith(""));
+  const VersionContent content = Content(
+      R"({"settings":{"ResultMix":{"NinesPart":0.1}},"drain":["drained"],"barred":["barred"],)"
+      R"("zone_only":{"elsewhere":"far"}})");
+  ASSERT_FALSE(applier.WhyNotApplicable(content).empty());
+  applier.Apply(content, 1, false);
+  EXPECT_EQ(applier.applied_count(), 0u);
+  for (int i = 0; i < 20; ++i) {
+    testing::Peer client = SendRequest(testing::RequestText(std::to_string(i)));
+    EXPECT_TRUE(RunHostsUntil([&] { return client.Has("\r\n\r\n"); }));
+  }
+  EXPECT_EQ(drained.requests, 0);
+  EXPECT_EQ(elsewhere.requests, 0);
+  EXPECT_EQ(barred.requests, 0);
+  EXPECT_GT(usable.requests, 0);
+}
+
 }  // namespace
 }  // namespace paddlestile
