Keep an operator's drain apart from the cluster agent's

Cause: both drains were one flag of Lifecycle, and the agent ended both.

Fix: a flag each. A resume while the agent drains ends the operator's drain, and its answer says that the gateway takes clients once it is connected again.

--- a/src/gateway/admin.cpp
+++ b/src/gateway/admin.cpp
@@ -203,6 +203,9 @@
     return {409, "it is ending"};
   }
   lifecycle_.set_drained(drained);
+  if (!drained && lifecycle_.isolated()) {
+    return {200, "taking clients once it is connected to the bank"};
+  }
   return {200, drained ? "emptying" : "taking clients"};
 }
 
--- a/src/gateway/cluster_agent.cpp
+++ b/src/gateway/cluster_agent.cpp
@@ -360,7 +360,7 @@
 void ClusterAgent::UpdateDrain(bool holds_lease) {
   if (config_.when_disconnected == WhenDisconnected::kDrain && drained_ == holds_lease) {
     drained_ = !holds_lease;
-    lifecycle_.set_drained(drained_);
+    lifecycle_.set_isolated(drained_);
   }
 }
 
--- a/src/gateway/lifecycle.h
+++ b/src/gateway/lifecycle.h
@@ -12,7 +12,8 @@
 //   ----------------+-------------------------------+---------+---------+---------
 //   kStarting       | construction                  | no      | no      | no
 //   kServing        | set_ready                     | yes     | yes     | no
-//   kDrained        | set_drained(true)             | yes     | no      | yes
+//   kDrained        | set_drained(true) or          | yes     | no      | yes
+//                   | set_isolated(true)            |         |         |
 //   kHotRestarting  | set_replaced(true)            | no      | yes     | yes
 //   kEnding         | set_ending; final             | if ready| no      | yes
 //
@@ -67,7 +68,7 @@
     if (!ready_) {
       return LifecycleStage::kStarting;
     }
-    return drained_ ? LifecycleStage::kDrained : LifecycleStage::kServing;
+    return drained_ || isolated_ ? LifecycleStage::kDrained : LifecycleStage::kServing;
   }
 
   // Returns whether clients should send requests to the address, whichever process serves it.
@@ -80,11 +81,14 @@
   [[nodiscard]] bool draining() const {
     return stage() != LifecycleStage::kStarting && stage() != LifecycleStage::kServing;
   }
+  // Returns whether the cluster agent drains this process.
+  [[nodiscard]] bool isolated() const { return isolated_; }
   // Returns whether another process of a hot restart serves the address.
   [[nodiscard]] bool replaced() const { return replaced_; }
 
   void set_ready() { Set(ready_, true); }
   void set_drained(bool drained) { Set(drained_, drained); }
+  void set_isolated(bool isolated) { Set(isolated_, isolated); }
   void set_replaced(bool replaced) { Set(replaced_, replaced); }
   void set_ending() { Set(ending_, true); }
 
@@ -99,7 +103,9 @@
   }
 
   bool ready_;
-  bool drained_ = false;   // by an operator or the cluster agent
+  bool drained_ = false;  // by an operator
+  bool isolated_ =
+      false;  // by the cluster agent: drains until it is connected to the cluster again
   bool replaced_ = false;  // by another process of a hot restart
   bool ending_ = false;
   std::function<void()> change_callback_;
