Do not serve again beside the third process of two hot restarts

Cause: an old process serves again when its channel to the new one ends, and was not told that a third one had taken over from that.

Fix: the new process says `replaced` and `serves` to old ones that accept such lines. After `replaced` the old process neither serves again nor revokes, refuses or replaces the Unix socket.

--- a/src/gateway/hot_restart_new_process.cpp
+++ b/src/gateway/hot_restart_new_process.cpp
@@ -166,6 +166,13 @@
   stream_.Write(std::string(hot_restart::kReadyLine) + '\n');
 }
 
+void NewProcess::ReportReplaced(bool replaced) {
+  if (id_sender_.allowed()) {
+    stream_.Write(std::string(replaced ? hot_restart::kReplacedLine : hot_restart::kServesLine) +
+                  '\n');
+  }
+}
+
 bool NewProcess::HandBack() {
   // Builds that do not send `monitors` do not send `ending` either, so whether such an old process
   // is exiting is unknown.
--- a/src/gateway/hot_restart_new_process.h
+++ b/src/gateway/hot_restart_new_process.h
@@ -54,6 +54,9 @@
   // Must be called for each request that this process admits, or a process that takes over from it,
   // so that the old process does not admit its id again.
   void ReportRequest(const std::string& id) { id_sender_.Send(id); }
+  // Must be called when a third process has taken over from this one, and when this one serves
+  // again in its place.
+  void ReportReplaced(bool replaced);
   // Must be called once this process can serve.
   void ReportReady();
   // Must be called when this process is told to exit while it serves. Returns true if the old
--- a/src/gateway/hot_restart_old_process.cpp
+++ b/src/gateway/hot_restart_old_process.cpp
@@ -72,6 +72,8 @@
   }
   bool Start() { return stream_.Start(); }
   [[nodiscard]] Stream& stream() { return stream_; }
+  // Whether a third process has taken over from the new one.
+  [[nodiscard]] bool is_replaced() const { return is_replaced_; }
   // Sends the id of an admitted request, after the running handler.
   void ReportRequest(const std::string& id) {
     if (handed_over_) {
@@ -121,6 +123,11 @@
       owner_.exchange_.add_request_id(*request_id);
       return;
     }
+    if ((line == hot_restart::kReplacedLine || line == hot_restart::kServesLine) && handed_over_) {
+      is_replaced_ = line == hot_restart::kReplacedLine;
+      owner_.downstream_.StopRefusingForNewProcess();
+      return;
+    }
     const bool is_request = line == hot_restart::RequestLine(owner_.downstream_.address());
     if (!is_request || handed_over_ || owner_.downstream_.listening_socket() < 0) {
       Log(LogLevel::kWarning, "hot restart: rejected a malformed or unexpected request");
@@ -129,12 +136,15 @@
     HandOver();
   }
 
-  [[nodiscard]] bool IsMonitored() const { return has_answered_ && owner_.lifecycle_.replaced(); }
+  [[nodiscard]] bool IsMonitored() const {
+    return has_answered_ && !is_replaced_ && owner_.lifecycle_.replaced();
+  }
 
   void OnReady() {
     Log(LogLevel::kInfo, "hot restart: the new process serves, this process drains");
     unanswered_reports_ = 0;
     owner_.lifecycle_.set_replaced(true);
+    owner_.exchange_.on_replaced(true);
     owner_.ReportDescriptorsHeld();
   }
 
@@ -164,7 +174,8 @@
   int fd_;
   Stream stream_;
   hot_restart::RequestIdSender id_sender_;
-  bool handed_over_ = false;   // the listening socket was sent
+  bool handed_over_ = false;  // the listening socket was sent
+  bool is_replaced_ = false;
   bool has_answered_ = false;  // the new process has answered a report
   int unanswered_reports_ = 0;
 };
@@ -250,12 +261,14 @@
   loop_.CancelTimer(report_timer_);
   budget_.set_held_by_other_process(0);
   channel_->stream().Close();
+  const bool serves_again = lifecycle_.replaced() && !channel_->is_replaced();
   // An event handler of the channel may be running, so the channel is destroyed after it returns.
   loop_.RunDeferred([released_channel = std::exchange(channel_, nullptr)] {});
   // This process accepts again even if it is exiting: no other process accepts pending connections.
-  if (lifecycle_.replaced()) {
+  if (serves_again) {
     Log(LogLevel::kWarning, "hot restart: the new process is gone, this process serves again");
     lifecycle_.set_replaced(false);
+    exchange_.on_replaced(false);
   }
   // A new process that was ready has replaced the socket file, at which the next new process would
   // find nobody. Replacing it is deferred because the acceptor's own handler may be running.
@@ -267,7 +280,8 @@
 }
 
 void OldProcess::ReplaceOtherSocket() {
-  const bool is_needed = acceptor_ && !channel_ && lifecycle_.stage() != LifecycleStage::kEnding;
+  const bool is_needed = acceptor_ && !channel_ && !lifecycle_.replaced() &&
+                         lifecycle_.stage() != LifecycleStage::kEnding;
   if (is_needed && InodeOf(path_) != inode_) {
     Listen();
   }
--- a/src/gateway/hot_restart_old_process.h
+++ b/src/gateway/hot_restart_old_process.h
@@ -26,6 +26,8 @@
     std::function<std::vector<std::string>()> recent_request_ids;
     // Called with the id of each request that the new process has admitted.
     std::function<void(const std::string& id)> add_request_id;
+    // Called when the new process serves, and when this process serves again.
+    std::function<void(bool replaced)> on_replaced;
   };
   // All references must outlive this object.
   OldProcess(EventLoop& loop, std::string path, Lifecycle& lifecycle, Downstream& downstream,
--- a/src/gateway/hot_restart_protocol.h
+++ b/src/gateway/hot_restart_protocol.h
@@ -4,12 +4,14 @@
 //   new process                          old process
 //   paddlestile 1 take 10.0.0.4:5000     paddlestile 1 listen 180 7012   with the listening socket
 //                                        7012 bytes of learned state, JSON
-//                                        accepts-ids                     it reads `took`
+//                                        accepts-ids                     it reads the lines below
 //                                        monitors                        it expects answers
 //   ready                                holds 164                       sent periodically
 //   alive                                                                the answer to `holds`
 //                                        revoked                         instead of `holds`
 //                                        ending                          it was told to exit
+//   replaced                                                             another process serves
+//   serves                                                               it serves again
 //   took 9b1f03aa5c7e2d41                took 9b1f03aa5c7e2d41           the id of a request
 //                                        paddlestile 1 busy              instead of `listen`
 //
@@ -21,6 +23,10 @@
 // other one does not admit it again. New processes without it ignore it. Old processes without it
 // do not send `accepts-ids`, which precedes `monitors`, and get none.
 //
+// `replaced` is sent once a third process has taken over from the new one: the old one does not
+// serve again when the new one ends. `serves` takes that back. Sent after `accepts-ids` alone, as
+// `took` is.
+//
 // `revoked` means that the new process did not answer and the old one serves again; the new process
 // then exits. A new process that is told to exit closes the channel, and the old one serves again
 // unless it is exiting too.
@@ -44,6 +50,8 @@
 constexpr size_t kMaxLineBytes = 256;
 constexpr std::string_view kReadyLine = "ready";
 constexpr std::string_view kAcceptsIdsLine = "accepts-ids";
+constexpr std::string_view kReplacedLine = "replaced";
+constexpr std::string_view kServesLine = "serves";
 constexpr std::string_view kMonitorsLine = "monitors";
 constexpr std::string_view kAliveLine = "alive";
 constexpr std::string_view kRevokedLine = "revoked";
--- a/src/gateway/hot_restart_request_ids.h
+++ b/src/gateway/hot_restart_request_ids.h
@@ -22,6 +22,7 @@
   void Send(const std::string& id);
   // The other process accepts ids.
   void Allow();
+  [[nodiscard]] bool allowed() const { return permission_ == Permission::kAllowed; }
   // The other process does not accept ids. No effect after Allow.
   void Forbid();
   // Must be called when all written data was passed to the kernel.
--- a/src/gateway/serve.cpp
+++ b/src/gateway/serve.cpp
@@ -296,10 +296,16 @@
       peers.new_process->ReportRequest(id);
     }
   };
+  const auto on_replaced = [&](bool replaced) {
+    if (peers.new_process) {
+      peers.new_process->ReportReplaced(replaced);
+    }
+  };
   peers.old_process.emplace(
       loop, path, lifecycle, gateway.downstream(), gateway.budget(),
       OldProcess::Exchange{[&gateway] { return gateway.ExportLearnedState(); },
-                           [&gateway] { return gateway.AdmittedRequestIds(); }, add_request_id});
+                           [&gateway] { return gateway.AdmittedRequestIds(); }, add_request_id,
+                           on_replaced});
 }
 
 // Takes part in the hot restart as the new process.
--- a/tests/gateway/hot_restart_protocol_test.cpp
+++ b/tests/gateway/hot_restart_protocol_test.cpp
@@ -16,6 +16,8 @@
   EXPECT_EQ(HoldsLine(164), "holds 164");
   EXPECT_EQ(kReadyLine, "ready");
   EXPECT_EQ(kAcceptsIdsLine, "accepts-ids");
+  EXPECT_EQ(kReplacedLine, "replaced");
+  EXPECT_EQ(kServesLine, "serves");
   EXPECT_EQ(TookLine("9b1f03aa"), "took 9b1f03aa");
 }
 
--- a/tests/gateway/hot_restart_test.cpp
+++ b/tests/gateway/hot_restart_test.cpp
@@ -608,6 +608,26 @@
   EXPECT_TRUE(again.Has("HTTP/1.1 409 ")) << again.Received();
 }
 
+// Guards against a first process that accepts beside the third one once the second has ended.
+TEST_F(HotRestartTest, FirstOfThreeProcessesDoesNotServeAgainWhenTheSecondEnds) {
+  Child first, second, third, fourth;
+  Start(first, 6001);
+  ASSERT_TRUE(first.WaitForOutput("listens on"));
+  Load load(address, 0, 8);
+  Start(second, 6002);
+  ASSERT_TRUE(first.WaitForOutput("the new process serves"));
+  Start(third, 6003);
+  ASSERT_TRUE(second.WaitForOutput("the new process serves"));
+  usleep(50'000);
+  second.Signal(SIGTERM);
+  EXPECT_EQ(second.Wait(), 0);
+  usleep(300'000);
+  EXPECT_EQ(first.Text().find("serves again"), std::string::npos) << first.Text();
+  Start(fourth, 6004);
+  EXPECT_TRUE(third.WaitForOutput("the new process serves")) << fourth.Text();
+  StopAndExpectNoFailures(load);
+}
+
 // Guards against ids that reach only the next process while three of them run beside each other.
 TEST_F(HotRestartTest, IdsReachAllProcessesOfTwoHotRestarts) {
   WriteConfig(256, kSlowClass);
