--- a/src/lab/soak.cpp
+++ b/src/lab/soak.cpp
@@ -389,14 +389,15 @@
     long_write.body_bytes = {0, kMaxRequestBytes};
     experiment_.classes.push_back(long_read);
     experiment_.classes.push_back(long_write);
+    const Duration duration = experiment_.length - kFirstFault;
     Fault& slow = AddFault(FaultKind::kSlowResponses, "slow-writes", kFirstFault, 0);
     slow.host_share = 1;
-    slow.duration = experiment_.length - kFirstFault;
+    slow.duration = duration;
     slow.request_share = draw(0.05, 0.5);
     slow.stall_duration = Duration(static_cast<int64_t>(draw(0, kMaxWritingMs) * 1000));
     Fault& truncated = AddFault(FaultKind::kTruncatedResponses, "ends-early", kFirstFault, 0);
     truncated.host_share = 1;
-    truncated.duration = slow.duration;
+    truncated.duration = duration;
     truncated.request_share = draw(0, kMaxTruncatedShare);
   }
 
